--- /dev/null
+++ b/cardamomcroft/api/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators over HTTP."""
--- /dev/null
+++ b/cardamomcroft/api/bodies.py
@@ -0,0 +1,143 @@
+"""Define the bodies that the API accepts and gives."""
+
+import dataclasses
+import json
+import typing
+
+from aiohttp import web
+import expression
+
+from cardamomcroft import verdict
+from cardamomcroft.log import records
+from cardamomcroft.requests import messages
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import parsing
+from cardamomcroft.state import models
+
+MAX_DEADLINE_S = 300.0
+MAX_WAIT_S = 60.0
+MAX_KEY_CHARACTERS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EditBody:
+    """Ask for a document at a path; None removes it."""
+
+    path: str
+    expected_revision: int
+    document: dict[str, typing.Any] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApplyBody:
+    """Ask for all edits at once."""
+
+    edits: tuple[EditBody, ...]
+
+    def __post_init__(self) -> None:
+        """Check that each path stands once."""
+        paths = [edit.path for edit in self.edits]
+        if not paths:
+            raise ValueError("edits must not be empty")
+        if len(set(paths)) < len(paths):
+            raise ValueError("a path stands twice")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestBody:
+    """Ask a backend server for an answer."""
+
+    body: str
+    is_idempotent: bool = False
+    deadline_s: float = 10.0
+    urgency: documents.Urgency = documents.Urgency.NORMAL
+
+    def __post_init__(self) -> None:
+        """Check the deadline."""
+        if not 0 < self.deadline_s <= MAX_DEADLINE_S:
+            raise ValueError(
+                f"deadline_s must be above 0 and at most {MAX_DEADLINE_S:g}, "
+                f"found {self.deadline_s}"
+            )
+
+
+async def read(
+    request: web.Request, wanted: type
+) -> parsing.Checked[typing.Any, parsing.Problems]:
+    """Read and check a JSON body."""
+    try:
+        plain = json.loads(await request.text())
+    except (ValueError, LookupError, RecursionError) as error:
+        detail = f"expected JSON: {type(error).__name__}"
+        return expression.Error((parsing.Problem("body", "", detail),))
+    return parsing.structure("body", plain, wanted)
+
+
+def read_key(
+    request: web.Request,
+) -> expression.Result[str, parsing.Problems]:
+    """Return the caller's key, empty when none was sent."""
+    key = request.headers.get("Idempotency-Key", "")
+    if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
+        problem = parsing.Problem(
+            "Idempotency-Key",
+            "",
+            f"expected at most {MAX_KEY_CHARACTERS} printable characters",
+        )
+        return expression.Error((problem,))
+    return expression.Ok(key)
+
+
+def job_to_plain(job: models.Job) -> dict:
+    """Return what a caller may know of a job."""
+    return {
+        "job_id": job.job_id,
+        "account": job.account,
+        "caller": job.caller,
+        "key": job.key,
+        "region": job.region,
+        "phase": job.phase.value,
+        "attempt": job.attempt,
+        "failures": job.failures,
+        "detail": job.detail,
+        "cancel_requested": job.cancel_requested,
+        "submitted_at": job.submitted_at.isoformat(),
+        "members": job.spec.members,
+        "members_finished": len(job.finished),
+        "workers": [placement.worker_id for placement in job.placements],
+        "job": parsing.CONVERTER.unstructure(job.spec),
+    }
+
+
+def reply_to_plain(reply: messages.Reply) -> dict:
+    """Return a request's reply."""
+    return {
+        "request_id": reply.request_id,
+        "answer": reply.body,
+        "worker": reply.worker_id,
+        "verdict": verdict.Verdict.RAN.value,
+        "tries": reply.tries,
+    }
+
+
+def audit_to_plain(entry: models.AuditEntry) -> dict:
+    """Return one line of the audit trail."""
+
+    def decoded(text: str | None) -> object:
+        return None if text is None else json.loads(text)
+
+    return {
+        "revision": entry.offset,
+        "at": entry.at.isoformat(),
+        "who": entry.actor,
+        "before": decoded(entry.before),
+        "after": decoded(entry.after),
+        "accepted": entry.accepted,
+        "reason": entry.reason,
+    }
+
+
+def to_edit(body: EditBody, document: documents.Document | None):
+    """Return the log's form of an edit."""
+    content = None if document is None else parsing.to_json(document)
+    return records.Edit(body.path, body.expected_revision, content)
--- /dev/null
+++ b/cardamomcroft/api/jobs.py
@@ -0,0 +1,188 @@
+"""Answer callers about jobs."""
+
+import datetime
+import uuid
+
+from aiohttp import web
+
+from cardamomcroft import verdict
+from cardamomcroft.api import auth
+from cardamomcroft.api import bodies
+from cardamomcroft.api import context as contexts
+from cardamomcroft.api import errors
+from cardamomcroft.api import settings
+from cardamomcroft.jobs import views
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import records
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.settings import documents
+from cardamomcroft.state import jobs as folds
+from cardamomcroft.state import models
+from cardamomcroft.workers import fleet as fleets
+
+SUBMIT_LIMIT = datetime.timedelta(seconds=5)
+LIST_LIMIT = 500  # jobs a page
+
+
+async def submit(request: web.Request) -> web.Response:
+    """Accept a job once for each key."""
+    context = request.app[contexts.CONTEXT]
+    identity = request[contexts.IDENTITY]
+    if not isinstance(identity, auth.Caller):
+        return errors.refuse(
+            verdict.Reason.FORBIDDEN, "only callers submit jobs"
+        )
+    key = bodies.read_key(request)
+    if key.is_error():
+        return errors.invalid(key.error, 400)
+    checked = await bodies.read(request, documents.JobSpec)
+    if checked.is_error():
+        return errors.invalid(checked.error)
+    refusal = _refuse_spec(context, identity, checked.ok)
+    if refusal is not None:
+        return refusal
+    body = records.JobSubmitted(
+        uuid.uuid4().hex,
+        identity.account,
+        identity.name,
+        key.ok or uuid.uuid4().hex,
+        folds.find_account(context.replica.state, identity.account).region,
+        checked.ok,
+    )
+    return await _append(context, body)
+
+
+def _refuse_spec(
+    context: contexts.Context,
+    identity: auth.Caller,
+    spec: documents.JobSpec,
+) -> web.Response | None:
+    state = context.replica.state
+    account = folds.find_account(state, identity.account)
+    if account.ends_at and context.clock.now() >= account.ends_at:
+        return errors.refuse(
+            verdict.Reason.FORBIDDEN,
+            f"account {identity.account} ended at {account.ends_at}",
+        )
+    workers = fleets.Fleet().region(state, account.region).values()
+    reason = context.policy.refusal(
+        spec,
+        views.account_view(identity.account, account),
+        tuple(map(fleets.to_view, workers)),
+    )
+    if reason is None:
+        return None
+    return errors.refuse(verdict.Reason.INVALID, f"can never run: {reason}")
+
+
+async def _append(
+    context: contexts.Context, body: records.JobSubmitted
+) -> web.Response:
+    outcome = await context.appender.confirm(
+        body, appenders.Priority.OPERATOR, SUBMIT_LIMIT
+    )
+    if outcome.is_error():
+        return errors.respond(outcome.error)
+    applied = outcome.ok
+    if applied.accepted or applied.reason == "repeated key":
+        job = context.replica.state.jobs[applied.entity_id]
+        status = 201 if applied.accepted else 200
+        return web.json_response(bodies.job_to_plain(job), status=status)
+    return errors.refuse(verdict.Reason.CONFLICT, applied.reason)
+
+
+async def _find(request: web.Request) -> models.Job | None:
+    """Return a job that the caller may see, reading on if it is new."""
+    context = request.app[contexts.CONTEXT]
+    job_id = request.match_info["job_id"]
+    if job_id not in context.replica.state.jobs:
+        await clocks.within(
+            context.clock, settings.APPLY_LIMIT, context.replica.refresh()
+        )
+    job = context.replica.state.jobs.get(job_id)
+    if job is None or not request[contexts.IDENTITY].may_see(job.account):
+        return None
+    return job
+
+
+def _not_found(request: web.Request) -> web.Response:
+    job_id = request.match_info["job_id"]
+    return errors.refuse(verdict.Reason.NOT_FOUND, f"no job {job_id}")
+
+
+async def status(request: web.Request) -> web.Response:
+    """Return a job, waiting for its end when asked to."""
+    job = await _find(request)
+    if job is None:
+        return _not_found(request)
+    try:
+        wait_s = float(request.query.get("wait_s", "0"))
+    except ValueError:
+        return errors.refuse(
+            verdict.Reason.INVALID, "wait_s must be a number", 400
+        )
+    if not 0 <= wait_s <= bodies.MAX_WAIT_S:
+        return errors.refuse(
+            verdict.Reason.INVALID,
+            f"wait_s must be from 0 to {bodies.MAX_WAIT_S:g}",
+            400,
+        )
+    context = request.app[contexts.CONTEXT]
+    job = await _wait_for_end(context, job, wait_s)
+    return web.json_response(bodies.job_to_plain(job))
+
+
+async def _wait_for_end(
+    context: contexts.Context, job: models.Job, wait_s: float
+) -> models.Job:
+    until = context.clock.monotonic() + datetime.timedelta(seconds=wait_s)
+    while not job.phase.is_final:
+        left = until - context.clock.monotonic()
+        if left <= datetime.timedelta():
+            break
+        await clocks.within(context.clock, left, context.replica.changed())
+        job = context.replica.state.jobs.get(job.job_id, job)
+    return job
+
+
+async def list_jobs(request: web.Request) -> web.Response:
+    """Return the newest jobs that the caller may see."""
+    context = request.app[contexts.CONTEXT]
+    identity = request[contexts.IDENTITY]
+    jobs = [
+        job
+        for job in context.replica.state.jobs.values()
+        if identity.may_see(job.account)
+    ]
+    jobs.sort(key=lambda job: -job.submitted_offset)
+    return web.json_response(
+        {"jobs": [*map(bodies.job_to_plain, jobs[:LIST_LIMIT])]}
+    )
+
+
+async def cancel(request: web.Request) -> web.Response:
+    """Ask the owner to end a job; the status tells when it has."""
+    job = await _find(request)
+    if job is None:
+        return _not_found(request)
+    context = request.app[contexts.CONTEXT]
+    identity = request[contexts.IDENTITY]
+    outcome = await context.appender.confirm(
+        records.JobCancelled(job.job_id, identity.name),
+        appenders.Priority.OPERATOR,
+        SUBMIT_LIMIT,
+    )
+    if outcome.is_error():
+        return errors.respond(outcome.error)
+    if not outcome.ok.accepted:
+        return errors.refuse(verdict.Reason.CONFLICT, outcome.ok.reason)
+    job = context.replica.state.jobs[job.job_id]
+    return web.json_response(bodies.job_to_plain(job), status=202)
+
+
+ROUTES = (
+    settings.Route("POST", "/v1/jobs", submit),
+    settings.Route("GET", "/v1/jobs", list_jobs),
+    settings.Route("GET", "/v1/jobs/{job_id}", status),
+    settings.Route("DELETE", "/v1/jobs/{job_id}", cancel),
+)
--- /dev/null
+++ b/cardamomcroft/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstrate and measure the system."""
--- /dev/null
+++ b/cardamomcroft/bench/local.py
@@ -0,0 +1,209 @@
+"""Run the stand-ins and several instances on loopback."""
+
+import contextlib
+import datetime
+import hashlib
+import socket
+
+import aiohttp
+
+from cardamomcroft.daemon import node as nodes
+from cardamomcroft.daemon import serving
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import instance
+from cardamomcroft.settings import parsing
+from cardamomcroft.standin import instances
+from cardamomcroft.standin import log
+from cardamomcroft.standin import service
+from cardamomcroft.standin import workers
+
+HOST = "127.0.0.1"
+WAIT_LIMIT = datetime.timedelta(seconds=30)
+OPERATOR_TOKEN = "demo-operator-token"
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        addresses = []
+        for _ in range(count):
+            probe = stack.enter_context(socket.socket())
+            probe.bind((HOST, 0))
+            addresses.append(f"{HOST}:{probe.getsockname()[1]}")
+        return addresses
+
+
+def operator_principal() -> documents.Principal:
+    """Return the operator that local runs use."""
+    digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return documents.Principal(digest)
+
+
+def make_settings(
+    index: int,
+    addresses: list[tuple[str, str]],
+    platform: instance.Platform,
+    region: str,
+    data_centres: list[str],
+    policy: str,
+) -> instance.InstanceSettings:
+    """Return the settings of one of several local instances."""
+    http_address, peer_address = addresses[index]
+    return instance.InstanceSettings(
+        f"entry-{index + 1}",
+        data_centres[index % len(data_centres)],
+        region,
+        http_address,
+        peer_address,
+        platform,
+        peers={
+            f"entry-{number + 1}": addresses[number][1]
+            for number in range(len(addresses))
+        },
+        operators={"root": operator_principal()},
+        logging=instance.Logging(level="warning"),
+        policy=policy,
+    )
+
+
+class LocalCluster:
+    """Hold stand-ins and instances in one process."""
+
+    def __init__(
+        self,
+        by_path: dict[str, documents.Document],
+        instance_count: int,
+        policy: str,
+    ) -> None:
+        """Choose addresses and build everything."""
+        self.clock = clocks.SystemClock()
+        self.log = log.StandinLog(self.clock)
+        self.workers = workers.StandinWorkers(self.clock)
+        self.instances = instances.StandinInstances(self.clock)
+        self._log_at, self._list_at, self._workers_at = free_addresses(3)
+        self.by_path = {
+            path: self._locate(document) for path, document in by_path.items()
+        }
+        self.servers = self._make_servers(instance_count, policy)
+        self._runners: list = []
+
+    def _locate(self, document: documents.Document) -> documents.Document:
+        """Point the workers of a data centre to the stand-in."""
+        if not isinstance(document, documents.DataCentre):
+            return document
+        plain = parsing.CONVERTER.unstructure(document)
+        for rack in plain["racks"].values():
+            for worker_id, worker in rack["workers"].items():
+                worker["address"] = f"http://{self._workers_at}/{worker_id}"
+                self.workers.add(
+                    worker_id, worker["accelerators"] or 8, worker["slots"]
+                )
+        return parsing.CONVERTER.structure(plain, documents.DataCentre)
+
+    def _make_servers(self, count: int, policy: str) -> list[serving.Server]:
+        flat = free_addresses(2 * count)
+        addresses = list(zip(flat[::2], flat[1::2], strict=True))
+        platform = instance.Platform(
+            f"http://{self._log_at}", f"http://{self._list_at}"
+        )
+        data_centres = [
+            path.removeprefix("fleet/")
+            for path in sorted(self.by_path)
+            if path.startswith("fleet/")
+        ]
+        region = self.by_path[f"fleet/{data_centres[0]}"].region
+        self.settings = [
+            make_settings(
+                index, addresses, platform, region, data_centres, policy
+            )
+            for index in range(count)
+        ]
+        return [serving.Server(settings) for settings in self.settings]
+
+    def url(self, index: int) -> str:
+        """Return the HTTP address of an instance."""
+        return f"http://{self.settings[index].http_listen}"
+
+    async def start(self) -> None:
+        """Start the stand-ins, then the instances."""
+        for app, address in (
+            (service.log_app(self.log), self._log_at),
+            (service.instances_app(self.instances), self._list_at),
+            (service.workers_app(self.workers), self._workers_at),
+        ):
+            self._runners.append(await service.serve(app, address))
+        for settings in self.settings:
+            self.instances.put(
+                messages.ListedInstance(
+                    settings.instance_id,
+                    messages.InstanceState.LIVE,
+                    settings.region,
+                    settings.data_centre,
+                    settings.peer_listen,
+                    settings.http_listen,
+                )
+            )
+        for server in self.servers:
+            await server.start()
+
+    async def wait_serving(self) -> None:
+        """Wait until every instance serves."""
+        for server in self.servers:
+            await nodes.wait_until(
+                self.clock,
+                lambda node=server.node: node.lifecycle.state == "serving",
+                WAIT_LIMIT,
+            )
+
+    async def wait_in_force(self, revision: int) -> float:
+        """Return the seconds until every instance has applied an offset."""
+        began = self.clock.monotonic()
+        for server in self.servers:
+            replica = server.node.replica
+            while replica.state.applied < revision:
+                if self.clock.monotonic() - began > WAIT_LIMIT:
+                    raise RuntimeError("configuration is not in force")
+                await replica.changed()
+        return (self.clock.monotonic() - began).total_seconds()
+
+    async def stop(self) -> None:
+        """Drain the instances, then end the stand-ins."""
+        for server in self.servers:
+            await server.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+
+
+def headers(token: str, key: str = "") -> dict[str, str]:
+    """Return the headers of a call."""
+    made = {"Authorization": f"Bearer {token}"}
+    if key:
+        made["Idempotency-Key"] = key
+    return made
+
+
+async def apply_all(
+    session: aiohttp.ClientSession,
+    url: str,
+    by_path: dict[str, documents.Document],
+) -> int:
+    """Apply documents that are new and return their revision."""
+    edits = [
+        {
+            "path": path,
+            "expected_revision": -1,
+            "document": parsing.CONVERTER.unstructure(document),
+        }
+        for path, document in by_path.items()
+    ]
+    async with session.post(
+        f"{url}/v1/settings",
+        json={"edits": edits},
+        headers=headers(OPERATOR_TOKEN),
+    ) as response:
+        plain = await response.json()
+        if response.status != 200:
+            raise RuntimeError(f"apply failed: {plain}")
+        return plain["revision"]
--- /dev/null
+++ b/cardamomcroft/charts/loading.py
@@ -0,0 +1,71 @@
+"""Load state charts and answer what follows a trigger."""
+
+import functools
+import importlib.resources
+
+import transitions
+from transitions.extensions import asyncio as async_machines
+import yaml
+
+CHART_NAMES = ("job", "request", "gang", "instance")
+
+
+class Chart:
+    """Answer transitions of a chart without holding a model."""
+
+    def __init__(self, plain: dict) -> None:
+        """Build the machine that interprets the chart."""
+        self.name: str = plain["name"]
+        self.initial: str = plain["initial"]
+        self.final = frozenset(plain["final"])
+        self.states: tuple[str, ...] = tuple(plain["states"])
+        self.plain = plain
+        machine = transitions.Machine(
+            model=None,
+            states=list(self.states),
+            initial=self.initial,
+            transitions=plain["transitions"],
+            auto_transitions=False,
+        )
+        self._next = {
+            (trigger, transition.source): transition.dest
+            for trigger in machine.events
+            for transition in machine.get_transitions(trigger)
+        }
+
+    def next_state(self, state: str, trigger: str) -> str | None:
+        """Return the state after the trigger, or None when not allowed."""
+        return self._next.get((trigger, state))
+
+    def edges(self) -> tuple[tuple[str, str, str], ...]:
+        """Return (trigger, source, destination) of every transition."""
+        return tuple(
+            (trigger, source, dest)
+            for (trigger, source), dest in self._next.items()
+        )
+
+    @functools.cached_property
+    def _shared(self) -> async_machines.AsyncMachine:
+        return async_machines.AsyncMachine(
+            model=None,
+            states=list(self.states),
+            initial=self.initial,
+            transitions=self.plain["transitions"],
+            auto_transitions=False,
+        )
+
+    def attach(self, model: object) -> None:
+        """Give a model the chart's triggers as coroutines."""
+        self._shared.add_model(model)
+
+    def detach(self, model: object) -> None:
+        """Let go of a model."""
+        self._shared.remove_model(model)
+
+
+@functools.cache
+def load(name: str) -> Chart:
+    """Return the chart of that name."""
+    files = importlib.resources.files("cardamomcroft.charts")
+    text = files.joinpath(f"{name}.yaml").read_text(encoding="utf-8")
+    return Chart(yaml.safe_load(text))
--- /dev/null
+++ b/cardamomcroft/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run all roles of one instance."""
--- /dev/null
+++ b/cardamomcroft/daemon/main.py
@@ -0,0 +1,44 @@
+"""Start the daemon of one entry instance."""
+
+import asyncio
+import pathlib
+import sys
+
+import cyclopts
+
+from cardamomcroft.daemon import logs
+from cardamomcroft.daemon import serving
+from cardamomcroft.settings import instance
+
+EXIT_USAGE = 2
+
+app = cyclopts.App(
+    name="cardamomcroftd", help="Run one instance of cardamomcroft."
+)
+
+
+@app.default
+def run(*, settings: pathlib.Path) -> None:
+    """Run until SIGTERM, then drain and stop.
+
+    Parameters
+    ----------
+    settings
+        The YAML file with the settings of this instance.
+    """
+    loaded = instance.load(settings)
+    if loaded.is_error():
+        for problem in loaded.error:
+            print(problem, file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    logs.configure(loaded.ok.logging, loaded.ok.instance_id)
+    asyncio.run(serving.Server(loaded.ok).run_until_signalled())
+
+
+def main() -> None:
+    """Enter from the console command."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cardamomcroft/daemon/node.py
@@ -0,0 +1,324 @@
+"""Assemble the roles of one instance and run them on one loop."""
+
+import asyncio
+import dataclasses
+import datetime
+import random
+import uuid
+
+import structlog
+
+from cardamomcroft.api import auth
+from cardamomcroft.api import context as contexts
+from cardamomcroft.charts import loading
+from cardamomcroft.daemon import listing
+from cardamomcroft.jobs import scheduler as schedulers
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.log import snapshotter as snapshotters
+from cardamomcroft.membership import digests
+from cardamomcroft.membership import freshness as freshnesses
+from cardamomcroft.membership import members
+from cardamomcroft.peers import base as peers_base
+from cardamomcroft.peers import exchange as exchanges
+from cardamomcroft.policy import registry
+from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.requests import admission as admissions
+from cardamomcroft.requests import router as routers
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import instance
+from cardamomcroft.state import jobs as job_folds
+from cardamomcroft.workers import allotment as allotments
+from cardamomcroft.workers import fleet as fleets
+from cardamomcroft.workers import renewer as renewers
+
+DRAIN_POLL = datetime.timedelta(milliseconds=50)
+CATCH_UP_POLL = datetime.timedelta(milliseconds=50)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ports:
+    """Bundle the adapters towards everything outside."""
+
+    log: base.PlatformLog
+    instances: base.InstanceList
+    workers: base.WorkerClient
+    peers: peers_base.PeerClient
+    clock: base.Clock
+    metrics: base.Metrics
+
+
+class Lifecycle:
+    """Follow the instance chart."""
+
+    def __init__(self) -> None:
+        """Start in the first state."""
+        self.state = ""
+        loading.load("instance").attach(self)
+
+
+class Node:
+    """Host the roles of one instance."""
+
+    def __init__(
+        self,
+        settings: instance.InstanceSettings,
+        ports: Ports,
+        generator: random.Random,
+    ) -> None:
+        """Build the roles without starting them."""
+        self.settings = settings
+        self.ports = ports
+        self.lifecycle = Lifecycle()
+        suffix = uuid.UUID(int=generator.getrandbits(128)).hex[:8]
+        self.incarnation = f"{settings.instance_id}@{suffix}"
+        self._logger = structlog.get_logger().bind(
+            instance_id=settings.instance_id
+        )
+        self._tasks: list[asyncio.Task] = []
+        self._build_log()
+        self._build_membership()
+        self._build_jobs()
+        self._build_requests(generator)
+        self.context = self._make_context()
+
+    def _build_log(self) -> None:
+        ports = self.ports
+        self.replica = replicas.Replica(ports.log, ports.clock, ports.metrics)
+        self.appender = appenders.Appender(
+            self.incarnation,
+            ports.log,
+            self.replica,
+            ports.clock,
+            ports.metrics,
+        )
+
+    def _build_membership(self) -> None:
+        settings, ports = self.settings, self.ports
+        timing = settings.timing
+        self.membership = members.Membership(
+            settings.instance_id,
+            settings.region,
+            ports.clock,
+            timing.duration("suspicion"),
+        )
+        for instance_id, address in settings.peers.items():
+            self.membership.add_seed(instance_id, address)
+        self.freshness = freshnesses.Freshness(
+            self.replica,
+            self.membership,
+            ports.clock,
+            timing.duration("self_lease"),
+        )
+        self.exchange = exchanges.Exchange(
+            self.make_digest,
+            self.membership,
+            self.replica,
+            ports.peers,
+            ports.clock,
+            timing.duration("digest_period"),
+        )
+        self.listing = listing.ListWatcher(
+            ports.instances,
+            self.membership,
+            ports.clock,
+            timing.duration("list_period"),
+        )
+        self.snapshotter = snapshotters.Snapshotter(
+            settings.instance_id,
+            self.replica,
+            self.appender,
+            self.membership,
+            ports.clock,
+            timing.snapshot_every_records,
+        )
+
+    def _build_jobs(self) -> None:
+        settings, ports = self.settings, self.ports
+        self.policy = registry.by_name()[settings.policy]
+        self.renewer = renewers.LeaseRenewer(
+            settings.region,
+            self.replica,
+            self.appender,
+            ports.workers,
+            self.membership,
+            self.freshness,
+            ports.clock,
+            ports.metrics,
+            settings.timing,
+        )
+        self.scheduler = schedulers.Scheduler(
+            schedulers.Parts(
+                settings.region,
+                self.incarnation,
+                self.replica,
+                self.appender,
+                ports.workers,
+                self.membership,
+                self.freshness,
+                ports.clock,
+                ports.metrics,
+                settings.timing,
+                self.policy,
+            )
+        )
+
+    def _build_requests(self, generator: random.Random) -> None:
+        settings, ports = self.settings, self.ports
+        self.allotment = allotments.Allotment(self.membership)
+        self._fleet = fleets.Fleet()
+        self.admission = admissions.Admission(
+            ports.clock, ports.metrics, self._terms, self._capacity
+        )
+        self.router = routers.Router(
+            settings.region,
+            settings.data_centre,
+            self.replica,
+            self.appender,
+            ports.workers,
+            self.membership,
+            self.admission,
+            self.allotment,
+            ports.clock,
+            ports.metrics,
+            generator,
+        )
+
+    def _make_context(self) -> contexts.Context:
+        return contexts.Context(
+            self.settings,
+            self.incarnation,
+            self.replica,
+            self.appender,
+            self.membership,
+            self.scheduler,
+            self.router,
+            self.policy,
+            self.ports.clock,
+            self.ports.metrics,
+            auth.Authenticator(self.settings.operators),
+            self.lifecycle,
+        )
+
+    def _terms(self, account: str) -> admissions.AccountTerms:
+        document = job_folds.find_account(self.replica.state, account)
+        if document is None:
+            return admissions.AccountTerms(1.0, documents.Limits(), {})
+        return admissions.AccountTerms(
+            document.weight,
+            document.limits,
+            {name: caller.weight for name, caller in document.callers.items()},
+        )
+
+    def _capacity(self) -> int:
+        located = self._fleet.region(self.replica.state, self.settings.region)
+        return sum(
+            self.allotment.limit(worker)
+            for worker_id, worker in located.items()
+            if not self.membership.is_worker_leaving(worker_id)
+        )
+
+    def make_digest(self) -> digests.Digest:
+        """Sum up this instance for its peers."""
+        state = self.replica.state
+        claim = state.claims.get(self.settings.region)
+        known = claim.epoch if claim else -1
+        return digests.Digest(
+            self.settings.instance_id,
+            self.incarnation,
+            self.settings.region,
+            self.settings.data_centre,
+            state.applied,
+            max(known, self.membership.known_epoch),
+            self.replica.reachable,
+            self.lifecycle.state in ("draining", "stopped"),
+            self.settings.http_listen,
+            self.settings.peer_listen,
+            self.admission.running,
+            tuple(
+                worker_id
+                for worker_id in self.membership.leaving_workers
+                if self.membership.is_worker_leaving(worker_id)
+            ),
+        )
+
+    async def start(self) -> None:
+        """Run the roles and catch up."""
+        await self.lifecycle.listen()
+        for role in (
+            self.replica,
+            self.appender,
+            self.exchange,
+            self.listing,
+            self.renewer,
+            self.scheduler,
+            self.snapshotter,
+        ):
+            self._tasks.append(asyncio.ensure_future(self._guard(role)))
+        self._tasks.append(asyncio.ensure_future(self._catch_up()))
+
+    async def _guard(self, role) -> None:
+        """Run a role again when it fails."""
+        while True:
+            try:
+                await role.run()
+            except Exception:
+                name = type(role).__name__
+                self._logger.exception("role_failed", role=name)
+                self.ports.metrics.increment("role.failed")
+                await self.ports.clock.sleep(CATCH_UP_POLL)
+
+    async def _catch_up(self) -> None:
+        while not self.replica.caught_up:
+            await self.ports.clock.sleep(CATCH_UP_POLL)
+        if self.lifecycle.state == "catching_up":
+            await self.lifecycle.catch_up()
+            self._logger.info("serving", applied=self.replica.state.applied)
+
+    async def drain(self) -> None:
+        """Hand everything over and let requests in flight finish."""
+        if self.lifecycle.state not in ("catching_up", "serving"):
+            return
+        await self.lifecycle.drain()
+        self._logger.info("draining")
+        await self.scheduler.drain()
+        await self.exchange.announce()
+        limit = self.settings.timing.duration("drain")
+        began = self.ports.clock.monotonic()
+        while self._is_busy():
+            if self.ports.clock.monotonic() - began >= limit:
+                self._logger.warning("drain_limit_passed")
+                break
+            await self.ports.clock.sleep(DRAIN_POLL)
+
+    def _is_busy(self) -> bool:
+        requests = self.admission.running + self.admission.queued
+        return bool(requests or self.appender.pending())
+
+    async def stop(self) -> None:
+        """End the roles."""
+        if self.lifecycle.state == "draining":
+            await self.lifecycle.stop()
+        await self.kill()
+
+    async def kill(self) -> None:
+        """End the roles at once, as a crash does."""
+        tasks, self._tasks = self._tasks, []
+        tasks.extend(self.scheduler.kill())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def wait_until(
+    clock: base.Clock, condition, limit: datetime.timedelta
+) -> bool:
+    """Wait until the condition holds; tell whether it did in time."""
+
+    async def poll() -> bool:
+        while not condition():
+            await clock.sleep(DRAIN_POLL)
+        return True
+
+    return bool(await clocks.within(clock, limit, poll()))
--- /dev/null
+++ b/cardamomcroft/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Start, settle and take over jobs."""
--- /dev/null
+++ b/cardamomcroft/jobs/launch.py
@@ -0,0 +1,196 @@
+"""Start a whole gang or nothing of it."""
+
+import asyncio
+import dataclasses
+import datetime
+import enum
+
+from cardamomcroft import verdict
+from cardamomcroft.charts import loading
+from cardamomcroft.log import records
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import instance
+from cardamomcroft.state import models
+
+STOP_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+
+
+class LaunchOutcome(enum.Enum):
+    """Tell how a launch ended."""
+
+    RUNNING = "running"
+    RELEASED = "released"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LaunchResult:
+    """Tell how a launch ended and on which worker it missed."""
+
+    outcome: LaunchOutcome
+    worker_id: str = ""
+    detail: str = ""
+
+
+class Launch:
+    """Reserve all members in a fixed order, then start all of them."""
+
+    def __init__(
+        self,
+        job: models.Job,
+        attempt: int,
+        token: int,
+        placements: tuple[records.Placement, ...],
+        workers: base.WorkerClient,
+        clock: base.Clock,
+        timing: instance.Timing,
+        may_act,
+    ) -> None:
+        """Take the plan; ``may_act`` is asked before each phase."""
+        self.job = job
+        self.attempt = attempt
+        self.placements = placements
+        self.state = ""
+        self._token = token
+        self._workers = workers
+        self._clock = clock
+        self._timing = timing
+        self._may_act = may_act
+        self._miss = LaunchResult(LaunchOutcome.RELEASED)
+        self._touched: list[int] = []
+
+    def _task(self, member: int) -> messages.TaskId:
+        return messages.TaskId(self.job.job_id, self.attempt, member)
+
+    async def run(self) -> LaunchResult:
+        """Take the gang to running, or release all of it."""
+        chart = loading.load("gang")
+        chart.attach(self)
+        try:
+            return await self._run()
+        finally:
+            chart.detach(self)
+
+    async def _run(self) -> LaunchResult:
+        await self.reserve()
+        if not await self._reserve_all():
+            return await self._release_all()
+        await self.hold()
+        await self.start()
+        if not await self._start_all():
+            return await self._release_all()
+        await self.trigger("run")  # its method is this object's own
+        return LaunchResult(LaunchOutcome.RUNNING)
+
+    async def _reserve_all(self) -> bool:
+        order = sorted(
+            range(len(self.placements)),
+            key=lambda member: (
+                self.placements[member].worker_id,
+                self.placements[member].cell.start,
+            ),
+        )
+        for member in order:
+            if not self._may_act():
+                return self._missed(member, "self-lease passed", False)
+            self._touched.append(member)
+            placement = self.placements[member]
+            command = messages.Reserve(
+                self._task(member),
+                self._token,
+                placement.cell,
+                self._timing.hold_s,
+            )
+            result = await self._workers.reserve(placement.worker_id, command)
+            if result.is_error():
+                return self._missed(member, result.error.detail, False)
+        return True
+
+    async def _start_all(self) -> bool:
+        if not self._may_act():
+            return self._missed(0, "self-lease passed", False)
+        results = await asyncio.gather(
+            *map(self._start_member, range(len(self.placements)))
+        )
+        for member, result in enumerate(results):
+            if result.is_error():
+                return self._missed(member, result.error.detail, True)
+        return True
+
+    async def _start_member(self, member: int):
+        command = messages.Start(
+            self._task(member),
+            self._token,
+            self._timing.lease_s,
+            self.job.spec.payload,
+            max(0.0, self.job.spec.run_s - self.job.checkpoint_s),
+        )
+        worker_id = self.placements[member].worker_id
+        result = await self._workers.start(worker_id, command)
+        unknown = (
+            result.is_error()
+            and result.error.verdict is verdict.Verdict.MAY_HAVE_RUN
+        )
+        # Starting a running task again is harmless, so ask once more.
+        if unknown:
+            return await self._workers.start(worker_id, command)
+        return result
+
+    def _missed(self, member: int, detail: str, failed: bool) -> bool:
+        outcome = LaunchOutcome.FAILED if failed else LaunchOutcome.RELEASED
+        worker_id = self.placements[member].worker_id
+        self._miss = LaunchResult(outcome, worker_id, detail)
+        return False
+
+    async def _release_all(self) -> LaunchResult:
+        await self.miss()
+        members = tuple(self._touched)
+        await asyncio.gather(*map(self._stop_member, members))
+        await self.release()
+        return self._miss
+
+    async def _stop_member(self, member: int) -> None:
+        await stop_surely(
+            self._workers,
+            self._clock,
+            self._timing,
+            self.placements[member].worker_id,
+            messages.Stop(self._task(member), self._token),
+        )
+
+
+async def stop_surely(
+    workers: base.WorkerClient,
+    clock: base.Clock,
+    timing: instance.Timing,
+    worker_id: str,
+    command: messages.Stop,
+) -> float:
+    """Stop a task, or wait until its lease has certainly lapsed.
+
+    Return the seconds of work that a checkpoint kept.
+    """
+    began = clock.monotonic()
+    while True:
+        result = await workers.stop(worker_id, command)
+        if result.is_ok():
+            return result.ok.checkpoint_s
+        stale = result.error.reason is verdict.Reason.STALE
+        waited = clock.monotonic() - began
+        if stale or waited >= lapse_time(timing):
+            return 0.0
+        await clock.sleep(STOP_RETRY_DELAY)
+
+
+def lapse_time(timing: instance.Timing) -> datetime.timedelta:
+    """Return after how long nobody can still hold an unseen task.
+
+    An instance that lost touch may act for its self-lease, hold for the
+    hold time and renew a last time within its self-lease.
+    """
+    return (
+        timing.duration("self_lease")
+        + timing.duration("hold")
+        + timing.duration("lease")
+    )
--- /dev/null
+++ b/cardamomcroft/jobs/takeover.py
@@ -0,0 +1,161 @@
+"""Fence the workers of a region and learn what runs on them."""
+
+import asyncio
+import collections
+import dataclasses
+
+import structlog
+
+from cardamomcroft.jobs import launch
+from cardamomcroft.log import records
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import instance
+from cardamomcroft.state import models
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundTask:
+    """Pair a reported task with its worker."""
+
+    worker_id: str
+    report: messages.TaskReport
+
+
+class Takeover:
+    """Track which workers have confirmed the fence of an epoch."""
+
+    def __init__(
+        self,
+        epoch: int,
+        workers: base.WorkerClient,
+        clock: base.Clock,
+        timing: instance.Timing,
+    ) -> None:
+        """Start with no worker confirmed."""
+        self.epoch = epoch
+        self.began = clock.monotonic()
+        self.is_settled = False
+        self.found: dict[str, tuple[messages.TaskReport, ...]] = {}
+        self._workers = workers
+        self._clock = clock
+        self._timing = timing
+        self._logger = structlog.get_logger()
+
+    def is_fenced(self, worker_id: str) -> bool:
+        """Tell whether the worker refuses older tokens."""
+        return worker_id in self.found
+
+    async def step(self, worker_ids: tuple[str, ...]) -> None:
+        """Fence the workers that have not confirmed yet."""
+        missing = [
+            worker_id
+            for worker_id in worker_ids
+            if worker_id not in self.found
+        ]
+        await asyncio.gather(*map(self._fence, missing))
+        waited = self._clock.monotonic() - self.began
+        everywhere = all(map(self.is_fenced, worker_ids))
+        if everywhere or waited >= launch.lapse_time(self._timing):
+            self.is_settled = True
+            self._logger.info(
+                "takeover_settled",
+                epoch=self.epoch,
+                fenced=len(self.found),
+                waited_s=waited.total_seconds(),
+            )
+
+    async def _fence(self, worker_id: str) -> None:
+        command = messages.Renew(self.epoch, self._timing.lease_s)
+        result = await self._workers.renew(worker_id, command)
+        if result.is_ok():
+            self.found[worker_id] = result.ok.tasks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adoption:
+    """Say which unrecorded gang to adopt, as its record."""
+
+    record: records.GangStarted
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orphan:
+    """Say which unrecorded task to stop."""
+
+    worker_id: str
+    task: messages.TaskId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Findings:
+    """Split what the inventory holds beyond the log."""
+
+    adoptions: tuple[Adoption, ...] = ()
+    orphans: tuple[Orphan, ...] = ()
+
+
+def compare(
+    state: models.State,
+    epoch: int,
+    found: dict[str, tuple[messages.TaskReport, ...]],
+) -> Findings:
+    """Adopt whole gangs that the log does not know; stop the rest."""
+    by_attempt: dict[tuple[str, int], dict[int, FoundTask]] = (
+        collections.defaultdict(dict)
+    )
+    for worker_id, reports in found.items():
+        for report in reports:
+            if _is_unrecorded(state, report.task):
+                key = (report.task.job_id, report.task.attempt)
+                task = FoundTask(worker_id, report)
+                by_attempt[key][report.task.member] = task
+    adoptions, orphans = [], []
+    for (job_id, attempt), found_by_member in sorted(by_attempt.items()):
+        job = state.jobs.get(job_id)
+        if job is not None and _is_whole(job, attempt, found_by_member):
+            adoptions.append(_adopt(job, attempt, epoch, found_by_member))
+        else:
+            orphans.extend(
+                Orphan(task.worker_id, task.report.task)
+                for task in found_by_member.values()
+            )
+    return Findings(tuple(adoptions), tuple(orphans))
+
+
+def _is_unrecorded(state: models.State, task: messages.TaskId) -> bool:
+    job = state.jobs.get(task.job_id)
+    return job is None or task.attempt != job.attempt
+
+
+def _is_whole(
+    job: models.Job, attempt: int, found_by_member: dict[int, FoundTask]
+) -> bool:
+    started = (messages.TaskPhase.RUNNING, messages.TaskPhase.FINISHED)
+    return (
+        attempt > job.attempt
+        and job.phase in (models.Phase.QUEUED, models.Phase.ENDING)
+        and not job.placements
+        and set(found_by_member) == set(range(job.spec.members))
+        and all(
+            task.report.phase in started for task in found_by_member.values()
+        )
+    )
+
+
+def _adopt(
+    job: models.Job,
+    attempt: int,
+    epoch: int,
+    found_by_member: dict[int, FoundTask],
+) -> Adoption:
+    placements = tuple(
+        records.Placement(
+            found_by_member[member].worker_id,
+            found_by_member[member].report.cell,
+        )
+        for member in range(job.spec.members)
+    )
+    return Adoption(
+        records.GangStarted(job.job_id, attempt, epoch, placements)
+    )
--- /dev/null
+++ b/cardamomcroft/jobs/views.py
@@ -0,0 +1,99 @@
+"""Build a policy's view from the state."""
+
+import collections.abc
+import datetime
+
+from cardamomcroft.policy import base
+from cardamomcroft.settings import documents
+from cardamomcroft.state import models
+
+
+def accounts_of(
+    state: models.State, region: str
+) -> dict[str, base.AccountView]:
+    """Return the accounts of a region."""
+    accounts = {}
+    for path, entry in state.settings.items():
+        document = entry.document
+        if not isinstance(document, documents.Account):
+            continue
+        if document.region == region:
+            _, team, _, name = path.split("/")
+            account = f"{team}/{name}"
+            accounts[account] = account_view(account, document)
+    return accounts
+
+
+def account_view(
+    account: str, document: documents.Account
+) -> base.AccountView:
+    """Return one account as policies see it."""
+    return base.AccountView(
+        account,
+        document.weight,
+        document.guarantee,
+        {name: caller.weight for name, caller in document.callers.items()},
+    )
+
+
+def waiting_job(job: models.Job) -> base.WaitingJob:
+    """Return a queued job as policies see it."""
+    return base.WaitingJob(
+        job.job_id,
+        job.account,
+        job.caller,
+        job.spec,
+        job.submitted_at,
+        job.submitted_offset,
+        job.checkpoint_s,
+    )
+
+
+def running_gang(
+    job: models.Job, now: datetime.datetime, stopping: bool
+) -> base.RunningGang:
+    """Return a started job as policies see it."""
+    placements = tuple(
+        placement
+        for member, placement in enumerate(job.placements)
+        if member not in job.finished
+    )
+    return base.RunningGang(
+        job.job_id,
+        job.account,
+        job.caller,
+        job.spec,
+        placements,
+        job.started_at or now,
+        stopping,
+    )
+
+
+def build(
+    state: models.State,
+    region: str,
+    now: datetime.datetime,
+    workers: tuple[base.WorkerView, ...],
+    launching: collections.abc.Iterable[base.RunningGang],
+    held_back: collections.abc.Callable[[models.Job], bool],
+) -> base.View:
+    """Return the whole view; jobs being launched count as running."""
+    launching = tuple(launching)
+    busy = {gang.job_id for gang in launching}
+    waiting, running = [], list(launching)
+    for job in state.jobs.values():
+        if job.region != region or job.job_id in busy:
+            continue
+        if job.phase is models.Phase.QUEUED and not held_back(job):
+            waiting.append(waiting_job(job))
+        elif job.placements and not job.phase.is_final:
+            stopping = job.phase is models.Phase.ENDING
+            running.append(running_gang(job, now, stopping))
+    waiting.sort(key=lambda job: job.order)
+    return base.View(
+        now,
+        workers,
+        accounts_of(state, region),
+        tuple(waiting),
+        tuple(running),
+    )
--- /dev/null
+++ b/cardamomcroft/log/__init__.py
@@ -0,0 +1,1 @@
+"""Write, read and confirm records of the platform log."""
--- /dev/null
+++ b/cardamomcroft/log/appender.py
@@ -0,0 +1,216 @@
+"""Append records in batches and confirm each one by seeing it folded."""
+
+import asyncio
+import dataclasses
+import datetime
+import enum
+import uuid
+
+import expression
+import structlog
+
+from cardamomcroft import verdict
+from cardamomcroft.log import records
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.state import models
+
+BATCH_RECORDS = 64
+BATCH_BYTES = 64_000
+APPEND_PERIOD = datetime.timedelta(milliseconds=20)
+RESEND_AFTER = datetime.timedelta(seconds=2)
+RETRY_DELAY = datetime.timedelta(milliseconds=250)
+APPEND_TIMEOUT = datetime.timedelta(seconds=3)
+QUEUE_LIMIT = 4096  # records; callers are refused beyond it
+RETRY_AFTER = datetime.timedelta(seconds=5)
+
+
+class Priority(enum.IntEnum):
+    """Order what waits to be appended."""
+
+    OPERATOR = 0
+    START = 1
+    BOOKKEEPING = 2
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    record: records.Record
+    priority: Priority
+    future: asyncio.Future
+    sent_at: datetime.timedelta | None = None
+    ever_sent: bool = False
+
+
+class Appender:
+    """Keep records until the log has confirmed or refused them."""
+
+    def __init__(
+        self,
+        author: str,
+        log: base.PlatformLog,
+        replica: replicas.Replica,
+        clock: base.Clock,
+        metrics: base.Metrics,
+    ) -> None:
+        """Watch the replica for records of this author."""
+        self._author = author
+        self._log = log
+        self._replica = replica
+        self._clock = clock
+        self._metrics = metrics
+        self._entries: dict[str, _Entry] = {}
+        self._wake = asyncio.Event()
+        self._logger = structlog.get_logger()
+        replica.observe(self._see)
+
+    def pending(self) -> tuple[records.Record, ...]:
+        """Return the unconfirmed records in the order they were made."""
+        return tuple(entry.record for entry in self._entries.values())
+
+    def submit(
+        self, body: records.Body, priority: Priority
+    ) -> asyncio.Future[models.Applied]:
+        """Queue a record; the future tells what the fold made of it."""
+        record = records.Record(
+            uuid.uuid4().hex,
+            self._author,
+            self._clock.now(),
+            self._horizon(),
+            body,
+        )
+        future = asyncio.get_running_loop().create_future()
+        self._entries[record.record_id] = _Entry(record, priority, future)
+        self._metrics.gauge("log.pending", len(self._entries))
+        self._wake.set()
+        return future
+
+    async def confirm(
+        self,
+        body: records.Body,
+        priority: Priority,
+        limit: datetime.timedelta,
+    ) -> expression.Result[models.Applied, verdict.Failure]:
+        """Append and wait for the outcome no longer than the limit."""
+        refusal = self._refusal()
+        if refusal is not None:
+            return expression.Error(refusal)
+        future = self.submit(body, priority)
+        entry = next(reversed(self._entries.values()))
+        applied = await clocks.within(
+            self._clock, limit, asyncio.shield(future)
+        )
+        if applied is not None:
+            return expression.Ok(applied)
+        return expression.Error(self._abandon(entry))
+
+    def _refusal(self) -> verdict.Failure | None:
+        if not self._replica.reachable:
+            return verdict.not_run(
+                verdict.Reason.UNAVAILABLE,
+                "the platform log is unreachable",
+                RETRY_AFTER,
+            )
+        if len(self._entries) >= QUEUE_LIMIT:
+            return verdict.not_run(
+                verdict.Reason.OVERLOADED,
+                "too many records wait for the log",
+                RETRY_AFTER,
+            )
+        return None
+
+    def _abandon(self, entry: _Entry) -> verdict.Failure:
+        record_id = entry.record.record_id
+        self._entries.pop(record_id, None)
+        if not entry.ever_sent:
+            return verdict.not_run(
+                verdict.Reason.UNAVAILABLE,
+                "the platform log did not take the record",
+                RETRY_AFTER,
+            )
+        self.submit(records.RecordVoided(record_id), entry.priority)
+        return verdict.may_have_run(
+            verdict.Reason.TIMEOUT,
+            "the platform log has not confirmed the record",
+        )
+
+    def _horizon(self) -> int:
+        applied = self._replica.state.applied
+        return applied + records.VALIDITY_OFFSETS
+
+    def _see(self, record: records.Record, applied: models.Applied) -> None:
+        entry = self._entries.get(record.record_id)
+        if entry is None:
+            return
+        if applied.reason == "record out of date":
+            entry.sent_at = None
+            self._wake.set()
+            return
+        del self._entries[record.record_id]
+        if not entry.future.done():
+            entry.future.set_result(applied)
+
+    async def run(self) -> None:
+        """Append what is due until cancelled."""
+        while True:
+            batch = self._due()
+            if not batch:
+                self._wake.clear()
+                await clocks.within(
+                    self._clock, RETRY_DELAY, self._wake.wait()
+                )
+                continue
+            sent = await self._send(batch)
+            await self._clock.sleep(APPEND_PERIOD if sent else RETRY_DELAY)
+
+    def _due(self) -> list[_Entry]:
+        now = self._clock.monotonic()
+        due = [
+            entry
+            for entry in self._entries.values()
+            if entry.sent_at is None or now - entry.sent_at >= RESEND_AFTER
+        ]
+        due.sort(key=lambda entry: entry.priority)
+        return due[:BATCH_RECORDS]
+
+    async def _send(self, batch: list[_Entry]) -> bool:
+        payloads = self._encode(batch)
+        batch = batch[: len(payloads)]
+        sent_before = [entry.ever_sent for entry in batch]
+        for entry in batch:
+            entry.ever_sent = True
+        result = await clocks.within(
+            self._clock, APPEND_TIMEOUT, self._log.append(payloads)
+        )
+        if result is not None and result.is_ok():
+            for entry in batch:
+                entry.sent_at = self._clock.monotonic()
+            self._metrics.increment("log.appended", len(payloads))
+            return True
+        if _is_certain(result):
+            for entry, before in zip(batch, sent_before, strict=True):
+                entry.ever_sent = before
+        # The whole batch stays due, ahead of newer records, to keep order.
+        self._metrics.increment("log.append_failed")
+        return False
+
+    def _encode(self, batch: list[_Entry]) -> list[str]:
+        payloads: list[str] = []
+        size = 0
+        for entry in batch:
+            entry.record = dataclasses.replace(
+                entry.record, valid_until=self._horizon()
+            )
+            payload = records.encode(entry.record)
+            size += len(payload)
+            if payloads and size > BATCH_BYTES:
+                break
+            payloads.append(payload)
+        return payloads
+
+
+def _is_certain(result: expression.Result | None) -> bool:
+    if result is None:
+        return False
+    return result.error.verdict is verdict.Verdict.NOT_RUN
--- /dev/null
+++ b/cardamomcroft/log/records.py
@@ -0,0 +1,201 @@
+"""Define the records of the log and their encoding."""
+
+import dataclasses
+import datetime
+import json
+
+import cattrs.errors
+import cattrs.strategies
+import expression
+
+from cardamomcroft import verdict
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import parsing
+
+VALIDITY_OFFSETS = 4096  # offsets for which a record id is remembered
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Edit:
+    """Replace or remove (None) the document at a path."""
+
+    path: str
+    expected_revision: int
+    content: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Apply all edits or none."""
+
+    actor: str
+    edits: tuple[Edit, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSubmitted:
+    """Accept a job once for each caller key."""
+
+    job_id: str
+    account: str
+    caller: str
+    key: str
+    region: str
+    spec: documents.JobSpec
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """Ask the owner to end a job."""
+
+    job_id: str
+    actor: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SchedulerClaimed:
+    """Claim a region's jobs; the offset becomes the fencing token."""
+
+    region: str
+    expected_epoch: int
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Place a gang member; ``grant`` names the guaranteed cell used."""
+
+    worker_id: str
+    cell: messages.Cell
+    grant: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GangStarted:
+    """Record that all members of an attempt were started."""
+
+    job_id: str
+    attempt: int
+    token: int
+    placements: tuple[Placement, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskEnd:
+    """Record how one gang member ended."""
+
+    task: messages.TaskId
+    finished: bool
+    detail: str = ""
+    checkpoint_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TasksEnded:
+    """Record the gang members that ended on a worker."""
+
+    worker_id: str
+    ends: tuple[TaskEnd, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptSettled:
+    """Record that nothing of an attempt runs any more."""
+
+    job_id: str
+    attempt: int
+    token: int
+    reason: str
+    blamed: bool = False
+    checkpoint_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestIntended:
+    """Record, before dispatch, that a keyed request will be tried."""
+
+    request_id: str
+    account: str
+    caller: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """Record the verdict and the answer of a keyed request."""
+
+    request_id: str
+    verdict: verdict.Verdict
+    answer: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordVoided:
+    """Reject a record that may still arrive."""
+
+    record_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotChunk:
+    """Carry a part of the state as of an offset."""
+
+    snapshot_id: str
+    as_of: int
+    index: int
+    count: int
+    data: str
+
+
+Body = (
+    SettingsChanged
+    | JobSubmitted
+    | JobCancelled
+    | SchedulerClaimed
+    | GangStarted
+    | TasksEnded
+    | AttemptSettled
+    | RequestIntended
+    | RequestEnded
+    | RecordVoided
+    | SnapshotChunk
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Wrap a body with its identity, author and validity."""
+
+    record_id: str
+    author: str
+    at: datetime.datetime
+    valid_until: int
+    body: Body
+
+
+def _make_converter():
+    converter = parsing.make_converter(strict=False)
+    cattrs.strategies.configure_tagged_union(Body, converter, tag_name="kind")
+    return converter
+
+
+CONVERTER = _make_converter()
+
+
+def encode(record: Record) -> str:
+    """Encode a record on one line of JSON."""
+    return json.dumps(CONVERTER.unstructure(record), separators=(",", ":"))
+
+
+def decode(payload: str) -> expression.Result[Record, str]:
+    """Decode a record; an unreadable one is an error, never a crash."""
+    try:
+        return expression.Ok(CONVERTER.structure(json.loads(payload), Record))
+    except (
+        cattrs.errors.BaseValidationError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
+        return expression.Error(f"unreadable record: {error}")
--- /dev/null
+++ b/cardamomcroft/log/replica.py
@@ -0,0 +1,141 @@
+"""Follow the log and hold the state folded from it."""
+
+import asyncio
+import collections.abc
+import datetime
+
+import expression
+import structlog
+
+from cardamomcroft import verdict
+from cardamomcroft.log import records
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.state import fold
+from cardamomcroft.state import models
+from cardamomcroft.state import snapshots
+
+READ_LIMIT = 500  # records a page
+READ_WAIT = datetime.timedelta(seconds=1)
+RETRY_DELAY = datetime.timedelta(milliseconds=250)
+
+Observer = collections.abc.Callable[[records.Record, models.Applied], None]
+
+
+class Replica:
+    """Tail the log in offset order and notify observers."""
+
+    def __init__(
+        self,
+        log: base.PlatformLog,
+        clock: base.Clock,
+        metrics: base.Metrics,
+    ) -> None:
+        """Start with an empty state."""
+        self.state = models.State()
+        self.reachable = False
+        self.caught_up = False
+        self.confirmed_at: datetime.timedelta | None = None
+        self._log = log
+        self._clock = clock
+        self._metrics = metrics
+        self._observers: list[Observer] = []
+        self._changed = asyncio.Event()
+        self._logger = structlog.get_logger()
+
+    def observe(self, observer: Observer) -> None:
+        """Call the observer after each folded record."""
+        self._observers.append(observer)
+
+    async def changed(self) -> None:
+        """Wait until something was folded."""
+        await self._changed.wait()
+
+    def load(self, state: models.State) -> bool:
+        """Take a newer state from a snapshot."""
+        if state.applied <= self.state.applied:
+            return False
+        self.state = state
+        self.caught_up = True
+        self._notify()
+        return True
+
+    async def run(self) -> None:
+        """Follow the log until cancelled."""
+        while True:
+            if not await self.poll():
+                await self._clock.sleep(RETRY_DELAY)
+
+    async def poll(self, wait: datetime.timedelta = READ_WAIT) -> bool:
+        """Read and fold one page; tell whether the log answered."""
+        page = await self._log.read(self.state.applied + 1, READ_LIMIT, wait)
+        if page.is_error():
+            if self.reachable:
+                self._logger.warning(
+                    "log_unreachable", detail=page.error.detail
+                )
+            self.reachable = False
+            self._metrics.increment("log.read_failed")
+            return False
+        self.reachable = True
+        self.confirmed_at = self._clock.monotonic()
+        return await self._take(page.ok)
+
+    async def _take(self, page: messages.LogPage) -> bool:
+        if page.first > self.state.applied + 1:
+            return await self._close_gap(page.first)
+        self.apply_page(page)
+        self.caught_up = self.caught_up or len(page.payloads) < READ_LIMIT
+        return True
+
+    def apply_page(self, page: messages.LogPage) -> None:
+        """Fold the records of a page that follow the applied offset."""
+        for index, payload in enumerate(page.payloads):
+            offset = page.start + index
+            if offset == self.state.applied + 1:
+                self._apply(offset, payload)
+        if page.payloads:
+            self._notify()
+
+    def _apply(self, offset: int, payload: str) -> None:
+        decoded = records.decode(payload)
+        if decoded.is_error():
+            self._logger.error(
+                "record_unreadable", offset=offset, detail=decoded.error
+            )
+            self._metrics.increment("log.unreadable")
+            self.state = fold.skip(self.state, offset)
+            return
+        self.state, applied = fold.fold(self.state, offset, decoded.ok)
+        self._metrics.increment("log.applied")
+        for observer in self._observers:
+            observer(decoded.ok, applied)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _close_gap(self, first: int) -> bool:
+        self._logger.warning(
+            "log_gap", applied=self.state.applied, first=first
+        )
+        self._metrics.increment("log.gap")
+        loaded = await snapshots.newest_in_log(self._log, first, READ_LIMIT)
+        match loaded:
+            case expression.Result(tag="ok", ok=state):
+                return self.load(state)
+        self._logger.error("snapshot_missing", detail=loaded.error.detail)
+        return False
+
+    async def refresh(self) -> expression.Result[int, verdict.Failure]:
+        """Read to the end of the log and return the applied offset."""
+        while True:
+            before = self.state.applied
+            if not await self.poll(datetime.timedelta()):
+                return expression.Error(
+                    verdict.not_run(
+                        verdict.Reason.UNAVAILABLE, "log unreachable"
+                    )
+                )
+            if self.state.applied == before:
+                return expression.Ok(before)
--- /dev/null
+++ b/cardamomcroft/log/snapshotter.py
@@ -0,0 +1,68 @@
+"""Append snapshots of the state well within the log's retention."""
+
+import datetime
+import uuid
+
+import structlog
+
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.membership import members
+from cardamomcroft.ports import base
+from cardamomcroft.state import snapshots
+
+CHECK_PERIOD = datetime.timedelta(seconds=1)
+TURN_RECORDS = 200  # records that each later rank waits longer
+
+
+class Snapshotter:
+    """Write a snapshot when enough records follow the last one."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        replica: replicas.Replica,
+        appender: appenders.Appender,
+        membership: members.Membership,
+        clock: base.Clock,
+        every_records: int,
+    ) -> None:
+        """Take the parts it works with."""
+        self._instance_id = instance_id
+        self._replica = replica
+        self._appender = appender
+        self._membership = membership
+        self._clock = clock
+        self._every_records = every_records
+        self._written_as_of = -1
+        self._logger = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Check every period until cancelled."""
+        while True:
+            self.step()
+            await self._clock.sleep(CHECK_PERIOD)
+
+    def step(self) -> None:
+        """Append the chunks when it is this instance's turn."""
+        if not self._is_due():
+            return
+        state = self._replica.state
+        self._written_as_of = state.applied
+        parts = snapshots.chunks(state, uuid.uuid4().hex)
+        for part in parts:
+            self._appender.submit(part, appenders.Priority.BOOKKEEPING)
+        self._logger.info(
+            "snapshot_written", as_of=state.applied, chunks=len(parts)
+        )
+
+    def _is_due(self) -> bool:
+        state = self._replica.state
+        if not self._replica.reachable or not self._replica.caught_up:
+            return False
+        newest = max(state.snapshot_as_of, self._written_as_of)
+        live = self._membership.live_ids()
+        order = members.rank(f"snapshot {newest}", live)
+        turn = order.index(self._instance_id)
+        due = self._every_records + turn * TURN_RECORDS
+        return state.applied - newest >= due
--- /dev/null
+++ b/cardamomcroft/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Fuse the platform's list with direct evidence."""
--- /dev/null
+++ b/cardamomcroft/membership/digests.py
@@ -0,0 +1,21 @@
+"""Define what instances tell each other."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """Sum up one instance for its peers."""
+
+    instance_id: str
+    incarnation: str
+    region: str
+    data_centre: str
+    applied: int
+    epoch: int
+    log_reachable: bool
+    leaving: bool
+    http_address: str = ""
+    peer_address: str = ""
+    requests_running: int = 0
+    leaving_workers: tuple[str, ...] = ()
--- /dev/null
+++ b/cardamomcroft/membership/members.py
@@ -0,0 +1,180 @@
+"""Track which instances and backend servers are live or leaving."""
+
+import dataclasses
+import datetime
+import hashlib
+
+from cardamomcroft.membership import digests
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+
+LEAVING_MEMORY = datetime.timedelta(minutes=10)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """Describe another instance as seen from here."""
+
+    instance_id: str
+    digest: digests.Digest | None = None
+    heard_at: datetime.timedelta | None = None
+    listed: messages.InstanceState | None = None
+    peer_address: str = ""
+
+
+class Membership:
+    """Hold the evidence about instances of every region."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        region: str,
+        clock: base.Clock,
+        suspicion: datetime.timedelta,
+    ) -> None:
+        """Start with no other member."""
+        self.instance_id = instance_id
+        self.region = region
+        self.by_id: dict[str, Member] = {}
+        self.leaving_workers: dict[str, datetime.timedelta] = {}
+        self.known_epoch = -1
+        self.started_at = clock.monotonic()
+        self.is_self_listed: bool | None = None
+        self._clock = clock
+        self._suspicion = suspicion
+
+    def add_seed(self, instance_id: str, peer_address: str) -> None:
+        """Add an instance known from the settings."""
+        if instance_id != self.instance_id:
+            self.by_id.setdefault(
+                instance_id, Member(instance_id, peer_address=peer_address)
+            )
+
+    def hear(self, digest: digests.Digest) -> None:
+        """Take a digest as proof of life."""
+        if digest.instance_id == self.instance_id:
+            return
+        known = self.by_id.get(digest.instance_id)
+        member = known or Member(digest.instance_id)
+        self.by_id[digest.instance_id] = dataclasses.replace(
+            member,
+            digest=digest,
+            heard_at=self._clock.monotonic(),
+            peer_address=digest.peer_address or member.peer_address,
+        )
+        if digest.region == self.region:
+            self.known_epoch = max(self.known_epoch, digest.epoch)
+        for worker_id in digest.leaving_workers:
+            self.leaving_workers.setdefault(worker_id, self._clock.monotonic())
+
+    def take_list(self, listed: tuple[messages.ListedInstance, ...]) -> None:
+        """Take the platform's list, which lags."""
+        by_id = {entry.instance_id: entry for entry in listed}
+        self.is_self_listed = self.instance_id in by_id
+        for entry in listed:
+            if entry.peer_address:
+                self._take_entry(entry)
+            elif entry.state is messages.InstanceState.LEAVING:
+                self.mark_worker_leaving(entry.instance_id)
+        for instance_id, member in list(self.by_id.items()):
+            if instance_id not in by_id and member.listed is not None:
+                self._drop_delisted(instance_id, member)
+
+    def _take_entry(self, entry: messages.ListedInstance) -> None:
+        if entry.instance_id == self.instance_id:
+            return
+        member = self.by_id.get(entry.instance_id, Member(entry.instance_id))
+        self.by_id[entry.instance_id] = dataclasses.replace(
+            member, listed=entry.state, peer_address=entry.peer_address
+        )
+
+    def _drop_delisted(self, instance_id: str, member: Member) -> None:
+        if not self._heard(member):
+            del self.by_id[instance_id]
+
+    def mark_worker_leaving(self, worker_id: str) -> None:
+        """Note that a backend server takes no new work."""
+        self.leaving_workers[worker_id] = self._clock.monotonic()
+
+    def mark_worker_live(self, worker_id: str) -> None:
+        """Note that a backend server said itself that it is live."""
+        self.leaving_workers.pop(worker_id, None)
+
+    def is_worker_leaving(self, worker_id: str) -> bool:
+        """Tell whether a backend server was seen leaving."""
+        since = self.leaving_workers.get(worker_id)
+        if since is None:
+            return False
+        return self._clock.monotonic() - since < LEAVING_MEMORY
+
+    def _heard(
+        self, member: Member, limit: datetime.timedelta | None = None
+    ) -> bool:
+        if member.heard_at is None:
+            return False
+        silence = self._clock.monotonic() - member.heard_at
+        return silence <= (limit or self._suspicion)
+
+    def is_live(self, instance_id: str) -> bool:
+        """Tell whether an instance was heard from and is not leaving."""
+        if instance_id == self.instance_id:
+            return True
+        member = self.by_id.get(instance_id)
+        if member is None or not self._heard(member):
+            return False
+        return not member.digest.leaving
+
+    def live_ids(self, region: str | None = None) -> tuple[str, ...]:
+        """Return the live instances, this one included."""
+        live = {self.instance_id}
+        for member in self.by_id.values():
+            if not self.is_live(member.instance_id):
+                continue
+            if region is None or member.digest.region == region:
+                live.add(member.instance_id)
+        return tuple(sorted(live))
+
+    def all_answered(self, limit: datetime.timedelta) -> bool:
+        """Tell whether every known regional instance was just heard."""
+        return all(
+            self._heard(member, limit)
+            for member in self.by_id.values()
+            if self._may_claim_here(member)
+        )
+
+    def _may_claim_here(self, member: Member) -> bool:
+        if member.digest is not None:
+            return member.digest.region == self.region
+        # A seed that was never heard nor listed cannot claim: see may_claim.
+        return member.listed is not None or self.is_self_listed is None
+
+    def may_claim(self) -> bool:
+        """Tell whether peers can know of this instance from the list."""
+        return self.is_self_listed is not False
+
+    def is_suspect(self, instance_id: str) -> bool:
+        """Tell whether an instance has been silent for too long."""
+        if instance_id == self.instance_id:
+            return False
+        member = self.by_id.get(instance_id)
+        if member is not None and self._heard(member):
+            return member.digest.leaving
+        waited = self._clock.monotonic() - self.started_at
+        return waited > self._suspicion
+
+    def is_incarnation_gone(self, instance_id: str, incarnation: str) -> bool:
+        """Tell whether the instance came back as another incarnation."""
+        member = self.by_id.get(instance_id)
+        if member is None or member.digest is None:
+            return False
+        return member.digest.incarnation != incarnation
+
+
+def rank(key: str, instance_ids: tuple[str, ...]) -> tuple[str, ...]:
+    """Order instances for a key by rendezvous hashing."""
+
+    def score(instance_id: str) -> bytes:
+        text = f"{key}\n{instance_id}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return tuple(sorted(instance_ids, key=score))
--- /dev/null
+++ b/cardamomcroft/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Let instances talk to each other over thrift."""
--- /dev/null
+++ b/cardamomcroft/peers/local.py
@@ -0,0 +1,57 @@
+"""Connect instances within one process, with faults on the way."""
+
+import collections
+
+import expression
+
+from cardamomcroft import verdict
+from cardamomcroft.peers import base
+
+
+class LocalNetwork:
+    """Hold the handlers and the cut links."""
+
+    def __init__(self) -> None:
+        """Start without instances."""
+        self.handlers: dict[str, base.PeerHandler] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.injected: collections.Counter[str] = collections.Counter()
+
+    def client(self, address: str) -> "LocalPeers":
+        """Return the client of the instance at the address."""
+        return LocalPeers(self, address)
+
+
+class LocalPeers(base.PeerClient):
+    """Call handlers directly."""
+
+    def __init__(self, network: LocalNetwork, address: str) -> None:
+        """Remember where calls come from."""
+        self._network = network
+        self._address = address
+
+    def _handler(self, address: str) -> base.PeerHandler | None:
+        if frozenset({address, self._address}) in self._network.cut:
+            self._network.injected["peer_link_cut"] += 1
+            return None
+        return self._network.handlers.get(address)
+
+    def _call(self, address: str, operation: str, *arguments):
+        handler = self._handler(address)
+        if handler is None:
+            return expression.Error(
+                verdict.not_run(verdict.Reason.UNAVAILABLE, "no connection")
+            )
+        return expression.Ok(getattr(handler, operation)(*arguments))
+
+    async def exchange(self, address, digest):
+        """Give a digest and take one."""
+        return self._call(address, "exchange", digest)
+
+    async def read_log(self, address, offset, limit):
+        """Read records that the peer has folded."""
+        return self._call(address, "read_log", offset, limit)
+
+    async def snapshot(self, address):
+        """Return the peer's encoded state."""
+        return self._call(address, "snapshot")
--- /dev/null
+++ b/cardamomcroft/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which gangs run where, without I/O or clocks."""
--- /dev/null
+++ b/cardamomcroft/policy/base.py
@@ -0,0 +1,121 @@
+"""Define what a policy sees and decides."""
+
+import abc
+import collections.abc
+import dataclasses
+import datetime
+
+from cardamomcroft.log import records
+from cardamomcroft.settings import documents
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerView:
+    """Describe a worker that a policy may use."""
+
+    worker_id: str
+    data_centre: str
+    rack: str
+    accelerators: int
+    cores: int
+    memory_gb: int
+    usable: bool = True
+
+    @property
+    def units(self) -> int:
+        """Return the number of smallest cells."""
+        return self.accelerators or documents.UNITS_PER_PLAIN_WORKER
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountView:
+    """Describe an account's share."""
+
+    account: str
+    weight: float
+    guarantee: tuple[documents.Guarantee, ...] = ()
+    callers: collections.abc.Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingJob:
+    """Describe a queued job; ``served`` is its offset in the log."""
+
+    job_id: str
+    account: str
+    caller: str
+    spec: documents.JobSpec
+    submitted_at: datetime.datetime
+    order: int
+    checkpoint_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunningGang:
+    """Describe a gang that holds cells."""
+
+    job_id: str
+    account: str
+    caller: str
+    spec: documents.JobSpec
+    placements: tuple[records.Placement, ...]
+    started_at: datetime.datetime
+    stopping: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """Hold everything that a decision may depend on."""
+
+    now: datetime.datetime
+    workers: tuple[WorkerView, ...]
+    accounts: collections.abc.Mapping[str, AccountView]
+    waiting: collections.abc.Sequence[WaitingJob]
+    running: tuple[RunningGang, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GangStart:
+    """Start a job on these cells."""
+
+    job_id: str
+    placements: tuple[records.Placement, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GangStop:
+    """Reclaim the cells of a gang, after a checkpoint."""
+
+    job_id: str
+    beneficiary: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """Say what to start and what to reclaim; count the work done."""
+
+    starts: tuple[GangStart, ...] = ()
+    stops: tuple[GangStop, ...] = ()
+    cells_examined: int = 0
+    jobs_examined: int = 0
+
+
+class Policy(abc.ABC):
+    """Decide which gangs run where."""
+
+    name: str
+
+    @abc.abstractmethod
+    def decide(self, view: View) -> Decision:
+        """Return the next starts and stops."""
+
+    @abc.abstractmethod
+    def refusal(
+        self,
+        spec: documents.JobSpec,
+        account: AccountView,
+        workers: collections.abc.Sequence[WorkerView],
+    ) -> str | None:
+        """Say why the job could never run, or return None."""
--- /dev/null
+++ b/cardamomcroft/policy/cells.py
@@ -0,0 +1,82 @@
+"""Do arithmetic on aligned cells of a worker's units."""
+
+import functools
+import math
+
+from cardamomcroft.policy import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+
+
+def next_power_of_two(number: int) -> int:
+    """Return the smallest power of two not below the number."""
+    return 1 << max(0, number - 1).bit_length()
+
+
+def mask_of(cell: messages.Cell) -> int:
+    """Return the cell as a bit mask over units."""
+    return ((1 << cell.size) - 1) << cell.start
+
+
+@functools.cache
+def aligned_cells(units: int, size: int) -> tuple[messages.Cell, ...]:
+    """Return every aligned cell of the size."""
+    return tuple(messages.Cell(start, size) for start in range(0, units, size))
+
+
+def member_size(
+    spec: documents.JobSpec, worker: base.WorkerView
+) -> int | None:
+    """Return the units that one member needs, None when it never fits."""
+    if spec.accelerators and not worker.accelerators:
+        return None
+    units = worker.units
+    needed = max(
+        spec.accelerators,
+        math.ceil(spec.cores * units / worker.cores),
+        math.ceil(spec.memory_gb * units / worker.memory_gb),
+        1,
+    )
+    size = next_power_of_two(needed)
+    return size if size <= units else None
+
+
+@functools.cache
+def find_cell(free: int, units: int, size: int) -> messages.Cell | None:
+    """Return the free cell whose enclosing free block is smallest."""
+    best, best_block = None, units + 1
+    for cell in aligned_cells(units, size):
+        mask = mask_of(cell)
+        if free & mask != mask:
+            continue
+        block = block_size(free, units, cell)
+        if block < best_block:
+            best, best_block = cell, block
+    return best
+
+
+def block_size(free: int, units: int, cell: messages.Cell) -> int:
+    """Return the size of the aligned free block around a free cell."""
+    size = cell.size
+    while size < units:
+        parent = messages.Cell(cell.start // (2 * size) * (2 * size), 2 * size)
+        mask = mask_of(parent)
+        if free & mask != mask:
+            break
+        size *= 2
+    return size
+
+
+@functools.cache
+def free_blocks(free: int, units: int) -> tuple[int, ...]:
+    """Return the sizes of the maximal aligned free blocks."""
+    blocks = []
+    start = 0
+    while start < units:
+        if not free >> start & 1:
+            start += 1
+            continue
+        size = block_size(free, units, messages.Cell(start, 1))
+        blocks.append(size)
+        start += size
+    return tuple(blocks)
--- /dev/null
+++ b/cardamomcroft/ports/http.py
@@ -0,0 +1,214 @@
+"""Reach the platform and the workers over HTTP."""
+
+import collections.abc
+import datetime
+import typing
+
+import aiohttp
+import cattrs.errors
+import expression
+
+from cardamomcroft import verdict
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import parsing
+
+CONNECT_TIMEOUT_S = 0.5
+
+_CONVERTER = parsing.make_converter(strict=False)
+_DAMAGED = (
+    cattrs.errors.BaseValidationError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+
+
+def failure_from_plain(plain: object, status: int) -> verdict.Failure:
+    """Read a remote failure; what cannot be read may have run."""
+    try:
+        return verdict.Failure(
+            verdict.Verdict(plain["verdict"]),
+            verdict.Reason(plain["reason"]),
+            str(plain["detail"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return verdict.may_have_run(
+            verdict.Reason.REMOTE, f"status {status} without a verdict"
+        )
+
+
+def failure_to_plain(failure: verdict.Failure) -> dict:
+    """Return the JSON of a failure between the platform and us."""
+    return {
+        "verdict": failure.verdict.value,
+        "reason": failure.reason.value,
+        "detail": failure.detail,
+    }
+
+
+class HttpClient:
+    """Send one JSON call and classify every failure."""
+
+    def __init__(self, timeout: datetime.timedelta) -> None:
+        """Prepare; the session opens with the first call."""
+        self._timeout_s = timeout.total_seconds()
+        self._session: aiohttp.ClientSession | None = None
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, limit_per_host=64)
+            )
+        return self._session
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        wanted: type,
+        body: object = None,
+        timeout_s: float | None = None,
+    ) -> expression.Result[typing.Any, verdict.Failure]:
+        """Return the decoded answer, or a failure with its verdict."""
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s or self._timeout_s,
+            sock_connect=CONNECT_TIMEOUT_S,
+        )
+        try:
+            async with self._open().request(
+                method, url, json=body, timeout=timeout
+            ) as response:
+                plain = await response.json()
+                if response.status >= 400:
+                    return expression.Error(
+                        failure_from_plain(plain, response.status)
+                    )
+                return expression.Ok(_CONVERTER.structure(plain, wanted))
+        except aiohttp.ClientConnectorError as error:
+            return expression.Error(
+                verdict.not_run(verdict.Reason.UNAVAILABLE, str(error))
+            )
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return expression.Error(
+                verdict.may_have_run(verdict.Reason.TIMEOUT, repr(error))
+            )
+        except _DAMAGED as error:
+            return expression.Error(
+                verdict.may_have_run(verdict.Reason.REMOTE, repr(error))
+            )
+
+
+class HttpLog(base.PlatformLog):
+    """Use the platform log's HTTP service."""
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        """Take the service's base address."""
+        self._url = f"{address}/records"
+        self._client = client
+
+    async def append(
+        self, payloads: collections.abc.Sequence[str]
+    ) -> expression.Result[int, verdict.Failure]:
+        """Append all payloads in order."""
+        body = {"payloads": list(payloads)}
+        answer = await self._client.call("POST", self._url, dict, body)
+        return answer.map(lambda plain: int(plain["offset"]))
+
+    async def read(
+        self, offset: int, limit: int, wait: datetime.timedelta
+    ) -> expression.Result[messages.LogPage, verdict.Failure]:
+        """Return records from the offset on."""
+        wait_s = wait.total_seconds()
+        url = f"{self._url}?offset={offset}&limit={limit}&wait_s={wait_s}"
+        return await self._client.call(
+            "GET", url, messages.LogPage, timeout_s=wait_s + 1.0
+        )
+
+
+class HttpInstances(base.InstanceList):
+    """Use the platform's instance list over HTTP."""
+
+    def __init__(self, address: str, client: HttpClient) -> None:
+        """Take the service's base address."""
+        self._url = f"{address}/instances"
+        self._client = client
+
+    async def instances(
+        self,
+    ) -> expression.Result[
+        tuple[messages.ListedInstance, ...], verdict.Failure
+    ]:
+        """Return the live and leaving instances."""
+        return await self._client.call(
+            "GET", self._url, tuple[messages.ListedInstance, ...]
+        )
+
+
+class HttpWorkers(base.WorkerClient):
+    """Send commands to workers at their declared addresses."""
+
+    def __init__(
+        self,
+        address_of: collections.abc.Callable[[str], str | None],
+        client: HttpClient,
+    ) -> None:
+        """Take the way to look an address up."""
+        self._address_of = address_of
+        self._client = client
+
+    async def _send(
+        self,
+        worker_id: str,
+        operation: str,
+        command: object,
+        wanted: type,
+        timeout_s: float | None = None,
+    ) -> expression.Result:
+        address = self._address_of(worker_id)
+        if address is None:
+            return expression.Error(
+                verdict.not_run(
+                    verdict.Reason.NOT_FOUND, f"no worker {worker_id}"
+                )
+            )
+        return await self._client.call(
+            "POST",
+            f"{address}/{operation}",
+            wanted,
+            _CONVERTER.unstructure(command),
+            timeout_s,
+        )
+
+    async def reserve(self, worker_id, command):
+        """Hold capacity for a gang member for a short time."""
+        return await self._send(worker_id, "reserve", command, messages.Done)
+
+    async def start(self, worker_id, command):
+        """Start a held gang member under a lease."""
+        return await self._send(worker_id, "start", command, messages.Done)
+
+    async def stop(self, worker_id, command):
+        """Stop a gang member or release its hold."""
+        return await self._send(worker_id, "stop", command, messages.Done)
+
+    async def renew(self, worker_id, command):
+        """Renew leases, raise the fence and return the inventory."""
+        return await self._send(
+            worker_id, "renew", command, messages.Inventory
+        )
+
+    async def execute(self, worker_id, command):
+        """Run a request on the backend server."""
+        return await self._send(
+            worker_id,
+            "execute",
+            command,
+            messages.Answer,
+            command.deadline_s,
+        )
--- /dev/null
+++ b/cardamomcroft/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Admit requests and run them on backend servers."""
--- /dev/null
+++ b/cardamomcroft/requests/admission.py
@@ -0,0 +1,210 @@
+"""Queue requests fairly and bound what each account holds."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import heapq
+import itertools
+
+import expression
+
+from cardamomcroft import verdict
+from cardamomcroft.ports import base
+from cardamomcroft.requests import messages
+from cardamomcroft.settings import documents
+
+RETRY_AFTER = datetime.timedelta(seconds=1)
+CLASS_WEIGHTS = {
+    documents.Urgency.URGENT: 8.0,
+    documents.Urgency.NORMAL: 3.0,
+    documents.Urgency.BATCH: 1.0,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FlowKey:
+    """Identify the queue of one caller in one class."""
+
+    account: str
+    urgency: documents.Urgency
+    caller: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Flow:
+    weight: float
+    start: float = 0.0
+    waiting: list[tuple] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class _Level:
+    """Hold the virtual time of start-time fair queueing over children."""
+
+    now: float = 0.0
+    start_by_key: dict[object, float] = dataclasses.field(default_factory=dict)
+
+    def start_of(self, key: object) -> float:
+        return max(self.now, self.start_by_key.get(key, 0.0))
+
+    def charge(self, key: object, cost: float) -> None:
+        start = self.start_of(key)
+        self.now = start
+        self.start_by_key[key] = start + cost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountTerms:
+    """Hold what admission needs to know of an account."""
+
+    weight: float
+    limits: documents.Limits
+    callers: collections.abc.Mapping[str, float]
+
+
+class Admission:
+    """Grant ``capacity`` running requests in a fair order.
+
+    Fairness goes by account, then by class, then by caller, each with
+    start-time fair queueing; inside a caller the earliest deadline goes
+    first. No class is starved, since each one's virtual time advances.
+    """
+
+    def __init__(
+        self,
+        clock: base.Clock,
+        metrics: base.Metrics,
+        terms_of: collections.abc.Callable[[str], AccountTerms],
+        capacity: collections.abc.Callable[[], int],
+    ) -> None:
+        """Start empty."""
+        self._clock = clock
+        self._metrics = metrics
+        self._terms_of = terms_of
+        self._capacity = capacity
+        self._flows: dict[FlowKey, _Flow] = {}
+        self._root = _Level()
+        self._levels: dict[object, _Level] = collections.defaultdict(_Level)
+        self._running: collections.Counter[str] = collections.Counter()
+        self._queued: collections.Counter[str] = collections.Counter()
+        self._order = itertools.count()
+        self.is_draining = False
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return sum(self._running.values())
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return sum(self._queued.values())
+
+    async def enter(
+        self, request: messages.Request
+    ) -> expression.Result[None, verdict.Failure]:
+        """Wait for a turn; a refusal says that nothing was run."""
+        terms = self._terms_of(request.account)
+        if self.is_draining:
+            return _refuse(verdict.Reason.LEAVING, "instance is leaving")
+        if self._queued[request.account] >= terms.limits.queued_requests:
+            self._metrics.increment("requests.shed")
+            return _refuse(
+                verdict.Reason.OVERLOADED,
+                f"account {request.account} has too many waiting requests",
+            )
+        turn = asyncio.get_running_loop().create_future()
+        self._push(request, terms, turn)
+        self._grant()
+        return await self._wait(request, turn)
+
+    def _push(
+        self,
+        request: messages.Request,
+        terms: AccountTerms,
+        turn: asyncio.Future,
+    ) -> None:
+        key = FlowKey(request.account, request.urgency, request.caller)
+        weight = terms.callers.get(request.caller, 1.0)
+        flow = self._flows.setdefault(key, _Flow(weight))
+        entry = (request.deadline, next(self._order), turn)
+        heapq.heappush(flow.waiting, entry)
+        self._queued[request.account] += 1
+
+    async def _wait(
+        self, request: messages.Request, turn: asyncio.Future
+    ) -> expression.Result[None, verdict.Failure]:
+        left = request.deadline - self._clock.monotonic()
+        timer = asyncio.ensure_future(self._clock.sleep(left))
+        try:
+            await asyncio.wait(
+                {turn, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
+            granted = turn.done() and not turn.cancelled()
+            if not granted:
+                turn.cancel()
+                self._queued[request.account] -= 1
+            elif asyncio.current_task().cancelling():
+                self.leave(request)
+        if granted:
+            return expression.Ok(None)
+        self._metrics.increment("requests.expired")
+        return _refuse(verdict.Reason.TIMEOUT, "deadline passed in queue")
+
+    def leave(self, request: messages.Request) -> None:
+        """Give the turn back."""
+        self._running[request.account] -= 1
+        self._grant()
+
+    def _grant(self) -> None:
+        while self.running < self._capacity():
+            key = self._next_flow()
+            if key is None:
+                return
+            _, _, turn = heapq.heappop(self._flows[key].waiting)
+            self._charge(key)
+            self._queued[key.account] -= 1
+            self._running[key.account] += 1
+            turn.set_result(None)
+
+    def _next_flow(self) -> FlowKey | None:
+        candidates = [key for key in list(self._flows) if self._has_work(key)]
+        if not candidates:
+            return None
+        return min(candidates, key=self._virtual_start)
+
+    def _has_work(self, key: FlowKey) -> bool:
+        flow = self._flows[key]
+        while flow.waiting and flow.waiting[0][2].done():
+            heapq.heappop(flow.waiting)
+        if not flow.waiting:
+            del self._flows[key]
+            return False
+        limits = self._terms_of(key.account).limits
+        return self._running[key.account] < limits.concurrent_requests
+
+    def _virtual_start(self, key: FlowKey) -> tuple:
+        return (
+            self._root.start_of(key.account),
+            self._levels[key.account].start_of(key.urgency),
+            self._levels[key.account, key.urgency].start_of(key.caller),
+            self._flows[key].waiting[0][:2],
+        )
+
+    def _charge(self, key: FlowKey) -> None:
+        terms = self._terms_of(key.account)
+        self._root.charge(key.account, 1 / terms.weight)
+        self._levels[key.account].charge(
+            key.urgency, 1 / CLASS_WEIGHTS[key.urgency]
+        )
+        self._levels[key.account, key.urgency].charge(
+            key.caller, 1 / self._flows[key].weight
+        )
+
+
+def _refuse(reason: verdict.Reason, detail: str) -> expression.Result:
+    return expression.Error(verdict.not_run(reason, detail, RETRY_AFTER))
--- /dev/null
+++ b/cardamomcroft/requests/retries.py
@@ -0,0 +1,44 @@
+"""Bound retries by verdict, budget, backoff and deadline."""
+
+import datetime
+import random
+
+from cardamomcroft import verdict
+
+MAX_TRIES = 4  # for one request at one instance
+BACKOFF_START = datetime.timedelta(milliseconds=20)
+BACKOFF_LIMIT = datetime.timedelta(milliseconds=500)
+BUDGET_RATIO = 0.2  # retries earned by each first try
+BUDGET_LIMIT = 20.0  # retries that may be saved up
+
+
+class RetryBudget:
+    """Let retries be at most a share of first tries."""
+
+    def __init__(self) -> None:
+        """Start with a full budget."""
+        self._tokens = BUDGET_LIMIT
+
+    def earn(self) -> None:
+        """Count a first try."""
+        self._tokens = min(BUDGET_LIMIT, self._tokens + BUDGET_RATIO)
+
+    def spend(self) -> bool:
+        """Take one retry, when the budget has one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def may_retry(failure: verdict.Failure, is_idempotent: bool) -> bool:
+    """Tell whether trying again can do no harm."""
+    if failure.verdict is verdict.Verdict.NOT_RUN:
+        return True
+    return failure.verdict is verdict.Verdict.MAY_HAVE_RUN and is_idempotent
+
+
+def backoff(tries: int, generator: random.Random) -> datetime.timedelta:
+    """Return a jittered delay that doubles with each try."""
+    limit = min(BACKOFF_LIMIT, BACKOFF_START * 2 ** (tries - 1))
+    return limit * generator.uniform(0.5, 1.0)
--- /dev/null
+++ b/cardamomcroft/requests/router.py
@@ -0,0 +1,302 @@
+"""Run a request on one backend server and bring back its whole answer."""
+
+import dataclasses
+import datetime
+import random
+
+import expression
+import structlog
+
+from cardamomcroft import verdict
+from cardamomcroft.charts import loading
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import records
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.membership import members
+from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import messages as port_messages
+from cardamomcroft.requests import admission as admissions
+from cardamomcroft.requests import messages
+from cardamomcroft.requests import retries
+from cardamomcroft.state import models
+from cardamomcroft.workers import allotment as allotments
+from cardamomcroft.workers import fleet as fleets
+
+INTENT_LIMIT = datetime.timedelta(seconds=3)
+AVOID_TIME = datetime.timedelta(seconds=1)  # after a failure of a worker
+
+Outcome = expression.Result[messages.Reply, verdict.Failure]
+
+
+class _Progress:
+    """Let the request chart be attached to one request."""
+
+    state = ""
+
+
+class Router:
+    """Admit, dispatch, retry by verdict and correlate answers."""
+
+    def __init__(
+        self,
+        region: str,
+        data_centre: str,
+        replica: replicas.Replica,
+        appender: appenders.Appender,
+        workers: base.WorkerClient,
+        membership: members.Membership,
+        admission: admissions.Admission,
+        allotment: allotments.Allotment,
+        clock: base.Clock,
+        metrics: base.Metrics,
+        generator: random.Random,
+    ) -> None:
+        """Take the parts it works with."""
+        self._region = region
+        self._data_centre = data_centre
+        self._replica = replica
+        self._appender = appender
+        self._workers = workers
+        self._membership = membership
+        self._admission = admission
+        self._allotment = allotment
+        self._clock = clock
+        self._metrics = metrics
+        self._generator = generator
+        self._budget = retries.RetryBudget()
+        self._fleet = fleets.Fleet()
+        self._avoid_until: dict[str, datetime.timedelta] = {}
+        self._logger = structlog.get_logger()
+
+    async def run(self, request: messages.Request) -> Outcome:
+        """Return the reply, or a failure with its verdict."""
+        progress = _Progress()
+        chart = loading.load("request")
+        chart.attach(progress)
+        began = self._clock.monotonic()
+        try:
+            outcome = await self._run(request, progress)
+        finally:
+            chart.detach(progress)
+        self._metrics.increment(f"requests.{progress.state}")
+        self._metrics.timing(
+            "requests.duration", self._clock.monotonic() - began
+        )
+        self._logger.debug(
+            "request_ended",
+            request_id=request.request_id,
+            state=progress.state,
+        )
+        return outcome
+
+    async def _run(
+        self, request: messages.Request, progress: _Progress
+    ) -> Outcome:
+        if request.key and not request.is_idempotent:
+            repeated = await self._record_intent(request, progress)
+            if repeated is not None:
+                return repeated
+        entered = await self._admission.enter(request)
+        if entered.is_error():
+            await progress.refuse()
+            outcome = expression.Error(entered.error)
+        else:
+            try:
+                outcome = await self._try(request, progress)
+            finally:
+                self._admission.leave(request)
+        if request.key and not request.is_idempotent:
+            self._record_end(request, outcome)
+        return outcome
+
+    async def _record_intent(
+        self, request: messages.Request, progress: _Progress
+    ) -> Outcome | None:
+        """Return None when this request is the first with its key."""
+        body = records.RequestIntended(
+            request.request_id, request.account, request.caller, request.key
+        )
+        left = request.deadline - self._clock.monotonic()
+        confirmed = await self._appender.confirm(
+            body, appenders.Priority.START, min(left, INTENT_LIMIT)
+        )
+        if confirmed.is_ok() and confirmed.ok.accepted:
+            await progress.record()
+            return None
+        await progress.refuse()
+        if confirmed.is_ok():
+            return self._repeated(request, confirmed.ok)
+        # Nothing was dispatched, whether or not the intent got recorded.
+        if confirmed.error.verdict is verdict.Verdict.MAY_HAVE_RUN:
+            self._record_end(request, expression.Error(_no_worker()))
+        failure = dataclasses.replace(
+            confirmed.error,
+            verdict=verdict.Verdict.NOT_RUN,
+            retry_after=appenders.RETRY_AFTER,
+        )
+        return expression.Error(failure)
+
+    def _repeated(
+        self, request: messages.Request, applied: models.Applied
+    ) -> Outcome:
+        if applied.reason != "repeated key":
+            return expression.Error(
+                verdict.not_run(
+                    verdict.Reason.OVERLOADED,
+                    applied.reason,
+                    appenders.RETRY_AFTER,
+                )
+            )
+        key = models.CallerKey(request.account, request.caller, request.key)
+        use = self._replica.state.request_keys[key]
+        if use.outcome is verdict.Verdict.RAN:
+            return expression.Ok(
+                messages.Reply(use.entity_id, use.answer, "", tries=0)
+            )
+        return expression.Error(
+            verdict.Failure(
+                use.outcome,
+                verdict.Reason.CONFLICT,
+                f"the key was used by request {use.entity_id}",
+            )
+        )
+
+    def _record_end(self, request: messages.Request, outcome: Outcome) -> None:
+        if outcome.is_ok():
+            found, answer = verdict.Verdict.RAN, outcome.ok.body
+        else:
+            found, answer = outcome.error.verdict, ""
+        self._appender.submit(
+            records.RequestEnded(request.request_id, found, answer),
+            appenders.Priority.BOOKKEEPING,
+        )
+
+    async def _try(
+        self, request: messages.Request, progress: _Progress
+    ) -> Outcome:
+        self._budget.earn()
+        failure = _no_worker()
+        unknown = None
+        for tries in range(1, retries.MAX_TRIES + 1):
+            if tries > 1 and not await self._may_try_again(request, tries):
+                break
+            located = self._choose()
+            if located is None:
+                failure = _no_worker()
+                continue
+            if progress.state != "dispatched":
+                await progress.dispatch()
+            outcome = await self._dispatch(request, located, tries)
+            if outcome.is_ok():
+                await progress.answer()
+                return outcome
+            failure = outcome.error
+            if failure.verdict is verdict.Verdict.MAY_HAVE_RUN:
+                unknown = failure
+            if not retries.may_retry(failure, request.is_idempotent):
+                break
+        # An earlier try that may have run decides, whatever came after.
+        failure = unknown or failure
+        if failure.verdict is verdict.Verdict.MAY_HAVE_RUN:
+            await progress.lose()
+        else:
+            await progress.refuse()
+        return expression.Error(failure)
+
+    async def _may_try_again(
+        self, request: messages.Request, tries: int
+    ) -> bool:
+        delay = retries.backoff(tries - 1, self._generator)
+        if self._clock.monotonic() + delay >= request.deadline:
+            return False
+        if not self._budget.spend():
+            self._metrics.increment("requests.retry_budget_spent")
+            return False
+        self._metrics.increment("requests.retries")
+        await self._clock.sleep(delay)
+        return True
+
+    def _choose(self) -> fleets.FleetWorker | None:
+        """Return a nearby worker with the most free slots."""
+        now = self._clock.monotonic()
+        candidates = [
+            located
+            for worker_id, located in self._fleet.region(
+                self._replica.state, self._region
+            ).items()
+            if not self._membership.is_worker_leaving(worker_id)
+            and self._allotment.free(located) > 0
+        ]
+        if not candidates:
+            return None
+        self._generator.shuffle(candidates)
+        return max(
+            candidates,
+            key=lambda located: (
+                self._avoid_until.get(located.worker_id, now) <= now,
+                self._allotment.free(located),
+                located.data_centre == self._data_centre,
+            ),
+        )
+
+    async def _dispatch(
+        self,
+        request: messages.Request,
+        located: fleets.FleetWorker,
+        tries: int,
+    ) -> Outcome:
+        worker_id = located.worker_id
+        left = request.deadline - self._clock.monotonic()
+        command = port_messages.Execute(
+            request.request_id,
+            request.account,
+            request.body,
+            left.total_seconds(),
+        )
+        self._allotment.take(worker_id)
+        try:
+            result = await clocks.within(
+                self._clock, left, self._workers.execute(worker_id, command)
+            )
+        finally:
+            self._allotment.give_back(worker_id)
+        outcome = self._correlate(request, worker_id, result, tries)
+        if outcome.is_error():
+            self._note_failure(worker_id, outcome.error)
+        return outcome
+
+    def _correlate(
+        self, request: messages.Request, worker_id: str, result, tries: int
+    ) -> Outcome:
+        if result is None:
+            return expression.Error(
+                verdict.may_have_run(verdict.Reason.TIMEOUT, "no answer")
+            )
+        if result.is_error():
+            return expression.Error(result.error)
+        if result.ok.request_id != request.request_id:
+            self._metrics.increment("requests.crossed")
+            return expression.Error(
+                verdict.may_have_run(
+                    verdict.Reason.REMOTE, "answer to another request"
+                )
+            )
+        return expression.Ok(
+            messages.Reply(
+                request.request_id, result.ok.body, worker_id, tries=tries
+            )
+        )
+
+    def _note_failure(self, worker_id: str, failure: verdict.Failure) -> None:
+        if failure.reason is verdict.Reason.LEAVING:
+            self._membership.mark_worker_leaving(worker_id)
+        self._avoid_until[worker_id] = self._clock.monotonic() + AVOID_TIME
+
+
+def _no_worker() -> verdict.Failure:
+    return verdict.not_run(
+        verdict.Reason.OVERLOADED,
+        "no backend server has a free slot",
+        admissions.RETRY_AFTER,
+    )
--- /dev/null
+++ b/cardamomcroft/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Declare and check settings."""
+
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import instance
+from cardamomcroft.settings import parsing
+
+__all__ = ["documents", "instance", "parsing"]
--- /dev/null
+++ b/cardamomcroft/settings/instance.py
@@ -0,0 +1,139 @@
+"""Define the settings of one instance."""
+
+import dataclasses
+import datetime
+import os
+import pathlib
+
+import expression
+
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import parsing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tls:
+    """Name the PEM files for the HTTP side."""
+
+    certificate: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """Give the base addresses of the platform's services."""
+
+    log: str
+    instances: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Logging:
+    """Choose how events are written."""
+
+    format: str = "json"
+    level: str = "info"
+
+    def __post_init__(self) -> None:
+        """Check the choices."""
+        if self.format not in ("json", "console"):
+            raise ValueError(
+                f"format must be json or console, found {self.format!r}"
+            )
+        if self.level not in ("debug", "info", "warning", "error"):
+            raise ValueError(
+                "level must be debug, info, warning or error, "
+                f"found {self.level!r}"
+            )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statsd:
+    """Give the address of the statsd server."""
+
+    host: str
+    port: int = 8125
+    prefix: str = "cardamomcroft"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Set the periods and limits in seconds."""
+
+    schedule_period_s: float = 0.25
+    renew_period_s: float = 1.0
+    lease_s: float = 5.0
+    hold_s: float = 2.0
+    digest_period_s: float = 1.0
+    suspicion_s: float = 3.0
+    self_lease_s: float = 2.0
+    call_timeout_s: float = 1.0
+    list_period_s: float = 1.0
+    drain_s: float = 30.0
+    snapshot_every_records: int = 2000
+
+    def __post_init__(self) -> None:
+        """Check that every period is positive and leases outlive it."""
+        for field in dataclasses.fields(self):
+            if getattr(self, field.name) <= 0:
+                raise ValueError(f"{field.name} must be above 0")
+        if self.lease_s < 3 * self.renew_period_s:
+            raise ValueError(
+                "lease_s must be at least three times renew_period_s"
+            )
+        if self.self_lease_s >= self.lease_s:
+            raise ValueError("self_lease_s must be below lease_s")
+
+    def duration(self, name: str) -> datetime.timedelta:
+        """Return a period as a duration."""
+        return datetime.timedelta(seconds=getattr(self, f"{name}_s"))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceSettings:
+    """Hold the settings of one daemon."""
+
+    instance_id: str
+    data_centre: str
+    region: str
+    http_listen: str
+    peer_listen: str
+    platform: Platform
+    peers: dict[str, str] = dataclasses.field(default_factory=dict)
+    operators: dict[str, documents.Principal] = dataclasses.field(
+        default_factory=dict
+    )
+    tls: Tls | None = None
+    logging: Logging = Logging()
+    statsd: Statsd | None = None
+    timing: Timing = Timing()
+    policy: str = "fifo"
+
+    def __post_init__(self) -> None:
+        """Check the addresses."""
+        split_address(self.http_listen)
+        split_address(self.peer_listen)
+        for address in self.peers.values():
+            split_address(address)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``; raise ValueError when it is not one."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"expected host:port, found {address!r}")
+    return host, int(port)
+
+
+def load(
+    path: pathlib.Path,
+) -> parsing.Checked[InstanceSettings, parsing.Problems]:
+    """Read and check the settings file of an instance."""
+    name = os.fspath(path)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return expression.Error((parsing.Problem(name, "", str(error)),))
+    return parsing.parse_yaml(name, text).bind(
+        lambda plain: parsing.structure(name, plain, InstanceSettings)
+    )
--- /dev/null
+++ b/cardamomcroft/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform in tests, demos and benches."""
--- /dev/null
+++ b/cardamomcroft/standin/log.py
@@ -0,0 +1,109 @@
+"""Stand in for the platform's append-only log."""
+
+import asyncio
+import collections
+import collections.abc
+import datetime
+
+import expression
+
+from cardamomcroft import verdict
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+
+POLL_STEP = datetime.timedelta(milliseconds=50)
+
+
+class StandinLog(base.PlatformLog):
+    """Keep records in memory and fail on command."""
+
+    def __init__(self, clock: base.Clock, retention: int = 1_000_000):
+        """Start empty; ``retention`` counts records."""
+        self.payloads: collections.deque[str] = collections.deque()
+        self.first = 0
+        self.retention = retention
+        self.down = False
+        self.delay = datetime.timedelta()
+        self.lost_answers = 0
+        self.lost_requests = 0
+        self.injected: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._grown = asyncio.Event()
+
+    @property
+    def end(self) -> int:
+        """Return the offset after the last record."""
+        return self.first + len(self.payloads)
+
+    async def append(
+        self, payloads: collections.abc.Sequence[str]
+    ) -> expression.Result[int, verdict.Failure]:
+        """Append all payloads, unless a fault is injected."""
+        if self.down:
+            self.injected["log_down"] += 1
+            return _unavailable()
+        if self.delay:
+            self.injected["log_slow"] += 1
+            await self._clock.sleep(self.delay)
+        if self.lost_requests:
+            self.lost_requests -= 1
+            self.injected["append_lost"] += 1
+            return _unknown()
+        offset = self.end
+        self.payloads.extend(payloads)
+        self._expire()
+        self._grown.set()
+        self._grown = asyncio.Event()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            self.injected["append_answer_lost"] += 1
+            return _unknown()
+        return expression.Ok(offset)
+
+    def _expire(self) -> None:
+        while len(self.payloads) > self.retention:
+            self.payloads.popleft()
+            self.first += 1
+
+    async def read(
+        self, offset: int, limit: int, wait: datetime.timedelta
+    ) -> expression.Result[messages.LogPage, verdict.Failure]:
+        """Return records from the offset on."""
+        if self.down:
+            return _unavailable()
+        if offset >= self.end and wait:
+            await self._wait_for_growth(wait)
+            if self.down:
+                return _unavailable()
+        start = max(offset, self.first)
+        skipped = start - self.first
+        payloads = tuple(
+            self.payloads[index]
+            for index in range(
+                skipped, min(skipped + limit, len(self.payloads))
+            )
+        )
+        return expression.Ok(messages.LogPage(self.first, start, payloads))
+
+    async def _wait_for_growth(self, wait: datetime.timedelta) -> None:
+        grown = asyncio.ensure_future(self._grown.wait())
+        timer = asyncio.ensure_future(self._clock.sleep(wait))
+        try:
+            await asyncio.wait(
+                {grown, timer}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            grown.cancel()
+            timer.cancel()
+
+
+def _unavailable() -> expression.Result:
+    return expression.Error(
+        verdict.not_run(verdict.Reason.UNAVAILABLE, "the log is down")
+    )
+
+
+def _unknown() -> expression.Result:
+    return expression.Error(
+        verdict.may_have_run(verdict.Reason.TIMEOUT, "no answer")
+    )
--- /dev/null
+++ b/cardamomcroft/standin/service.py
@@ -0,0 +1,200 @@
+"""Serve the stand-ins over HTTP, with faults on command."""
+
+import asyncio
+import datetime
+import typing
+
+from aiohttp import web
+
+from cardamomcroft import verdict
+from cardamomcroft.ports import http
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import instance
+from cardamomcroft.settings import parsing
+from cardamomcroft.standin import instances
+from cardamomcroft.standin import log
+from cardamomcroft.standin import workers
+
+MAX_BODY_BYTES = 10_000_000
+
+_CONVERTER = parsing.make_converter(strict=False)
+_COMMANDS = {
+    "reserve": messages.Reserve,
+    "start": messages.Start,
+    "stop": messages.Stop,
+    "renew": messages.Renew,
+    "execute": messages.Execute,
+}
+
+
+def _answer(result) -> web.Response:
+    if result.is_error():
+        return web.json_response(
+            http.failure_to_plain(result.error), status=503
+        )
+    return web.json_response(_CONVERTER.unstructure(result.ok))
+
+
+async def _drop(request: web.Request) -> web.Response:
+    """Close the connection without an answer, as a lost one looks."""
+    request.transport.close()
+    return web.Response()
+
+
+async def _respond(request: web.Request, result) -> web.Response:
+    lost = (
+        result.is_error()
+        and result.error.verdict is verdict.Verdict.MAY_HAVE_RUN
+    )
+    return await _drop(request) if lost else _answer(result)
+
+
+def log_app(standin: log.StandinLog) -> web.Application:
+    """Serve a log; PUT /faults sets its faults."""
+
+    async def append(request: web.Request) -> web.Response:
+        plain = await request.json()
+        result = await standin.append(plain["payloads"])
+        return await _respond(
+            request, result.map(lambda offset: {"offset": offset})
+        )
+
+    async def read(request: web.Request) -> web.Response:
+        result = await standin.read(
+            int(request.query["offset"]),
+            int(request.query["limit"]),
+            datetime.timedelta(seconds=float(request.query["wait_s"])),
+        )
+        return await _respond(request, result)
+
+    async def faults(request: web.Request) -> web.Response:
+        plain = await request.json()
+        standin.down = plain.get("down", standin.down)
+        standin.lost_answers = plain.get("lost_answers", standin.lost_answers)
+        standin.retention = plain.get("retention", standin.retention)
+        if "delay_s" in plain:
+            standin.delay = datetime.timedelta(seconds=plain["delay_s"])
+        return web.json_response(dict(standin.injected))
+
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.router.add_post("/records", append)
+    app.router.add_get("/records", read)
+    app.router.add_put("/faults", faults)
+    return app
+
+
+def workers_app(standin: workers.StandinWorkers) -> web.Application:
+    """Serve workers; each has its own path."""
+
+    async def command(request: web.Request) -> web.Response:
+        operation = request.match_info["operation"]
+        wanted = _COMMANDS.get(operation)
+        if wanted is None:
+            raise web.HTTPNotFound
+        structured = _CONVERTER.structure(await request.json(), wanted)
+        call = getattr(standin, operation)
+        result = await call(request.match_info["worker_id"], structured)
+        return await _respond(request, result)
+
+    async def faults(request: web.Request) -> web.Response:
+        plain = await request.json()
+        worker = standin.by_id[request.match_info["worker_id"]]
+        _set_faults(worker, plain)
+        return web.json_response(dict(standin.injected))
+
+    async def runs(request: web.Request) -> web.Response:
+        return web.json_response(list_runs(standin))
+
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.router.add_get("/runs", runs)
+    app.router.add_put("/{worker_id}/faults", faults)
+    app.router.add_post("/{worker_id}/{operation}", command)
+    return app
+
+
+def _set_faults(worker: workers.StandinWorker, plain: dict) -> None:
+    worker.leaving = plain.get("leaving", worker.leaving)
+    worker.faults.unreachable = plain.get(
+        "unreachable", worker.faults.unreachable
+    )
+    worker.faults.lost_answers.update(plain.get("lost_answers", {}))
+    worker.faults.crossed_answers = plain.get(
+        "crossed_answers", worker.faults.crossed_answers
+    )
+    if "service_s" in plain:
+        worker.faults.service_time = datetime.timedelta(
+            seconds=plain["service_s"]
+        )
+    if plain.get("lose"):
+        worker.lose()
+
+
+def list_runs(standin: workers.StandinWorkers) -> dict[str, typing.Any]:
+    """Return what every worker ran, for the checks of the benches."""
+    for worker in standin.by_id.values():
+        worker.refresh()
+    return {
+        "runs": [
+            {
+                "worker_id": run.worker_id,
+                "job_id": run.task.job_id,
+                "attempt": run.task.attempt,
+                "member": run.task.member,
+                "started_s": run.started_at.total_seconds(),
+                "ended_s": run.ended_at.total_seconds()
+                if run.ended_at is not None
+                else None,
+                "finished": run.finished,
+            }
+            for worker in standin.by_id.values()
+            for run in worker.runs
+        ],
+        "executed": [
+            request_id
+            for worker in standin.by_id.values()
+            for request_id in worker.executed
+        ],
+        "injected": dict(standin.injected),
+    }
+
+
+def instances_app(standin: instances.StandinInstances) -> web.Application:
+    """Serve a list; PUT and DELETE change it."""
+
+    async def listed(request: web.Request) -> web.Response:
+        return _answer(await standin.instances())
+
+    async def put(request: web.Request) -> web.Response:
+        entry = _CONVERTER.structure(
+            await request.json(), messages.ListedInstance
+        )
+        standin.put(entry)
+        return web.json_response({})
+
+    async def remove(request: web.Request) -> web.Response:
+        standin.remove(request.match_info["instance_id"])
+        return web.json_response({})
+
+    app = web.Application()
+    app.router.add_get("/instances", listed)
+    app.router.add_put("/instances", put)
+    app.router.add_delete("/instances/{instance_id}", remove)
+    return app
+
+
+async def serve(app: web.Application, address: str) -> web.AppRunner:
+    """Listen on the address and return what stops it."""
+    host, port = instance.split_address(address)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    return runner
+
+
+async def serve_until_cancelled(app: web.Application, address: str) -> None:
+    """Serve until the task is cancelled."""
+    runner = await serve(app, address)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/cardamomcroft/standin/workers.py
@@ -0,0 +1,287 @@
+"""Stand in for the workers and their backend servers."""
+
+import collections
+import dataclasses
+import datetime
+
+import expression
+
+from cardamomcroft import verdict
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+
+
+@dataclasses.dataclass(slots=True)
+class _Task:
+    report: messages.TaskReport
+    until: datetime.timedelta
+    ends_at: datetime.timedelta | None = None
+    started_at: datetime.timedelta | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Record the time during which a gang member ran."""
+
+    worker_id: str
+    task: messages.TaskId
+    started_at: datetime.timedelta
+    ended_at: datetime.timedelta | None = None
+    finished: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Switch the faults of one worker."""
+
+    unreachable: bool = False
+    lost_answers: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    refused: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    fails_tasks: bool = False
+    crossed_answers: int = 0
+    service_time: datetime.timedelta = datetime.timedelta()
+
+
+class StandinWorker:
+    """Hold tasks under leases as the platform does."""
+
+    def __init__(
+        self, worker_id: str, units: int, slots: int, clock: base.Clock
+    ) -> None:
+        """Start empty."""
+        self.worker_id = worker_id
+        self.units = units
+        self.slots = slots
+        self.leaving = False
+        self.faults = Faults()
+        self.fence = -1
+        self.runs: list[Run] = []
+        self.executed: list[str] = []
+        self.busy = 0
+        self.lapsed = 0
+        self._tasks: dict[messages.TaskId, _Task] = {}
+        self._stopped: set[messages.TaskId] = set()
+        self._clock = clock
+
+    def refresh(self) -> None:
+        """Let holds and leases lapse and tasks finish up to now."""
+        now = self._clock.monotonic()
+        for task_id, task in list(self._tasks.items()):
+            if task.report.phase is messages.TaskPhase.HELD:
+                if task.until < now:
+                    del self._tasks[task_id]
+            elif task.report.phase is messages.TaskPhase.RUNNING:
+                self._refresh_running(task_id, task, now)
+
+    def _refresh_running(
+        self,
+        task_id: messages.TaskId,
+        task: _Task,
+        now: datetime.timedelta,
+    ) -> None:
+        if task.ends_at <= min(now, task.until):
+            finished = not self.faults.fails_tasks
+            phase = (
+                messages.TaskPhase.FINISHED
+                if finished
+                else messages.TaskPhase.FAILED
+            )
+            task.report = dataclasses.replace(task.report, phase=phase)
+            self._end_run(task_id, task.ends_at, finished)
+        elif task.until < now:
+            self.lapsed += 1
+            del self._tasks[task_id]
+            self._end_run(task_id, task.until, False)
+
+    def _end_run(
+        self,
+        task_id: messages.TaskId,
+        at: datetime.timedelta,
+        finished: bool,
+    ) -> None:
+        for index, run in enumerate(self.runs):
+            if run.task == task_id and run.ended_at is None:
+                self.runs[index] = dataclasses.replace(
+                    run, ended_at=at, finished=finished
+                )
+
+    def lose(self) -> None:
+        """Drop everything, as a crash of the machine does."""
+        self.refresh()
+        for task_id in self._tasks:
+            self._end_run(task_id, self._clock.monotonic(), False)
+        self._tasks.clear()
+
+    def _used(self) -> int:
+        used = 0
+        for task in self._tasks.values():
+            if task.report.phase in (
+                messages.TaskPhase.HELD,
+                messages.TaskPhase.RUNNING,
+            ):
+                cell = task.report.cell
+                used |= ((1 << cell.size) - 1) << cell.start
+        return used
+
+    def reserve(self, command: messages.Reserve) -> expression.Result:
+        """Hold the cell when it is free and the token is not stale."""
+        if command.token < self.fence:
+            return _refusal(verdict.Reason.STALE, "stale fencing token")
+        if self.leaving:
+            return _refusal(verdict.Reason.LEAVING, "worker is leaving")
+        if command.task in self._stopped:
+            return _refusal(verdict.Reason.CONFLICT, "task was stopped")
+        if command.task in self._tasks:
+            return expression.Ok(messages.Done())
+        cell = command.cell
+        mask = ((1 << cell.size) - 1) << cell.start
+        if mask >> self.units or self._used() & mask:
+            return _refusal(verdict.Reason.CONFLICT, "cell is in use")
+        hold = datetime.timedelta(seconds=command.hold_s)
+        report = messages.TaskReport(
+            command.task, command.token, cell, messages.TaskPhase.HELD
+        )
+        until = self._clock.monotonic() + hold
+        self._tasks[command.task] = _Task(report, until)
+        return expression.Ok(messages.Done())
+
+    def start(self, command: messages.Start) -> expression.Result:
+        """Start a held task; starting it again is harmless."""
+        task = self._tasks.get(command.task)
+        if command.token < self.fence:
+            return _refusal(verdict.Reason.STALE, "stale fencing token")
+        if task is None:
+            return _refusal(verdict.Reason.CONFLICT, "task is not held")
+        if task.report.phase is not messages.TaskPhase.HELD:
+            return expression.Ok(messages.Done())
+        now = self._clock.monotonic()
+        task.report = dataclasses.replace(
+            task.report, phase=messages.TaskPhase.RUNNING
+        )
+        task.started_at = now
+        task.until = now + datetime.timedelta(seconds=command.lease_s)
+        task.ends_at = now + datetime.timedelta(seconds=command.run_s)
+        self.runs.append(Run(self.worker_id, command.task, now))
+        return expression.Ok(messages.Done())
+
+    def stop(self, command: messages.Stop) -> expression.Result:
+        """Stop the task and refuse it from now on."""
+        if command.token < self.fence:
+            return _refusal(verdict.Reason.STALE, "stale fencing token")
+        self._stopped.add(command.task)
+        task = self._tasks.pop(command.task, None)
+        kept = 0.0
+        if task is not None and task.started_at is not None:
+            now = self._clock.monotonic()
+            self._end_run(command.task, now, False)
+            if command.checkpoint:
+                kept = (now - task.started_at).total_seconds()
+        return expression.Ok(messages.Done(kept))
+
+    def renew(self, command: messages.Renew) -> expression.Result:
+        """Extend the leases, raise the fence and report."""
+        if command.token < self.fence:
+            return _refusal(verdict.Reason.STALE, "stale fencing token")
+        self.fence = command.token
+        until = self._clock.monotonic() + datetime.timedelta(
+            seconds=command.lease_s
+        )
+        for task_id in command.tasks:
+            task = self._tasks.get(task_id)
+            if task and task.report.phase is messages.TaskPhase.RUNNING:
+                task.until = max(task.until, until)
+        for task_id in command.forget:
+            self._tasks.pop(task_id, None)
+        return expression.Ok(
+            messages.Inventory(
+                self.worker_id,
+                self.fence,
+                self.leaving,
+                tuple(task.report for task in self._tasks.values()),
+            )
+        )
+
+    async def execute(self, command: messages.Execute) -> expression.Result:
+        """Answer a request when a slot is free."""
+        if self.leaving:
+            return _refusal(verdict.Reason.LEAVING, "worker is leaving")
+        if self.busy >= self.slots:
+            return _refusal(verdict.Reason.OVERLOADED, "no free slot")
+        self.busy += 1
+        self.executed.append(command.request_id)
+        try:
+            if self.faults.service_time:
+                await self._clock.sleep(self.faults.service_time)
+        finally:
+            self.busy -= 1
+        request_id = command.request_id
+        if self.faults.crossed_answers:
+            self.faults.crossed_answers -= 1
+            request_id = f"not-{request_id}"
+        body = f"{command.body} done by {self.worker_id}"
+        return expression.Ok(messages.Answer(request_id, body))
+
+
+class StandinWorkers(base.WorkerClient):
+    """Carry commands to stand-in workers, with faults on the way."""
+
+    def __init__(self, clock: base.Clock) -> None:
+        """Start without workers."""
+        self.by_id: dict[str, StandinWorker] = {}
+        self.injected: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+
+    def add(self, worker_id: str, units: int = 8, slots: int = 8) -> None:
+        """Add an empty worker."""
+        self.by_id[worker_id] = StandinWorker(
+            worker_id, units, slots, self._clock
+        )
+
+    async def _call(self, worker_id: str, operation: str, command):
+        worker = self.by_id.get(worker_id)
+        if worker is None or worker.faults.unreachable:
+            self.injected["worker_unreachable"] += 1
+            return _refusal(verdict.Reason.UNAVAILABLE, "no connection")
+        if worker.faults.refused[operation]:
+            worker.faults.refused[operation] -= 1
+            self.injected[f"{operation}_refused"] += 1
+            return _refusal(verdict.Reason.REMOTE, "refused on command")
+        worker.refresh()
+        result = getattr(worker, operation)(command)
+        if operation == "execute":
+            result = await result
+        if worker.faults.lost_answers[operation]:
+            worker.faults.lost_answers[operation] -= 1
+            self.injected[f"{operation}_answer_lost"] += 1
+            return expression.Error(
+                verdict.may_have_run(verdict.Reason.TIMEOUT, "no answer")
+            )
+        return result
+
+    async def reserve(self, worker_id, command):
+        """Hold capacity for a gang member for a short time."""
+        return await self._call(worker_id, "reserve", command)
+
+    async def start(self, worker_id, command):
+        """Start a held gang member under a lease."""
+        return await self._call(worker_id, "start", command)
+
+    async def stop(self, worker_id, command):
+        """Stop a gang member or release its hold."""
+        return await self._call(worker_id, "stop", command)
+
+    async def renew(self, worker_id, command):
+        """Renew leases, raise the fence and return the inventory."""
+        return await self._call(worker_id, "renew", command)
+
+    async def execute(self, worker_id, command):
+        """Run a request on the backend server."""
+        return await self._call(worker_id, "execute", command)
+
+
+def _refusal(reason: verdict.Reason, detail: str) -> expression.Result:
+    return expression.Error(verdict.not_run(reason, detail))
--- /dev/null
+++ b/cardamomcroft/state/__init__.py
@@ -0,0 +1,1 @@
+"""Fold the log into one immutable state."""
--- /dev/null
+++ b/cardamomcroft/state/jobs.py
@@ -0,0 +1,230 @@
+"""Fold the records of jobs."""
+
+import dataclasses
+
+import immutables
+
+from cardamomcroft.charts import loading
+from cardamomcroft.log import records
+from cardamomcroft.state import models
+
+FINAL_JOBS_KEPT = 2000  # finished jobs whose status can still be read
+
+_CHART = loading.load("job")
+
+
+def _move(job: models.Job, trigger: str, **changes) -> models.Job | None:
+    phase = _CHART.next_state(job.phase.value, trigger)
+    if phase is None:
+        return None
+    return dataclasses.replace(job, phase=models.Phase(phase), **changes)
+
+
+def _rejected(
+    state: models.State, offset: int, reason: str, entity_id: str = ""
+):
+    return state, models.Applied(offset, False, reason, entity_id)
+
+
+def _accepted(state: models.State, offset: int, job: models.Job):
+    applied = models.Applied(offset, True, entity_id=job.job_id)
+    return _put(state, offset, job), applied
+
+
+def _put(state: models.State, offset: int, job: models.Job) -> models.State:
+    jobs = state.jobs.set(job.job_id, job)
+    if not job.phase.is_final:
+        return state.evolve(jobs=jobs)
+    final_jobs = state.final_jobs.set(offset, job.job_id)
+    state = state.evolve(jobs=jobs, final_jobs=final_jobs)
+    return _evict(state) if len(final_jobs) > FINAL_JOBS_KEPT else state
+
+
+def _evict(state: models.State) -> models.State:
+    oldest = sorted(state.final_jobs)[: FINAL_JOBS_KEPT // 10]
+    jobs, keys = state.jobs, state.job_keys
+    final_jobs = state.final_jobs
+    for offset in oldest:
+        job = jobs[final_jobs[offset]]
+        jobs = jobs.delete(job.job_id)
+        keys = keys.delete(_key(job))
+        final_jobs = final_jobs.delete(offset)
+    return state.evolve(jobs=jobs, job_keys=keys, final_jobs=final_jobs)
+
+
+def _key(job: models.Job | records.JobSubmitted) -> models.CallerKey:
+    return models.CallerKey(job.account, job.caller, job.key)
+
+
+def submit(state: models.State, offset: int, record: records.Record):
+    """Accept a job once for each caller key and before its account ends."""
+    body = record.body
+    known = state.job_keys.get(_key(body))
+    if known is not None:
+        return _rejected(state, offset, "repeated key", known)
+    if body.job_id in state.jobs:
+        return _rejected(state, offset, "job id in use")
+    account = find_account(state, body.account)
+    if account is None:
+        return _rejected(state, offset, "no such account")
+    if account.ends_at is not None and record.at >= account.ends_at:
+        return _rejected(state, offset, "account ended")
+    job = models.Job(
+        body.job_id,
+        body.account,
+        body.caller,
+        body.key,
+        body.region,
+        body.spec,
+        offset,
+        record.at,
+    )
+    keys = state.job_keys.set(_key(body), body.job_id)
+    return _accepted(state.evolve(job_keys=keys), offset, job)
+
+
+def find_account(state: models.State, account: str):
+    """Return the account ``<team>/<name>``, if any."""
+    team, _, name = account.partition("/")
+    entry = state.settings.get(f"teams/{team}/accounts/{name}")
+    return entry.document if entry else None
+
+
+def cancel(state: models.State, offset: int, record: records.Record):
+    """Ask the owner to end the job."""
+    job = state.jobs.get(record.body.job_id)
+    if job is None:
+        return _rejected(state, offset, "no such job")
+    moved = _move(job, "cancel", cancel_requested=True)
+    if moved is None:
+        return _rejected(state, offset, f"job is {job.phase.value}")
+    return _accepted(state, offset, moved)
+
+
+def start(state: models.State, offset: int, record: records.Record):
+    """Note the placements of an attempt that its owner started."""
+    body = record.body
+    job = state.jobs.get(body.job_id)
+    if job is None:
+        return _rejected(state, offset, "no such job")
+    claim = state.claims.get(job.region)
+    if claim is None or claim.epoch != body.token:
+        return _rejected(state, offset, "stale epoch")
+    if body.attempt <= job.attempt:
+        return _rejected(state, offset, "stale attempt")
+    moved = _move(
+        job,
+        "start",
+        attempt=body.attempt,
+        token=body.token,
+        placements=body.placements,
+        finished=frozenset(),
+        ended=frozenset(),
+        started_at=record.at,
+    )
+    if moved is None:
+        return _rejected(state, offset, f"job is {job.phase.value}")
+    return _accepted(_index(state, moved), offset, moved)
+
+
+def _index(state: models.State, job: models.Job) -> models.State:
+    by_worker = state.tasks_by_worker
+    for member, placement in enumerate(job.placements):
+        tasks = by_worker.get(placement.worker_id, immutables.Map())
+        tasks = tasks.set(job.task(member), member)
+        by_worker = by_worker.set(placement.worker_id, tasks)
+    return state.evolve(tasks_by_worker=by_worker)
+
+
+def _unindex(state: models.State, job: models.Job, members) -> models.State:
+    by_worker = state.tasks_by_worker
+    for member in members:
+        worker_id = job.placements[member].worker_id
+        tasks = by_worker.get(worker_id, immutables.Map())
+        if job.task(member) not in tasks:
+            continue
+        tasks = tasks.delete(job.task(member))
+        if tasks:
+            by_worker = by_worker.set(worker_id, tasks)
+        else:
+            by_worker = by_worker.delete(worker_id)
+    return state.evolve(tasks_by_worker=by_worker)
+
+
+def end_tasks(state: models.State, offset: int, record: records.Record):
+    """Note ended members; a job completes when all have finished."""
+    changed = False
+    for end in record.body.ends:
+        state, known = _end_task(state, offset, end)
+        changed = changed or known
+    reason = "" if changed else "nothing new"
+    return state, models.Applied(offset, changed, reason)
+
+
+def _end_task(
+    state: models.State, offset: int, end: records.TaskEnd
+) -> tuple[models.State, bool]:
+    job = state.jobs.get(end.task.job_id)
+    if job is None or job.phase.is_final:
+        return state, False
+    member = end.task.member
+    if end.task.attempt != job.attempt or member in job.ended:
+        return state, False
+    if member >= len(job.placements):
+        return state, False
+    ended = job.ended | {member}
+    if end.finished:
+        moved = _finish_member(job, member, ended)
+    else:
+        moved = _move(job, "lose_member", ended=ended, detail=end.detail)
+        moved = dataclasses.replace(
+            moved, checkpoint_s=max(job.checkpoint_s, end.checkpoint_s)
+        )
+    state = _unindex(state, job, (member,))
+    return _put(state, offset, moved), True
+
+
+def _finish_member(
+    job: models.Job, member: int, ended: frozenset[int]
+) -> models.Job:
+    finished = job.finished | {member}
+    job = dataclasses.replace(job, ended=ended, finished=finished)
+    if len(finished) < len(job.placements):
+        return job
+    return _move(job, "finish", detail="")
+
+
+def settle(state: models.State, offset: int, record: records.Record):
+    """Requeue, cancel or fail a job of which nothing runs any more."""
+    body = record.body
+    job = state.jobs.get(body.job_id)
+    if job is None or job.phase.is_final:
+        return _rejected(state, offset, "job is not active")
+    claim = state.claims.get(job.region)
+    if claim is None or claim.epoch != body.token:
+        return _rejected(state, offset, "stale epoch")
+    if body.attempt < job.attempt:
+        return _rejected(state, offset, "stale attempt")
+    state = _unindex(state, job, range(len(job.placements)))
+    return _accepted(state, offset, _settled(job, body))
+
+
+def _settled(job: models.Job, body: records.AttemptSettled) -> models.Job:
+    failures = job.failures + int(body.blamed)
+    if job.cancel_requested:
+        trigger = "settle_cancelled"
+    elif failures >= job.spec.max_attempts:
+        trigger = "settle_failed"
+    else:
+        trigger = "requeue"
+    return _move(
+        job,
+        trigger,
+        attempt=body.attempt,
+        failures=failures,
+        placements=(),
+        finished=frozenset(),
+        ended=frozenset(),
+        detail=body.reason,
+        checkpoint_s=max(job.checkpoint_s, body.checkpoint_s),
+    )
--- /dev/null
+++ b/cardamomcroft/state/models.py
@@ -0,0 +1,173 @@
+"""Define the immutable state that the log folds into."""
+
+import dataclasses
+import datetime
+import enum
+
+import immutables
+
+from cardamomcroft import verdict
+from cardamomcroft.log import records
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+
+EARLIEST = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+
+
+class Phase(enum.Enum):
+    """Name the phases of a job, as its chart does."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDING = "ending"
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    FAILED = "failed"
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether nothing follows."""
+        return self in FINAL_PHASES
+
+
+FINAL_PHASES = frozenset({Phase.COMPLETED, Phase.CANCELLED, Phase.FAILED})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsEntry:
+    """Hold a document with the offset that set it."""
+
+    revision: int
+    content: str
+    document: documents.Document
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AuditEntry:
+    """Tell who changed what, and whether it was accepted."""
+
+    offset: int
+    at: datetime.datetime
+    actor: str
+    before: str | None
+    after: str | None
+    accepted: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """Hold what the log says about a job."""
+
+    job_id: str
+    account: str
+    caller: str
+    key: str
+    region: str
+    spec: documents.JobSpec
+    submitted_offset: int
+    submitted_at: datetime.datetime
+    phase: Phase = Phase.QUEUED
+    attempt: int = 0
+    token: int = 0
+    failures: int = 0
+    placements: tuple[records.Placement, ...] = ()
+    finished: frozenset[int] = frozenset()
+    ended: frozenset[int] = frozenset()
+    cancel_requested: bool = False
+    checkpoint_s: float = 0.0
+    detail: str = ""
+    started_at: datetime.datetime | None = None
+
+    def task(self, member: int) -> messages.TaskId:
+        """Return the id of a member in the current attempt."""
+        return messages.TaskId(self.job_id, self.attempt, member)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Hold a region's scheduler and its epoch."""
+
+    epoch: int
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyUse:
+    """Hold what a caller's key was used for."""
+
+    entity_id: str
+    at: datetime.datetime
+    outcome: verdict.Verdict = verdict.Verdict.MAY_HAVE_RUN
+    answer: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerKey:
+    """Identify a key within its account and caller."""
+
+    account: str
+    caller: str
+    key: str
+
+
+def _empty() -> immutables.Map:
+    return immutables.Map()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """Hold everything agreed up to the applied offset."""
+
+    applied: int = -1
+    at: datetime.datetime = EARLIEST
+    settings: immutables.Map[str, SettingsEntry] = dataclasses.field(
+        default_factory=_empty
+    )
+    audit: immutables.Map[str, tuple[AuditEntry, ...]] = dataclasses.field(
+        default_factory=_empty
+    )
+    jobs: immutables.Map[str, Job] = dataclasses.field(default_factory=_empty)
+    final_jobs: immutables.Map[int, str] = dataclasses.field(
+        default_factory=_empty
+    )
+    claims: immutables.Map[str, Claim] = dataclasses.field(
+        default_factory=_empty
+    )
+    job_keys: immutables.Map[CallerKey, str] = dataclasses.field(
+        default_factory=_empty
+    )
+    request_keys: immutables.Map[CallerKey, KeyUse] = dataclasses.field(
+        default_factory=_empty
+    )
+    requests: immutables.Map[str, CallerKey] = dataclasses.field(
+        default_factory=_empty
+    )
+    key_order: immutables.Map[int, CallerKey] = dataclasses.field(
+        default_factory=_empty
+    )
+    oldest_key: int = 0
+    seen: immutables.Map[str, int] = dataclasses.field(default_factory=_empty)
+    seen_at: immutables.Map[int, str] = dataclasses.field(
+        default_factory=_empty
+    )
+    tasks_by_worker: immutables.Map[
+        str, immutables.Map[messages.TaskId, int]
+    ] = dataclasses.field(default_factory=_empty)
+    snapshot_as_of: int = -1
+    chunks: tuple[str, int] = ("", 0)
+
+    def evolve(self, **changes) -> "State":
+        """Return a copy with the changes."""
+        return dataclasses.replace(self, **changes)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """Tell what the fold made of a record."""
+
+    offset: int
+    accepted: bool
+    reason: str = ""
+    entity_id: str = ""
+    revision: int = 0
--- /dev/null
+++ b/cardamomcroft/state/requests.py
@@ -0,0 +1,70 @@
+"""Fold the records of keyed requests."""
+
+import dataclasses
+import datetime
+
+from cardamomcroft import verdict
+from cardamomcroft.log import records
+from cardamomcroft.state import models
+
+KEY_RETENTION = datetime.timedelta(hours=6)
+KEYS_KEPT = 20_000  # keyed requests remembered at once
+
+
+def intend(state: models.State, offset: int, record: records.Record):
+    """Let the first request with a key go ahead, and no other."""
+    body = record.body
+    key = models.CallerKey(body.account, body.caller, body.key)
+    state = _expire(state)
+    use = state.request_keys.get(key)
+    # A key whose request certainly did not run may be tried again.
+    if use is not None and use.outcome is not verdict.Verdict.NOT_RUN:
+        applied = models.Applied(offset, False, "repeated key", use.entity_id)
+        return state, applied
+    if len(state.request_keys) >= KEYS_KEPT:
+        return state, models.Applied(offset, False, "too many keys")
+    requests = state.requests
+    if use is not None:
+        requests = requests.delete(use.entity_id)
+    use = models.KeyUse(body.request_id, state.at)
+    return state.evolve(
+        request_keys=state.request_keys.set(key, use),
+        requests=requests.set(body.request_id, key),
+        key_order=state.key_order.set(offset, key),
+    ), models.Applied(offset, True, entity_id=body.request_id)
+
+
+def _expire(state: models.State) -> models.State:
+    # Offsets only grow, so the scan resumes where the last one stopped.
+    offset = state.oldest_key
+    order, keys, requests = state.key_order, state.request_keys, state.requests
+    while order and offset < state.applied:
+        key = order.get(offset)
+        use = keys.get(key)
+        if use is not None:
+            if state.at - use.at < KEY_RETENTION:
+                break
+            requests = requests.delete(use.entity_id)
+            keys = keys.delete(key)
+        if key is not None:
+            order = order.delete(offset)
+        offset += 1
+    return state.evolve(
+        oldest_key=offset,
+        key_order=order,
+        request_keys=keys,
+        requests=requests,
+    )
+
+
+def end(state: models.State, offset: int, record: records.Record):
+    """Keep the verdict and answer for callers that ask again."""
+    body = record.body
+    key = state.requests.get(body.request_id)
+    if key is None or state.request_keys[key].entity_id != body.request_id:
+        return state, models.Applied(offset, False, "no such request")
+    use = dataclasses.replace(
+        state.request_keys[key], outcome=body.verdict, answer=body.answer
+    )
+    state = state.evolve(request_keys=state.request_keys.set(key, use))
+    return state, models.Applied(offset, True, entity_id=body.request_id)
--- /dev/null
+++ b/cardamomcroft/state/snapshots.py
@@ -0,0 +1,200 @@
+"""Encode the state in snapshots and find the newest one in the log."""
+
+import base64
+import datetime
+import json
+import zlib
+
+import expression
+import immutables
+
+from cardamomcroft import verdict
+from cardamomcroft.log import records
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import parsing
+from cardamomcroft.state import models
+
+CHUNK_CHARACTERS = 48_000
+NO_WAIT = datetime.timedelta()
+
+_CONVERTER = parsing.make_converter(strict=False)
+
+
+def encode(state: models.State) -> str:
+    """Encode the whole state as compressed text."""
+    plain = {
+        "applied": state.applied,
+        "at": state.at.isoformat(),
+        "settings": {
+            path: [entry.revision, entry.content]
+            for path, entry in state.settings.items()
+        },
+        "audit": {
+            path: _CONVERTER.unstructure(entries)
+            for path, entries in state.audit.items()
+        },
+        "jobs": [_CONVERTER.unstructure(job) for job in state.jobs.values()],
+        "final_jobs": list(state.final_jobs.items()),
+        "claims": {
+            region: _CONVERTER.unstructure(claim)
+            for region, claim in state.claims.items()
+        },
+        "requests": [
+            [
+                offset,
+                _CONVERTER.unstructure(key),
+                _CONVERTER.unstructure(state.request_keys[key]),
+            ]
+            for offset, key in state.key_order.items()
+            if key in state.request_keys
+        ],
+        "oldest_key": state.oldest_key,
+        "seen": list(state.seen_at.items()),
+        "snapshot_as_of": state.snapshot_as_of,
+        "chunks": list(state.chunks),
+    }
+    packed = zlib.compress(json.dumps(plain).encode(), level=6)
+    return base64.b85encode(packed).decode()
+
+
+def decode(text: str) -> models.State:
+    """Decode a state; raise ValueError when the text is damaged."""
+    try:
+        plain = json.loads(zlib.decompress(base64.b85decode(text)))
+    except zlib.error as error:
+        raise ValueError(f"damaged snapshot: {error}") from error
+    jobs = _CONVERTER.structure(plain["jobs"], list[models.Job])
+    state = models.State(
+        applied=plain["applied"],
+        at=datetime.datetime.fromisoformat(plain["at"]),
+        settings=immutables.Map(
+            {
+                path: models.SettingsEntry(
+                    revision, content, parsing.from_json(path, content)
+                )
+                for path, (revision, content) in plain["settings"].items()
+            }
+        ),
+        audit=immutables.Map(
+            {
+                path: _CONVERTER.structure(
+                    entries, tuple[models.AuditEntry, ...]
+                )
+                for path, entries in plain["audit"].items()
+            }
+        ),
+        jobs=immutables.Map({job.job_id: job for job in jobs}),
+        final_jobs=immutables.Map(plain["final_jobs"]),
+        claims=immutables.Map(
+            {
+                region: _CONVERTER.structure(claim, models.Claim)
+                for region, claim in plain["claims"].items()
+            }
+        ),
+        job_keys=immutables.Map(
+            {
+                models.CallerKey(job.account, job.caller, job.key): job.job_id
+                for job in jobs
+            }
+        ),
+        oldest_key=plain["oldest_key"],
+        seen=immutables.Map(
+            {record_id: offset for offset, record_id in plain["seen"]}
+        ),
+        seen_at=immutables.Map(plain["seen"]),
+        tasks_by_worker=_index_tasks(jobs),
+        snapshot_as_of=plain["snapshot_as_of"],
+        chunks=tuple(plain["chunks"]),
+    )
+    return _with_requests(state, plain["requests"])
+
+
+def _with_requests(state: models.State, rows: list) -> models.State:
+    keys, requests, order = {}, {}, {}
+    for offset, plain_key, plain_use in rows:
+        key = _CONVERTER.structure(plain_key, models.CallerKey)
+        use = _CONVERTER.structure(plain_use, models.KeyUse)
+        keys[key] = use
+        requests[use.entity_id] = key
+        order[offset] = key
+    return state.evolve(
+        request_keys=immutables.Map(keys),
+        requests=immutables.Map(requests),
+        key_order=immutables.Map(order),
+    )
+
+
+def _index_tasks(jobs: list[models.Job]) -> immutables.Map:
+    by_worker: dict[str, dict[messages.TaskId, int]] = {}
+    for job in jobs:
+        if job.phase.is_final:
+            continue
+        for member, placement in enumerate(job.placements):
+            if member not in job.ended:
+                tasks = by_worker.setdefault(placement.worker_id, {})
+                tasks[job.task(member)] = member
+    return immutables.Map(
+        {
+            worker_id: immutables.Map(tasks)
+            for worker_id, tasks in by_worker.items()
+        }
+    )
+
+
+def chunks(
+    state: models.State, snapshot_id: str
+) -> tuple[records.SnapshotChunk, ...]:
+    """Cut an encoded state into records."""
+    text = encode(state)
+    parts = [
+        text[start : start + CHUNK_CHARACTERS]
+        for start in range(0, len(text), CHUNK_CHARACTERS)
+    ]
+    return tuple(
+        records.SnapshotChunk(
+            snapshot_id, state.applied, index, len(parts), part
+        )
+        for index, part in enumerate(parts)
+    )
+
+
+async def newest_in_log(
+    log: base.PlatformLog, first: int, limit: int
+) -> expression.Result[models.State, verdict.Failure]:
+    """Scan what the log keeps for the newest complete snapshot."""
+    parts: dict[str, dict[int, records.SnapshotChunk]] = {}
+    newest: dict[int, records.SnapshotChunk] = {}
+    offset = first
+    while True:
+        page = await log.read(offset, limit, NO_WAIT)
+        if page.is_error():
+            return page
+        for payload in page.ok.payloads:
+            chunk = _chunk_of(payload)
+            if chunk is None:
+                continue
+            collected = parts.setdefault(chunk.snapshot_id, {})
+            collected[chunk.index] = chunk
+            newer = not newest or chunk.as_of >= newest[0].as_of
+            if len(collected) == chunk.count and newer:
+                newest = collected
+        if not page.ok.payloads:
+            break
+        offset = page.ok.start + len(page.ok.payloads)
+    if not newest:
+        return expression.Error(
+            verdict.not_run(
+                verdict.Reason.UNAVAILABLE, "no complete snapshot in the log"
+            )
+        )
+    text = "".join(newest[index].data for index in sorted(newest))
+    return expression.Ok(decode(text))
+
+
+def _chunk_of(payload: str) -> records.SnapshotChunk | None:
+    decoded = records.decode(payload)
+    if decoded.is_error():
+        return None
+    body = decoded.ok.body
+    return body if isinstance(body, records.SnapshotChunk) else None
--- /dev/null
+++ b/cardamomcroft/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Keep leases on workers and share their slots."""
--- /dev/null
+++ b/cardamomcroft/workers/fleet.py
@@ -0,0 +1,72 @@
+"""Read the declared fleet out of the state."""
+
+import dataclasses
+
+from cardamomcroft.policy import base
+from cardamomcroft.settings import documents
+from cardamomcroft.state import models
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetWorker:
+    """Locate a declared worker."""
+
+    worker_id: str
+    region: str
+    data_centre: str
+    rack: str
+    worker: documents.Worker
+
+
+class Fleet:
+    """Keep the declared workers by id, read again when settings change."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._settings: object = None
+        self._by_id: dict[str, FleetWorker] = {}
+
+    def by_id(self, state: models.State) -> dict[str, FleetWorker]:
+        """Return all declared workers."""
+        if state.settings is not self._settings:
+            self._by_id = _read(state)
+            self._settings = state.settings
+        return self._by_id
+
+    def region(
+        self, state: models.State, region: str
+    ) -> dict[str, FleetWorker]:
+        """Return the declared workers of a region."""
+        return {
+            worker_id: worker
+            for worker_id, worker in self.by_id(state).items()
+            if worker.region == region
+        }
+
+
+def _read(state: models.State) -> dict[str, FleetWorker]:
+    by_id = {}
+    for path in sorted(state.settings):
+        document = state.settings[path].document
+        if not isinstance(document, documents.DataCentre):
+            continue
+        data_centre = path.removeprefix("fleet/")
+        for rack, contents in document.racks.items():
+            for worker_id, worker in contents.workers.items():
+                by_id[worker_id] = FleetWorker(
+                    worker_id, document.region, data_centre, rack, worker
+                )
+    return by_id
+
+
+def to_view(located: FleetWorker, usable: bool = True) -> base.WorkerView:
+    """Return a worker as policies see it."""
+    return base.WorkerView(
+        located.worker_id,
+        located.data_centre,
+        located.rack,
+        located.worker.accelerators,
+        located.worker.cores,
+        located.worker.memory_gb,
+        usable,
+    )
--- /dev/null
+++ b/cardamomcroft/workers/renewer.py
@@ -0,0 +1,194 @@
+"""Renew the leases of running gangs and record how members end."""
+
+import asyncio
+import datetime
+
+import structlog
+
+from cardamomcroft import verdict
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import records
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.membership import freshness as freshnesses
+from cardamomcroft.membership import members
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import instance
+from cardamomcroft.state import fold
+from cardamomcroft.state import models
+from cardamomcroft.workers import fleet as fleets
+
+
+class LeaseRenewer:
+    """Renew the leases on the workers that rendezvous hashing assigns."""
+
+    def __init__(
+        self,
+        region: str,
+        replica: replicas.Replica,
+        appender: appenders.Appender,
+        workers: base.WorkerClient,
+        membership: members.Membership,
+        freshness: freshnesses.Freshness,
+        clock: base.Clock,
+        metrics: base.Metrics,
+        timing: instance.Timing,
+    ) -> None:
+        """Take the parts it works with."""
+        self._region = region
+        self._replica = replica
+        self._appender = appender
+        self._workers = workers
+        self._membership = membership
+        self._freshness = freshness
+        self._clock = clock
+        self._metrics = metrics
+        self._timing = timing
+        self._fleet = fleets.Fleet()
+        self._silent_since: dict[str, datetime.timedelta] = {}
+        self._forget: dict[str, tuple[messages.TaskId, ...]] = {}
+        self._logger = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Renew every period until cancelled."""
+        period = self._timing.duration("renew_period")
+        while True:
+            await self.step()
+            await self._clock.sleep(period)
+
+    async def step(self) -> None:
+        """Renew once on every assigned worker."""
+        if not self._freshness.is_fresh():
+            self._metrics.increment("renewer.stale")
+            return
+        state = fold.fold_all(self._replica.state, self._appender.pending())
+        await asyncio.gather(
+            *(
+                self._renew(worker_id, state)
+                for worker_id in self._assigned(state)
+            )
+        )
+
+    def _assigned(self, state: models.State) -> list[str]:
+        live = self._membership.live_ids(self._region)
+        own = self._membership.instance_id
+        unconfirmed = self._unconfirmed_workers()
+        return [
+            worker_id
+            for worker_id in self._fleet.region(state, self._region)
+            if worker_id in unconfirmed
+            or members.rank(worker_id, live)[0] == own
+        ]
+
+    def _unconfirmed_workers(self) -> set[str]:
+        return {
+            placement.worker_id
+            for record in self._appender.pending()
+            if isinstance(record.body, records.GangStarted)
+            for placement in record.body.placements
+        }
+
+    async def _renew(self, worker_id: str, state: models.State) -> None:
+        tasks = tuple(state.tasks_by_worker.get(worker_id, ()))
+        claim = state.claims.get(self._region)
+        command = messages.Renew(
+            claim.epoch if claim else -1,
+            self._timing.lease_s,
+            tasks,
+            self._forget.pop(worker_id, ()),
+        )
+        result = await self._workers.renew(worker_id, command)
+        if result.is_ok():
+            self._silent_since.pop(worker_id, None)
+            self._take(worker_id, tasks, result.ok)
+            return
+        self._metrics.increment("renewer.failed")
+        if result.error.reason is not verdict.Reason.STALE:
+            self._note_silence(worker_id, tasks)
+
+    def _take(
+        self,
+        worker_id: str,
+        expected: tuple[messages.TaskId, ...],
+        inventory: messages.Inventory,
+    ) -> None:
+        if inventory.leaving:
+            self._membership.mark_worker_leaving(worker_id)
+        else:
+            self._membership.mark_worker_live(worker_id)
+        report_by_task = {report.task: report for report in inventory.tasks}
+        ends = tuple(
+            end
+            for task in expected
+            if (end := task_end(task, report_by_task.get(task)))
+        )
+        self._record(worker_id, ends)
+        self._forget[worker_id] = self._settled(inventory)
+
+    def _settled(
+        self, inventory: messages.Inventory
+    ) -> tuple[messages.TaskId, ...]:
+        jobs = self._replica.state.jobs
+        return tuple(
+            report.task
+            for report in inventory.tasks
+            if report.phase
+            in (messages.TaskPhase.FINISHED, messages.TaskPhase.FAILED)
+            and is_settled(jobs.get(report.task.job_id), report.task)
+        )
+
+    def _note_silence(
+        self, worker_id: str, tasks: tuple[messages.TaskId, ...]
+    ) -> None:
+        now = self._clock.monotonic()
+        since = self._silent_since.setdefault(worker_id, now)
+        if now - since < self._timing.duration("lease"):
+            return
+        self._record(
+            worker_id,
+            tuple(
+                records.TaskEnd(task, False, "worker unreachable")
+                for task in tasks
+            ),
+        )
+
+    def _record(
+        self, worker_id: str, ends: tuple[records.TaskEnd, ...]
+    ) -> None:
+        if not ends or self._is_pending(worker_id, ends):
+            return
+        self._logger.info("tasks_ended", worker_id=worker_id, count=len(ends))
+        self._appender.submit(
+            records.TasksEnded(worker_id, ends),
+            appenders.Priority.BOOKKEEPING,
+        )
+
+    def _is_pending(
+        self, worker_id: str, ends: tuple[records.TaskEnd, ...]
+    ) -> bool:
+        body = records.TasksEnded(worker_id, ends)
+        return any(record.body == body for record in self._appender.pending())
+
+
+def task_end(
+    task: messages.TaskId, report: messages.TaskReport | None
+) -> records.TaskEnd | None:
+    """Return how a task ended, or None while it runs."""
+    if report is None:
+        return records.TaskEnd(task, False, "task missing on its worker")
+    match report.phase:
+        case messages.TaskPhase.FINISHED:
+            return records.TaskEnd(task, True)
+        case messages.TaskPhase.FAILED:
+            detail = report.detail or "task failed"
+            return records.TaskEnd(task, False, detail, report.checkpoint_s)
+    return None
+
+
+def is_settled(job: models.Job | None, task: messages.TaskId) -> bool:
+    """Tell whether the log needs nothing more from a task's worker."""
+    if job is None or job.phase.is_final:
+        return True
+    return job.attempt > task.attempt or (
+        job.attempt == task.attempt and task.member in job.ended
+    )
