--- a/cardamomcroft/api/bodies.py
+++ b/cardamomcroft/api/bodies.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.log import records
+from cardamomcroft.ports import verdict
 from cardamomcroft.requests import messages
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import parsing
--- a/cardamomcroft/api/context.py
+++ b/cardamomcroft/api/context.py
@@ -4,7 +4,6 @@
 
 from aiohttp import web
 
-from cardamomcroft import verdict
 from cardamomcroft.api import auth
 from cardamomcroft.api import errors
 from cardamomcroft.jobs import scheduler as schedulers
@@ -13,6 +12,7 @@
 from cardamomcroft.membership import members
 from cardamomcroft.policy import base as policies
 from cardamomcroft.ports import base
+from cardamomcroft.ports import verdict
 from cardamomcroft.requests import router as routers
 from cardamomcroft.settings import instance
 
--- a/cardamomcroft/api/errors.py
+++ b/cardamomcroft/api/errors.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 import structlog
 
-from cardamomcroft import verdict
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import parsing
 
 STATUS_BY_REASON = {
--- a/cardamomcroft/api/jobs.py
+++ b/cardamomcroft/api/jobs.py
@@ -5,7 +5,6 @@
 
 from aiohttp import web
 
-from cardamomcroft import verdict
 from cardamomcroft.api import auth
 from cardamomcroft.api import bodies
 from cardamomcroft.api import context as contexts
@@ -15,6 +14,7 @@
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import documents
 from cardamomcroft.state import jobs as folds
 from cardamomcroft.state import models
--- a/cardamomcroft/api/settings.py
+++ b/cardamomcroft/api/settings.py
@@ -6,7 +6,6 @@
 
 from aiohttp import web
 
-from cardamomcroft import verdict
 from cardamomcroft.api import auth
 from cardamomcroft.api import bodies
 from cardamomcroft.api import context as contexts
@@ -14,6 +13,7 @@
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.policy import feasibility
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import parsing
 from cardamomcroft.state import models
--- a/cardamomcroft/api/status.py
+++ b/cardamomcroft/api/status.py
@@ -2,11 +2,11 @@
 
 from aiohttp import web
 
-from cardamomcroft import verdict
 from cardamomcroft.api import auth
 from cardamomcroft.api import context as contexts
 from cardamomcroft.api import errors
 from cardamomcroft.api import settings
+from cardamomcroft.ports import verdict
 from cardamomcroft.workers import fleet as fleets
 
 
--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -5,11 +5,11 @@
 import datetime
 import enum
 
-from cardamomcroft import verdict
 from cardamomcroft.charts import loading
 from cardamomcroft.log import records
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import instance
 from cardamomcroft.state import models
 
--- a/cardamomcroft/log/appender.py
+++ b/cardamomcroft/log/appender.py
@@ -9,11 +9,11 @@
 import expression
 import structlog
 
-from cardamomcroft import verdict
 from cardamomcroft.log import records
 from cardamomcroft.log import replica as replicas
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import verdict
 from cardamomcroft.state import models
 
 BATCH_RECORDS = 64
--- a/cardamomcroft/log/records.py
+++ b/cardamomcroft/log/records.py
@@ -8,8 +8,8 @@
 import cattrs.strategies
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import parsing
 
--- a/cardamomcroft/log/replica.py
+++ b/cardamomcroft/log/replica.py
@@ -7,10 +7,10 @@
 import expression
 import structlog
 
-from cardamomcroft import verdict
 from cardamomcroft.log import records
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.state import fold
 from cardamomcroft.state import models
 from cardamomcroft.state import snapshots
--- a/cardamomcroft/peers/base.py
+++ b/cardamomcroft/peers/base.py
@@ -4,9 +4,9 @@
 
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.membership import digests
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 
 
 class PeerClient(abc.ABC):
--- a/cardamomcroft/peers/local.py
+++ b/cardamomcroft/peers/local.py
@@ -4,8 +4,8 @@
 
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.peers import base
+from cardamomcroft.ports import verdict
 
 
 class LocalNetwork:
--- a/cardamomcroft/peers/rpc.py
+++ b/cardamomcroft/peers/rpc.py
@@ -10,15 +10,15 @@
 import thriftpy2
 from thriftpy2.contrib.aio import client as thrift_client
 from thriftpy2.contrib.aio import processor as thrift_processor
+from thriftpy2.contrib.aio import protocol as thrift_protocol
 from thriftpy2.contrib.aio import socket as thrift_socket
-from thriftpy2.contrib.aio.protocol import binary
-from thriftpy2.contrib.aio.transport import buffered
+from thriftpy2.contrib.aio import transport as thrift_transport
 from thriftpy2.transport import TTransportException
 
-from cardamomcroft import verdict
 from cardamomcroft.membership import digests
 from cardamomcroft.peers import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import instance
 
 CONNECT_TIMEOUT_MS = 500
@@ -98,10 +98,14 @@
     async def _serve(self, stream) -> None:
         task = asyncio.current_task()
         self._connections.add(task)
-        transport = buffered.TAsyncBufferedTransportFactory().get_transport(
-            stream
+        transport = (
+            thrift_transport.TAsyncBufferedTransportFactory().get_transport(
+                stream
+            )
+        )
+        protocol = thrift_protocol.TAsyncBinaryProtocolFactory().get_protocol(
+            transport
         )
-        protocol = binary.TAsyncBinaryProtocolFactory().get_protocol(transport)
         try:
             while True:
                 await self._processor.process(protocol, protocol)
@@ -139,10 +143,14 @@
             socket_timeout=IDLE_TIMEOUT_MS,
             connect_timeout=CONNECT_TIMEOUT_MS,
         )
-        transport = buffered.TAsyncBufferedTransportFactory().get_transport(
-            stream
+        transport = (
+            thrift_transport.TAsyncBufferedTransportFactory().get_transport(
+                stream
+            )
+        )
+        protocol = thrift_protocol.TAsyncBinaryProtocolFactory().get_protocol(
+            transport
         )
-        protocol = binary.TAsyncBinaryProtocolFactory().get_protocol(transport)
         await transport.open()
         return thrift_client.TAsyncClient(WIRE.Peer, protocol)
 
--- a/cardamomcroft/ports/base.py
+++ b/cardamomcroft/ports/base.py
@@ -6,8 +6,8 @@
 
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 
 Outcome = expression.Result
 
--- a/cardamomcroft/ports/http.py
+++ b/cardamomcroft/ports/http.py
@@ -8,9 +8,9 @@
 import cattrs.errors
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import parsing
 
 CONNECT_TIMEOUT_S = 0.5
--- a/cardamomcroft/requests/admission.py
+++ b/cardamomcroft/requests/admission.py
@@ -10,8 +10,8 @@
 
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.ports import base
+from cardamomcroft.ports import verdict
 from cardamomcroft.requests import messages
 from cardamomcroft.settings import documents
 
--- a/cardamomcroft/requests/retries.py
+++ b/cardamomcroft/requests/retries.py
@@ -3,7 +3,7 @@
 import datetime
 import random
 
-from cardamomcroft import verdict
+from cardamomcroft.ports import verdict
 
 MAX_TRIES = 4  # for one request at one instance
 BACKOFF_START = datetime.timedelta(milliseconds=20)
--- a/cardamomcroft/requests/router.py
+++ b/cardamomcroft/requests/router.py
@@ -7,7 +7,6 @@
 import expression
 import structlog
 
-from cardamomcroft import verdict
 from cardamomcroft.charts import loading
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
@@ -16,6 +15,7 @@
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import messages as port_messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.requests import admission as admissions
 from cardamomcroft.requests import messages
 from cardamomcroft.requests import retries
--- a/cardamomcroft/standin/instances.py
+++ b/cardamomcroft/standin/instances.py
@@ -4,9 +4,9 @@
 
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 
 
 class StandinInstances(base.InstanceList):
--- a/cardamomcroft/standin/log.py
+++ b/cardamomcroft/standin/log.py
@@ -7,9 +7,9 @@
 
 import expression
 
-from cardamomcroft import verdict
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 
 POLL_STEP = datetime.timedelta(milliseconds=50)
 
--- a/cardamomcroft/standin/service.py
+++ b/cardamomcroft/standin/service.py
@@ -6,9 +6,9 @@
 
 from aiohttp import web
 
-from cardamomcroft import verdict
 from cardamomcroft.ports import http
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import instance
 from cardamomcroft.settings import parsing
 from cardamomcroft.standin import instances
--- a/cardamomcroft/state/models.py
+++ b/cardamomcroft/state/models.py
@@ -6,9 +6,9 @@
 
 import immutables
 
-from cardamomcroft import verdict
 from cardamomcroft.log import records
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import documents
 
 EARLIEST = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
--- a/cardamomcroft/state/requests.py
+++ b/cardamomcroft/state/requests.py
@@ -3,8 +3,8 @@
 import dataclasses
 import datetime
 
-from cardamomcroft import verdict
 from cardamomcroft.log import records
+from cardamomcroft.ports import verdict
 from cardamomcroft.state import models
 
 KEY_RETENTION = datetime.timedelta(hours=6)
--- a/cardamomcroft/state/snapshots.py
+++ b/cardamomcroft/state/snapshots.py
@@ -8,10 +8,10 @@
 import expression
 import immutables
 
-from cardamomcroft import verdict
 from cardamomcroft.log import records
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import parsing
 from cardamomcroft.state import models
 
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -5,7 +5,6 @@
 
 import structlog
 
-from cardamomcroft import verdict
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.log import replica as replicas
@@ -13,6 +12,7 @@
 from cardamomcroft.membership import members
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import instance
 from cardamomcroft.state import fold
 from cardamomcroft.state import models
