Add the command line, failure evidence and tests of the scheduler

Cause: nothing proved takeover, outages or gang starts, and a first-fit policy kept choosing an unreachable worker. Change: cyclopts commands with documented exit codes; whole nodes on a fake clock in tests; Health blames workers or jobs by evidence; a lost worker no longer counts against its job.

--- a/cardamomcroft/bench/checks.py
+++ b/cardamomcroft/bench/checks.py
@@ -8,6 +8,8 @@
 
 def count(standin: workers.StandinWorkers) -> dict[str, int]:
     """Return the violations by promise."""
+    for worker in standin.by_id.values():
+        worker.refresh()
     runs = [run for worker in standin.by_id.values() for run in worker.runs]
     return {
         "doubled": count_doubled(runs),
--- a/cardamomcroft/bench/demo.py
+++ b/cardamomcroft/bench/demo.py
@@ -11,6 +11,7 @@
 
 from cardamomcroft.bench import checks
 from cardamomcroft.bench import local
+from cardamomcroft.cli import running
 from cardamomcroft.daemon import logs
 from cardamomcroft.settings import directory
 from cardamomcroft.settings import instance
@@ -141,4 +142,4 @@
 
 
 if __name__ == "__main__":
-    app()
+    running.run(app)
--- a/cardamomcroft/bench/local.py
+++ b/cardamomcroft/bench/local.py
@@ -94,12 +94,10 @@
         if not isinstance(document, documents.DataCentre):
             return document
         plain = parsing.CONVERTER.unstructure(document)
+        self.workers.add_declared(document)
         for rack in plain["racks"].values():
             for worker_id, worker in rack["workers"].items():
                 worker["address"] = f"http://{self._workers_at}/{worker_id}"
-                self.workers.add(
-                    worker_id, worker["accelerators"] or 8, worker["slots"]
-                )
         return parsing.CONVERTER.structure(plain, documents.DataCentre)
 
     def _make_servers(self, count: int, policy: str) -> list[serving.Server]:
--- /dev/null
+++ b/cardamomcroft/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators and callers a command line."""
--- /dev/null
+++ b/cardamomcroft/cli/changes.py
@@ -0,0 +1,86 @@
+"""Compare declarations with the settings in force."""
+
+import dataclasses
+import difflib
+import typing
+
+import yaml
+
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import parsing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Hold one path whose document differs; None means absent."""
+
+    path: str
+    revision: int
+    before: dict[str, typing.Any] | None
+    after: dict[str, typing.Any] | None
+
+    @property
+    def kind(self) -> str:
+        """Name what would happen to the path."""
+        if self.before is None:
+            return "add"
+        return "remove" if self.after is None else "change"
+
+    def lines(self) -> list[str]:
+        """Return the change as a unified diff of YAML."""
+        return list(
+            difflib.unified_diff(
+                yaml_lines(self.before),
+                yaml_lines(self.after),
+                f"in force: {self.path}",
+                f"declared: {self.path}",
+                lineterm="",
+            )
+        )
+
+    def to_edit(self) -> dict[str, typing.Any]:
+        """Return the body of an edit."""
+        return {
+            "path": self.path,
+            "expected_revision": self.revision,
+            "document": self.after,
+        }
+
+
+def yaml_lines(document: dict[str, typing.Any] | None) -> list[str]:
+    """Return a document as lines of YAML."""
+    if document is None:
+        return []
+    return yaml.safe_dump(document, sort_keys=True).splitlines()
+
+
+def compare(
+    by_path: dict[str, documents.Document],
+    entries: dict[str, dict[str, typing.Any]],
+    is_pruning: bool,
+) -> list[Change]:
+    """Return the changes that would make settings match declarations."""
+    changes = []
+    for path, document in sorted(by_path.items()):
+        after = parsing.CONVERTER.unstructure(document)
+        entry = entries.get(path)
+        before = entry["document"] if entry else None
+        if _normal(after) != before:
+            revision = entry["revision"] if entry else -1
+            changes.append(Change(path, revision, before, after))
+    if is_pruning:
+        changes.extend(
+            Change(path, entry["revision"], entry["document"], None)
+            for path, entry in sorted(entries.items())
+            if path not in by_path
+        )
+    return changes
+
+
+def _normal(plain: typing.Any) -> typing.Any:
+    """Return data as it looks after a trip through JSON."""
+    if isinstance(plain, dict):
+        return {key: _normal(value) for key, value in plain.items()}
+    if isinstance(plain, list | tuple):
+        return [_normal(value) for value in plain]
+    return plain
--- /dev/null
+++ b/cardamomcroft/cli/client.py
@@ -0,0 +1,125 @@
+"""Call the API and tell what came of it."""
+
+import dataclasses
+import enum
+import typing
+
+import aiohttp
+import expression
+
+from cardamomcroft.ports import verdict
+
+TIMEOUT_S = 70.0  # above the longest wait that a server grants
+
+
+class ExitCode(enum.IntEnum):
+    """Name the exit codes of every command."""
+
+    DONE = 0
+    REFUSED = 1
+    WRONG_USE = 2
+    CONFLICT = 3
+    TRY_LATER = 4
+    MAY_HAVE_RUN = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFailure:
+    """Tell why a call failed and how the command should end."""
+
+    exit_code: ExitCode
+    plain: dict[str, typing.Any]
+
+    def lines(self) -> list[str]:
+        """Return what a person should read."""
+        error = self.plain["error"]
+        lines = [f"{error['verdict']}: {error['detail']}"]
+        for problem in error.get("problems", ())[1:]:
+            lines.append(
+                f"{problem['path']}: {problem['location']}: "
+                f"{problem['detail']}"
+            )
+        return lines
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """Name the servers to try in turn and the token to show."""
+
+    servers: tuple[str, ...]
+    token: str
+
+
+CallResult = expression.Result[dict[str, typing.Any], CallFailure]
+
+_EXIT_BY_STATUS = {
+    409: ExitCode.CONFLICT,
+    422: ExitCode.WRONG_USE,
+    400: ExitCode.WRONG_USE,
+    413: ExitCode.WRONG_USE,
+    429: ExitCode.TRY_LATER,
+    503: ExitCode.TRY_LATER,
+}
+
+
+def local_failure(
+    exit_code: ExitCode, found: verdict.Verdict, detail: str
+) -> CallFailure:
+    """Return a failure in the API's own shape."""
+    plain = {"error": {"verdict": found.value, "detail": detail}}
+    return CallFailure(exit_code, plain)
+
+
+async def call(
+    target: Target,
+    method: str,
+    path: str,
+    body: object = None,
+    key: str = "",
+) -> CallResult:
+    """Call the first server that accepts a connection."""
+    headers = {"Authorization": f"Bearer {target.token}"}
+    if key:
+        headers["Idempotency-Key"] = key
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=2.0)
+    refused = "no server given"
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        for server in target.servers:
+            try:
+                async with session.request(
+                    method, f"{server}{path}", json=body, headers=headers
+                ) as response:
+                    return await _read(response)
+            except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+                refused = str(error)
+            except (TimeoutError, aiohttp.ClientError) as error:
+                return expression.Error(
+                    local_failure(
+                        ExitCode.MAY_HAVE_RUN,
+                        verdict.Verdict.MAY_HAVE_RUN,
+                        repr(error),
+                    )
+                )
+    failure = local_failure(
+        ExitCode.TRY_LATER, verdict.Verdict.NOT_RUN, refused
+    )
+    return expression.Error(failure)
+
+
+async def _read(response: aiohttp.ClientResponse) -> CallResult:
+    try:
+        plain = await response.json()
+    except (aiohttp.ContentTypeError, ValueError):
+        failure = local_failure(
+            ExitCode.MAY_HAVE_RUN,
+            verdict.Verdict.MAY_HAVE_RUN,
+            f"status {response.status} without JSON",
+        )
+        return expression.Error(failure)
+    if response.status < 400:
+        return expression.Ok(plain)
+    exit_code = _EXIT_BY_STATUS.get(response.status, ExitCode.REFUSED)
+    found = plain.get("error", {}).get("verdict")
+    if found == verdict.Verdict.MAY_HAVE_RUN.value:
+        exit_code = ExitCode.MAY_HAVE_RUN
+    return expression.Error(CallFailure(exit_code, plain))
--- /dev/null
+++ b/cardamomcroft/cli/output.py
@@ -0,0 +1,54 @@
+"""Print for people or for programs, and end with the right code."""
+
+import json
+import sys
+import typing
+
+from cardamomcroft.cli import client
+
+
+def finish(failure: client.CallFailure, is_json: bool) -> typing.NoReturn:
+    """Print a failure and exit."""
+    if is_json:
+        print(json.dumps(failure.plain))
+    else:
+        for line in failure.lines():
+            print(line, file=sys.stderr)
+    sys.exit(failure.exit_code)
+
+
+def show(plain: object, is_json: bool, lines: list[str]) -> None:
+    """Print a result."""
+    if is_json:
+        print(json.dumps(plain))
+    else:
+        for line in lines:
+            print(line)
+
+
+def table(
+    rows: list[dict[str, typing.Any]], columns: tuple[str, ...]
+) -> list[str]:
+    """Return rows as aligned columns."""
+    cells = [columns] + [
+        tuple(str(row.get(column, "")) for column in columns) for row in rows
+    ]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in cells
+    ]
+
+
+def progress(line: str) -> None:
+    """Show a passing state on a terminal."""
+    if sys.stderr.isatty():
+        print(f"\r\x1b[K{line}", end="", file=sys.stderr, flush=True)
+
+
+def end_progress() -> None:
+    """Clear the passing state."""
+    if sys.stderr.isatty():
+        print("\r\x1b[K", end="", file=sys.stderr, flush=True)
--- /dev/null
+++ b/cardamomcroft/cli/running.py
@@ -0,0 +1,17 @@
+"""Run an application with the documented exit codes."""
+
+import sys
+import typing
+
+import cyclopts
+
+from cardamomcroft.cli import client
+
+
+def run(app: cyclopts.App) -> typing.NoReturn:
+    """Run the command line and exit; wrong use has its own code."""
+    try:
+        app(exit_on_error=False)
+    except cyclopts.CycloptsError:
+        sys.exit(client.ExitCode.WRONG_USE)
+    sys.exit(client.ExitCode.DONE)
--- a/cardamomcroft/daemon/main.py
+++ b/cardamomcroft/daemon/main.py
@@ -6,12 +6,12 @@
 
 import cyclopts
 
+from cardamomcroft.cli import client
+from cardamomcroft.cli import running
 from cardamomcroft.daemon import logs
 from cardamomcroft.daemon import serving
 from cardamomcroft.settings import instance
 
-EXIT_USAGE = 2
-
 app = cyclopts.App(
     name="cardamomcroftd", help="Run one instance of cardamomcroft."
 )
@@ -30,14 +30,14 @@
     if loaded.is_error():
         for problem in loaded.error:
             print(problem, file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+        sys.exit(client.ExitCode.WRONG_USE)
     logs.configure(loaded.ok.logging, loaded.ok.instance_id)
     asyncio.run(serving.Server(loaded.ok).run_until_signalled())
 
 
 def main() -> None:
     """Enter from the console command."""
-    app()
+    running.run(app)
 
 
 if __name__ == "__main__":
--- a/cardamomcroft/daemon/node.py
+++ b/cardamomcroft/daemon/node.py
@@ -31,6 +31,7 @@
 from cardamomcroft.state import jobs as job_folds
 from cardamomcroft.workers import allotment as allotments
 from cardamomcroft.workers import fleet as fleets
+from cardamomcroft.workers import health as healths
 from cardamomcroft.workers import renewer as renewers
 
 DRAIN_POLL = datetime.timedelta(milliseconds=50)
@@ -148,6 +149,8 @@
             ports.metrics,
             settings.timing,
         )
+        self.health = healths.Health(ports.clock)
+        self.replica.observe(self.health.observe)
         self.scheduler = schedulers.Scheduler(
             schedulers.Parts(
                 settings.region,
@@ -161,6 +164,7 @@
                 ports.metrics,
                 settings.timing,
                 self.policy,
+                self.health,
             )
         )
 
--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -93,7 +93,7 @@
         )
         for member in order:
             if not self._may_act():
-                return self._missed(member, "self-lease passed", False)
+                return self._missed(None, "self-lease passed", False)
             self._touched.append(member)
             placement = self.placements[member]
             command = messages.Reserve(
@@ -109,7 +109,7 @@
 
     async def _start_all(self) -> bool:
         if not self._may_act():
-            return self._missed(0, "self-lease passed", False)
+            return self._missed(None, "self-lease passed", False)
         results = await asyncio.gather(
             *map(self._start_member, range(len(self.placements)))
         )
@@ -137,9 +137,9 @@
             return await self._workers.start(worker_id, command)
         return result
 
-    def _missed(self, member: int, detail: str, failed: bool) -> bool:
+    def _missed(self, member: int | None, detail: str, failed: bool) -> bool:
         outcome = LaunchOutcome.FAILED if failed else LaunchOutcome.RELEASED
-        worker_id = self.placements[member].worker_id
+        worker_id = "" if member is None else self.placements[member].worker_id
         self._miss = LaunchResult(outcome, worker_id, detail)
         return False
 
--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -23,6 +23,7 @@
 from cardamomcroft.state import fold
 from cardamomcroft.state import models
 from cardamomcroft.workers import fleet as fleets
+from cardamomcroft.workers import health as healths
 
 CLAIM_BACKOFF = datetime.timedelta(milliseconds=500)  # for each rank
 CONFIRM_LIMIT = datetime.timedelta(seconds=5)
@@ -43,6 +44,7 @@
     metrics: base.Metrics
     timing: instance.Timing
     policy: policies.Policy
+    health: healths.Health
 
 
 class Scheduler:
@@ -279,13 +281,20 @@
                 job.attempt,
                 token,
                 reason,
-                blamed=not checkpoint and not job.cancel_requested,
+                blamed=self._is_job_to_blame(job),
                 checkpoint_s=job.checkpoint_s + min(kept, default=0.0),
             )
             await self._parts.appender.submit(body, appenders.Priority.START)
         finally:
             self._settling.discard(job.job_id)
 
+    def _is_job_to_blame(self, job: models.Job) -> bool:
+        """Blame the job unless each worker it failed on is suspect."""
+        health = self._parts.health
+        return any(
+            not health.is_suspect(worker_id) for worker_id in job.failed_on
+        )
+
     def _decide(self, state: models.State) -> None:
         parts = self._parts
         view = views.build(
@@ -322,6 +331,8 @@
     def _is_usable(self, worker_id: str) -> bool:
         if self._parts.membership.is_worker_leaving(worker_id):
             return False
+        if not self._parts.health.is_usable(worker_id):
+            return False
         return self.takeover.is_settled or self.takeover.is_fenced(worker_id)
 
     def _launching_gang(self, launch: launches.Launch) -> policies.RunningGang:
@@ -418,6 +429,8 @@
         result: launches.LaunchResult,
     ) -> None:
         self._parts.metrics.increment("scheduler.missed")
+        if result.worker_id:
+            self._parts.health.note_unreachable(result.worker_id)
         now = self._parts.clock.monotonic()
         self._retry_at[launch.job.job_id] = now + CLAIM_BACKOFF
         if result.outcome is launches.LaunchOutcome.FAILED:
@@ -426,7 +439,6 @@
                 launch.attempt,
                 token,
                 f"start failed on {result.worker_id}: {result.detail}",
-                blamed=True,
             )
             self._parts.appender.submit(body, appenders.Priority.START)
 
--- a/cardamomcroft/log/records.py
+++ b/cardamomcroft/log/records.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import enum
 import json
 
 import cattrs.errors
@@ -81,12 +82,20 @@
     placements: tuple[Placement, ...]
 
 
+class EndKind(enum.Enum):
+    """Name how a gang member ended; LOST says nothing of the job."""
+
+    FINISHED = "finished"
+    FAILED = "failed"
+    LOST = "lost"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskEnd:
     """Record how one gang member ended."""
 
     task: messages.TaskId
-    finished: bool
+    kind: EndKind
     detail: str = ""
     checkpoint_s: float = 0.0
 
--- a/cardamomcroft/ports/clock.py
+++ b/cardamomcroft/ports/clock.py
@@ -8,7 +8,7 @@
 
 from cardamomcroft.ports import base
 
-SETTLE_PASSES = 60  # loop passes that let chained callbacks finish
+SETTLE_PASSES = 10_000  # loop passes after which work counts as endless
 
 
 class SystemClock(base.Clock):
@@ -60,8 +60,11 @@
 
     async def settle(self) -> None:
         """Let every runnable callback run."""
+        ready = asyncio.get_running_loop()._ready
         for _ in range(SETTLE_PASSES):
             await asyncio.sleep(0)
+            if not ready:
+                return
 
     async def advance(self, duration: datetime.timedelta) -> None:
         """Wake the sleepers in order up to the new time."""
--- a/cardamomcroft/standin/log.py
+++ b/cardamomcroft/standin/log.py
@@ -40,8 +40,7 @@
     ) -> expression.Result[int, verdict.Failure]:
         """Append all payloads, unless a fault is injected."""
         if self.down:
-            self.injected["log_down"] += 1
-            return _unavailable()
+            return self._unavailable()
         if self.delay:
             self.injected["log_slow"] += 1
             await self._clock.sleep(self.delay)
@@ -60,6 +59,12 @@
             return _unknown()
         return expression.Ok(offset)
 
+    def _unavailable(self) -> expression.Result:
+        self.injected["log_down"] += 1
+        return expression.Error(
+            verdict.not_run(verdict.Reason.UNAVAILABLE, "the log is down")
+        )
+
     def _expire(self) -> None:
         while len(self.payloads) > self.retention:
             self.payloads.popleft()
@@ -70,11 +75,11 @@
     ) -> expression.Result[messages.LogPage, verdict.Failure]:
         """Return records from the offset on."""
         if self.down:
-            return _unavailable()
+            return self._unavailable()
         if offset >= self.end and wait:
             await self._wait_for_growth(wait)
             if self.down:
-                return _unavailable()
+                return self._unavailable()
         start = max(offset, self.first)
         skipped = start - self.first
         payloads = tuple(
@@ -97,12 +102,6 @@
             timer.cancel()
 
 
-def _unavailable() -> expression.Result:
-    return expression.Error(
-        verdict.not_run(verdict.Reason.UNAVAILABLE, "the log is down")
-    )
-
-
 def _unknown() -> expression.Result:
     return expression.Error(
         verdict.may_have_run(verdict.Reason.TIMEOUT, "no answer")
--- a/cardamomcroft/standin/workers.py
+++ b/cardamomcroft/standin/workers.py
@@ -9,6 +9,7 @@
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
 from cardamomcroft.ports import verdict
+from cardamomcroft.settings import documents
 
 
 @dataclasses.dataclass(slots=True)
@@ -241,6 +242,12 @@
             worker_id, units, slots, self._clock
         )
 
+    def add_declared(self, document: documents.DataCentre) -> None:
+        """Add the workers of a data centre."""
+        for rack in document.racks.values():
+            for worker_id, worker in rack.workers.items():
+                self.add(worker_id, worker.units, worker.slots)
+
     async def _call(self, worker_id: str, operation: str, command):
         worker = self.by_id.get(worker_id)
         if worker is None or worker.faults.unreachable:
--- a/cardamomcroft/state/jobs.py
+++ b/cardamomcroft/state/jobs.py
@@ -118,6 +118,7 @@
         attempt=body.attempt,
         token=body.token,
         placements=body.placements,
+        failed_on=frozenset(),
         finished=frozenset(),
         ended=frozenset(),
         started_at=record.at,
@@ -173,17 +174,31 @@
     if member >= len(job.placements):
         return state, False
     ended = job.ended | {member}
-    if end.finished:
+    if end.kind is records.EndKind.FINISHED:
         moved = _finish_member(job, member, ended)
     else:
-        moved = _move(job, "lose_member", ended=ended, detail=end.detail)
-        moved = dataclasses.replace(
-            moved, checkpoint_s=max(job.checkpoint_s, end.checkpoint_s)
-        )
+        moved = _lose_member(job, end, ended)
     state = _unindex(state, job, (member,))
     return _put(state, offset, moved), True
 
 
+def _lose_member(
+    job: models.Job, end: records.TaskEnd, ended: frozenset[int]
+) -> models.Job:
+    failed_on = job.failed_on
+    if end.kind is records.EndKind.FAILED:
+        worker_id = job.placements[end.task.member].worker_id
+        failed_on = failed_on | {worker_id}
+    return _move(
+        job,
+        "lose_member",
+        ended=ended,
+        detail=end.detail,
+        failed_on=failed_on,
+        checkpoint_s=max(job.checkpoint_s, end.checkpoint_s),
+    )
+
+
 def _finish_member(
     job: models.Job, member: int, ended: frozenset[int]
 ) -> models.Job:
@@ -223,6 +238,7 @@
         attempt=body.attempt,
         failures=failures,
         placements=(),
+        failed_on=frozenset(),
         finished=frozenset(),
         ended=frozenset(),
         detail=body.reason,
--- a/cardamomcroft/state/models.py
+++ b/cardamomcroft/state/models.py
@@ -74,6 +74,7 @@
     placements: tuple[records.Placement, ...] = ()
     finished: frozenset[int] = frozenset()
     ended: frozenset[int] = frozenset()
+    failed_on: frozenset[str] = frozenset()
     cancel_requested: bool = False
     checkpoint_s: float = 0.0
     detail: str = ""
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -147,7 +147,9 @@
         self._record(
             worker_id,
             tuple(
-                records.TaskEnd(task, False, "worker unreachable")
+                records.TaskEnd(
+                    task, records.EndKind.LOST, "worker unreachable"
+                )
                 for task in tasks
             ),
         )
@@ -175,13 +177,17 @@
 ) -> records.TaskEnd | None:
     """Return how a task ended, or None while it runs."""
     if report is None:
-        return records.TaskEnd(task, False, "task missing on its worker")
+        return records.TaskEnd(
+            task, records.EndKind.LOST, "task missing on its worker"
+        )
     match report.phase:
         case messages.TaskPhase.FINISHED:
-            return records.TaskEnd(task, True)
+            return records.TaskEnd(task, records.EndKind.FINISHED)
         case messages.TaskPhase.FAILED:
             detail = report.detail or "task failed"
-            return records.TaskEnd(task, False, detail, report.checkpoint_s)
+            return records.TaskEnd(
+                task, records.EndKind.FAILED, detail, report.checkpoint_s
+            )
     return None
 
 
