Place gangs inside reclaimable guaranteed cells

Cause: first-fit kept no guarantee; a bound shape could not be given back. Change: a ledger of unit masks per worker, pins of guaranteed cells with a check that every other guarantee still fits (after the cell hierarchy of HiveD, OSDI 2020), borrowed placement with reservations, fair order over accounts, classes and callers, run-time estimates, a quota baseline.

--- a/cardamomcroft/api/jobs.py
+++ b/cardamomcroft/api/jobs.py
@@ -67,7 +67,7 @@
     workers = fleets.Fleet().region(state, account.region).values()
     reason = context.policy.refusal(
         spec,
-        views.account_view(identity.account, account),
+        views.account_view(identity.account, account, context.clock.now()),
         tuple(map(fleets.to_view, workers)),
     )
     if reason is None:
--- a/cardamomcroft/bench/demo.py
+++ b/cardamomcroft/bench/demo.py
@@ -72,7 +72,7 @@
 async def run_demo(declarations: pathlib.Path) -> Report:
     """Run the path once and return what was seen."""
     by_path = directory.load(declarations).ok
-    cluster = local.LocalCluster(by_path, INSTANCES, "fifo")
+    cluster = local.LocalCluster(by_path, INSTANCES, "cardamomcroft")
     await cluster.start()
     try:
         async with aiohttp.ClientSession() as session:
--- a/cardamomcroft/daemon/node.py
+++ b/cardamomcroft/daemon/node.py
@@ -12,6 +12,7 @@
 from cardamomcroft.api import context as contexts
 from cardamomcroft.charts import loading
 from cardamomcroft.daemon import listing
+from cardamomcroft.jobs import history as histories
 from cardamomcroft.jobs import scheduler as schedulers
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import replica as replicas
@@ -165,6 +166,7 @@
                 settings.timing,
                 self.policy,
                 self.health,
+                histories.RunHistory(self.replica),
             )
         )
 
--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from cardamomcroft.jobs import history as histories
 from cardamomcroft.jobs import launch as launches
 from cardamomcroft.jobs import takeover as takeovers
 from cardamomcroft.jobs import views
@@ -45,6 +46,7 @@
     timing: instance.Timing
     policy: policies.Policy
     health: healths.Health
+    history: histories.RunHistory
 
 
 class Scheduler:
@@ -304,6 +306,8 @@
             self._worker_views(state),
             map(self._launching_gang, self._launches.values()),
             self._is_held_back,
+            self._settling,
+            parts.history.estimates,
         )
         began = parts.clock.monotonic()
         decision = parts.policy.decide(view)
@@ -313,12 +317,16 @@
         parts.metrics.gauge("scheduler.waiting", len(view.waiting))
         parts.metrics.gauge("scheduler.running", len(view.running))
         for stop in decision.stops:
-            if stop.job_id not in self._settling:
+            if self._may_reclaim(stop.job_id):
                 reason = f"reclaimed for {stop.beneficiary}"
                 self._begin_settle(state.jobs[stop.job_id], reason, True)
         for start in decision.starts:
             self._begin_launch(state.jobs[start.job_id], start)
 
+    def _may_reclaim(self, job_id: str) -> bool:
+        """Leave launches alone; the next round decides on them again."""
+        return job_id not in self._settling and job_id not in self._launches
+
     def _worker_views(
         self, state: models.State
     ) -> tuple[policies.WorkerView, ...]:
@@ -343,7 +351,6 @@
             launch.job.spec,
             launch.placements,
             self._parts.clock.now(),
-            True,
         )
 
     def _begin_launch(
--- a/cardamomcroft/jobs/views.py
+++ b/cardamomcroft/jobs/views.py
@@ -4,12 +4,13 @@
 import datetime
 
 from cardamomcroft.policy import base
+from cardamomcroft.policy import estimates
 from cardamomcroft.settings import documents
 from cardamomcroft.state import models
 
 
 def accounts_of(
-    state: models.State, region: str
+    state: models.State, region: str, now: datetime.datetime
 ) -> dict[str, base.AccountView]:
     """Return the accounts of a region."""
     accounts = {}
@@ -20,18 +21,19 @@
         if document.region == region:
             _, team, _, name = path.split("/")
             account = f"{team}/{name}"
-            accounts[account] = account_view(account, document)
+            accounts[account] = account_view(account, document, now)
     return accounts
 
 
 def account_view(
-    account: str, document: documents.Account
+    account: str, document: documents.Account, now: datetime.datetime
 ) -> base.AccountView:
-    """Return one account as policies see it."""
+    """Return one account as policies see it; an ended one holds nothing."""
+    ended = document.ends_at is not None and now >= document.ends_at
     return base.AccountView(
         account,
         document.weight,
-        document.guarantee,
+        () if ended else document.guarantee,
         {name: caller.weight for name, caller in document.callers.items()},
     )
 
@@ -76,6 +78,8 @@
     workers: tuple[base.WorkerView, ...],
     launching: collections.abc.Iterable[base.RunningGang],
     held_back: collections.abc.Callable[[models.Job], bool],
+    stopping: collections.abc.Set[str] = frozenset(),
+    known: estimates.Estimates = base.NO_ESTIMATES,
 ) -> base.View:
     """Return the whole view; jobs being launched count as running."""
     launching = tuple(launching)
@@ -87,13 +91,16 @@
         if job.phase is models.Phase.QUEUED and not held_back(job):
             waiting.append(waiting_job(job))
         elif job.placements and not job.phase.is_final:
-            stopping = job.phase is models.Phase.ENDING
-            running.append(running_gang(job, now, stopping))
+            is_stopping = (
+                job.phase is models.Phase.ENDING or job.job_id in stopping
+            )
+            running.append(running_gang(job, now, is_stopping))
     waiting.sort(key=lambda job: job.order)
     return base.View(
         now,
         workers,
-        accounts_of(state, region),
+        accounts_of(state, region, now),
         tuple(waiting),
         tuple(running),
+        known,
     )
--- a/cardamomcroft/policy/base.py
+++ b/cardamomcroft/policy/base.py
@@ -6,8 +6,11 @@
 import datetime
 
 from cardamomcroft.log import records
+from cardamomcroft.policy import estimates
 from cardamomcroft.settings import documents
 
+NO_ESTIMATES = estimates.Estimates()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerView:
@@ -74,6 +77,7 @@
     accounts: collections.abc.Mapping[str, AccountView]
     waiting: collections.abc.Sequence[WaitingJob]
     running: tuple[RunningGang, ...]
+    run_times: estimates.Estimates = NO_ESTIMATES
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cardamomcroft/policy/borrowed.py
@@ -0,0 +1,176 @@
+"""Place gangs on idle cells beyond any guarantee."""
+
+import collections.abc
+import dataclasses
+import datetime
+
+from cardamomcroft.log import records
+from cardamomcroft.policy import base
+from cardamomcroft.policy import cells
+from cardamomcroft.policy import granted
+from cardamomcroft.policy import ledger as ledgers
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+
+EndOf = collections.abc.Callable[[base.RunningGang], datetime.datetime]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """Keep cells for a waiting gang from a time on."""
+
+    job_id: str
+    at: datetime.datetime
+    placements: tuple[records.Placement, ...]
+
+    def masks(self) -> dict[str, int]:
+        """Return the kept units of each worker."""
+        masks: dict[str, int] = {}
+        for placement in self.placements:
+            mask = cells.mask_of(placement.cell)
+            masks[placement.worker_id] = (
+                masks.get(placement.worker_id, 0) | mask
+            )
+        return masks
+
+
+class BorrowedPlacer:
+    """Find idle cells, tightest first, clear of reservations."""
+
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        """Work on a ledger."""
+        self._ledger = ledger
+        self._groups: dict[
+            documents.Adjacency, list[list[base.WorkerView]]
+        ] = {}
+        self.reservations: list[Reservation] = []
+
+    def place(
+        self, job: base.WaitingJob, until: datetime.datetime
+    ) -> tuple[records.Placement, ...]:
+        """Return placements for the whole gang, or none."""
+        spec = job.spec
+        for adjacency in granted.LADDER:
+            if self._may_skip(adjacency, spec):
+                continue
+            for group in self._groups_of(adjacency):
+                placements = self._place_in(job, group, until)
+                if placements:
+                    return placements
+            if adjacency is spec.adjacency:
+                break
+        return ()
+
+    def _may_skip(
+        self, adjacency: documents.Adjacency, spec: documents.JobSpec
+    ) -> bool:
+        if spec.members > 1 or adjacency is spec.adjacency:
+            return False
+        # One member fits one worker in any wider group.
+        return adjacency is not documents.Adjacency.REGION
+
+    def _groups_of(
+        self, adjacency: documents.Adjacency
+    ) -> list[list[base.WorkerView]]:
+        if adjacency not in self._groups:
+            self._groups[adjacency] = ledgers.group_workers(
+                self._ledger.workers.values(), adjacency
+            )
+        return self._groups[adjacency]
+
+    def _place_in(
+        self,
+        job: base.WaitingJob,
+        group: list[base.WorkerView],
+        until: datetime.datetime,
+    ) -> tuple[records.Placement, ...]:
+        offers = []
+        for worker in group:
+            free = self._free(worker.worker_id, job.job_id, until)
+            offers.extend(self._offers(job.spec, worker, free))
+        if len(offers) < job.spec.members:
+            return ()
+        offers.sort(key=lambda offer: offer[0])
+        return tuple(placement for _, placement in offers[: job.spec.members])
+
+    def _free(
+        self, worker_id: str, job_id: str, until: datetime.datetime
+    ) -> int:
+        """Return the idle units that no later gang waits for."""
+        free = self._ledger.idle[worker_id]
+        for reservation in self.reservations:
+            if reservation.job_id != job_id and reservation.at < until:
+                free &= ~reservation.masks().get(worker_id, 0)
+        return free
+
+    def _offers(
+        self, spec: documents.JobSpec, worker: base.WorkerView, free: int
+    ) -> list[tuple[tuple, records.Placement]]:
+        size = cells.member_size(spec, worker)
+        if size is None or not free:
+            return []
+        offers = []
+        slack = 0
+        wasted = worker.accelerators if not spec.accelerators else 0
+        while len(offers) < spec.members:
+            self._ledger.cells_examined += 1
+            cell = cells.find_cell(free, worker.units, size)
+            if cell is None:
+                break
+            if not offers:
+                slack = cells.block_size(free, worker.units, cell)
+            free &= ~cells.mask_of(cell)
+            key = (wasted, slack, worker.worker_id, cell.start)
+            placement = records.Placement(worker.worker_id, cell)
+            offers.append((key, placement))
+        return offers
+
+    def reserve(
+        self, job: base.WaitingJob, end_of: EndOf
+    ) -> Reservation | None:
+        """Keep the cells on which a gang can start earliest."""
+        best = None
+        for group in self._groups_of(job.spec.adjacency):
+            found = self._earliest(job, group, end_of)
+            if found is not None and (best is None or found.at < best.at):
+                best = found
+        if best is not None:
+            self.reservations.append(best)
+        return best
+
+    def _earliest(
+        self,
+        job: base.WaitingJob,
+        group: list[base.WorkerView],
+        end_of: EndOf,
+    ) -> Reservation | None:
+        offers = []
+        for worker in group:
+            size = cells.member_size(job.spec, worker)
+            if size is None:
+                continue
+            for cell in cells.aligned_cells(worker.units, size):
+                self._ledger.cells_examined += 1
+                at = self._free_at(worker.worker_id, cell, end_of)
+                offers.append((at, worker.worker_id, cell))
+        if len(offers) < job.spec.members:
+            return None
+        offers.sort(key=lambda offer: (offer[0], offer[1], offer[2].start))
+        chosen = offers[: job.spec.members]
+        placements = tuple(
+            records.Placement(worker_id, cell) for _, worker_id, cell in chosen
+        )
+        return Reservation(job.job_id, chosen[-1][0], placements)
+
+    def _free_at(
+        self, worker_id: str, cell: messages.Cell, end_of: EndOf
+    ) -> datetime.datetime:
+        mask = cells.mask_of(cell)
+        at = self._ledger.view.now
+        for reservation in self.reservations:
+            if reservation.masks().get(worker_id, 0) & mask:
+                at = max(at, reservation.at + datetime.timedelta(hours=1))
+        for used, gang in self._ledger.gangs_by_worker[worker_id]:
+            if used & mask:
+                at = max(at, end_of(gang))
+        return at
--- /dev/null
+++ b/cardamomcroft/policy/estimates.py
@@ -0,0 +1,59 @@
+"""Correct declared run times by what earlier runs took."""
+
+import dataclasses
+import datetime
+
+import immutables
+
+from cardamomcroft.settings import documents
+
+QUANTILE = 0.75
+SAMPLES_KEPT = 32  # for each account and kind
+OVERRUN_FACTOR = 1.5  # a late run is expected to take as much longer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimates:
+    """Hold ratios of actual to declared run time by account and kind."""
+
+    ratios: immutables.Map[tuple[str, str], tuple[float, ...]] = (
+        dataclasses.field(default_factory=immutables.Map)
+    )
+
+    def observe(
+        self, account: str, spec: documents.JobSpec, actual_s: float
+    ) -> "Estimates":
+        """Return estimates that know one more run."""
+        key = (account, spec.kind)
+        kept = self.ratios.get(key, ())[-SAMPLES_KEPT + 1 :]
+        ratio = actual_s / spec.run_s
+        return Estimates(self.ratios.set(key, (*kept, ratio)))
+
+    def ratio(self, account: str, kind: str) -> float:
+        """Return the quantile of the ratio, 1 without samples."""
+        samples = self.ratios.get((account, kind))
+        if not samples:
+            return 1.0
+        ordered = sorted(samples)
+        return ordered[min(len(ordered) - 1, int(QUANTILE * len(ordered)))]
+
+    def run_time(
+        self, account: str, spec: documents.JobSpec, checkpoint_s: float
+    ) -> datetime.timedelta:
+        """Return how long a job that starts now should run."""
+        expected_s = spec.run_s * self.ratio(account, spec.kind)
+        left_s = max(expected_s - checkpoint_s, 0.1 * expected_s)
+        return datetime.timedelta(seconds=left_s)
+
+    def end(
+        self,
+        account: str,
+        spec: documents.JobSpec,
+        started_at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> datetime.datetime:
+        """Return when a running gang should end."""
+        end = started_at + self.run_time(account, spec, 0.0)
+        if end > now:
+            return end
+        return now + (now - started_at) * (OVERRUN_FACTOR - 1)
--- /dev/null
+++ b/cardamomcroft/policy/fair.py
@@ -0,0 +1,179 @@
+"""Decide by guarantees first, then by fair shares with backfill."""
+
+import collections.abc
+import dataclasses
+import datetime
+
+from cardamomcroft.policy import base
+from cardamomcroft.policy import borrowed
+from cardamomcroft.policy import cells
+from cardamomcroft.policy import fifo
+from cardamomcroft.policy import granted
+from cardamomcroft.policy import ledger as ledgers
+from cardamomcroft.policy import order
+from cardamomcroft.settings import documents
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Choose the parts that make up a version of the policy."""
+
+    name: str
+    granted_tries: int = 16  # jobs an account may try in a round
+    borrowed_tries: int = 64  # jobs that all accounts may try in a round
+    bypass: int = 8  # later jobs of a caller that may go ahead
+    reservations: int = 4  # blocked gangs that cells are kept for
+    batch_floor: float = 0.1  # share that urgent work leaves to batch
+
+
+class _Round:
+    """Hold the working state of one decision."""
+
+    def __init__(self, view: base.View, options: Options) -> None:
+        self.view = view
+        self.options = options
+        self.ledger = ledgers.Ledger(view)
+        self.usage = order.Usage()
+        for gang in view.running:
+            self.usage.add(
+                gang.account,
+                gang.spec.urgency,
+                gang.caller,
+                sum(placement.cell.size for placement in gang.placements),
+            )
+        self.flows = order.Flows(view, self.usage, options.bypass)
+        self.granted = granted.GrantedPlacer(self.ledger)
+        self.borrowed = borrowed.BorrowedPlacer(self.ledger)
+        self.starts: list[base.GangStart] = []
+        self.stops: list[base.GangStop] = []
+        self.jobs_examined = 0
+
+    def run(self) -> base.Decision:
+        """Grant first, then lend what is left."""
+        for account in self.flows.accounts():
+            terms = self.view.accounts.get(account)
+            if terms is not None and terms.guarantee:
+                self._grant(account)
+        self._lend()
+        return base.Decision(
+            tuple(self.starts),
+            tuple(self.stops),
+            self.ledger.cells_examined,
+            self.jobs_examined,
+        )
+
+    def _grant(self, account: str) -> None:
+        skipped = []
+        for _ in range(self.options.granted_tries):
+            job = self.flows.pick(account)
+            if job is None:
+                break
+            self.jobs_examined += 1
+            plan = self.granted.plan(job)
+            if plan is None and job.spec.urgency is documents.Urgency.URGENT:
+                plan = self.granted.plan(job, self._demotable(account))
+            if plan is None:
+                skipped.append(job)
+            else:
+                self._carry_out(job, plan)
+        self.flows.put_back(skipped)
+
+    def _demotable(self, account: str) -> frozenset[str]:
+        """Return the account's batch gangs beyond the batch floor."""
+        gangs = [
+            gang
+            for gang in self.view.running
+            if gang.account == account
+            and gang.spec.urgency is documents.Urgency.BATCH
+        ]
+        floor = self.options.batch_floor * self.usage.by_account[account]
+        left = self.usage.by_class[account, documents.Urgency.BATCH]
+        chosen = set()
+        for gang in sorted(gangs, key=lambda gang: gang.started_at)[::-1]:
+            units = sum(placement.cell.size for placement in gang.placements)
+            if gang.job_id in self.ledger.stopping:
+                chosen.add(gang.job_id)
+            elif left - units >= floor:
+                chosen.add(gang.job_id)
+            left -= units
+        return frozenset(chosen)
+
+    def _carry_out(self, job: base.WaitingJob, plan: granted.Plan) -> None:
+        """Start on idle cells, or reclaim them and keep them."""
+        if self.ledger.is_idle(plan.placements):
+            self._start(job, plan.placements)
+            return
+        for gang in plan.victims:
+            self.ledger.stopping.add(gang.job_id)
+            self.stops.append(base.GangStop(gang.job_id, job.account))
+        self.ledger.take(plan.placements)
+
+    def _start(self, job: base.WaitingJob, placements) -> None:
+        self.ledger.take(placements)
+        self.starts.append(base.GangStart(job.job_id, placements))
+        self.usage.add(
+            job.account,
+            job.spec.urgency,
+            job.caller,
+            sum(placement.cell.size for placement in placements),
+        )
+
+    def _lend(self) -> None:
+        now = self.view.now
+        reserved_accounts = set()
+        for _ in range(self.options.borrowed_tries):
+            job = self.flows.pick()
+            if job is None:
+                return
+            self.jobs_examined += 1
+            run_time = self.view.run_times.run_time(
+                job.account, job.spec, job.checkpoint_s
+            )
+            placements = self.borrowed.place(job, now + run_time)
+            if placements:
+                self._start(job, placements)
+                continue
+            self.flows.pass_over(job)
+            may_reserve = (
+                job.account not in reserved_accounts
+                and len(reserved_accounts) < self.options.reservations
+            )
+            if may_reserve:
+                reserved_accounts.add(job.account)
+                self.borrowed.reserve(job, self._end_of)
+
+    def _end_of(self, gang: base.RunningGang) -> datetime.datetime:
+        if gang.stopping or gang.job_id in self.ledger.stopping:
+            return self.view.now
+        return self.view.run_times.end(
+            gang.account, gang.spec, gang.started_at, self.view.now
+        )
+
+
+class FairPolicy(base.Policy):
+    """Keep every guarantee reclaimable and share the rest."""
+
+    def __init__(self, options: Options) -> None:
+        """Take the parts to use."""
+        self.name = options.name
+        self._options = options
+
+    def decide(self, view: base.View) -> base.Decision:
+        """Return the next starts and stops."""
+        if not view.waiting:
+            return base.Decision()
+        return _Round(view, self._options).run()
+
+    def refusal(
+        self,
+        spec: documents.JobSpec,
+        account: base.AccountView,
+        workers: collections.abc.Sequence[base.WorkerView],
+    ) -> str | None:
+        """Say why the job could never run, or return None."""
+        return fifo.fits_empty_fleet(spec, workers)
+
+
+def units_of(spec: documents.JobSpec, worker: base.WorkerView) -> int:
+    """Return the units that the whole gang takes on such workers."""
+    return spec.members * (cells.member_size(spec, worker) or 0)
--- a/cardamomcroft/policy/fifo.py
+++ b/cardamomcroft/policy/fifo.py
@@ -5,6 +5,7 @@
 from cardamomcroft.log import records
 from cardamomcroft.policy import base
 from cardamomcroft.policy import cells
+from cardamomcroft.policy import ledger as ledgers
 from cardamomcroft.settings import documents
 
 
@@ -23,31 +24,6 @@
     return free
 
 
-def groups(
-    workers: collections.abc.Sequence[base.WorkerView],
-    adjacency: documents.Adjacency,
-) -> list[list[base.WorkerView]]:
-    """Return the sets of workers that one gang may span."""
-    by_key: dict[tuple, list[base.WorkerView]] = {}
-    for worker in workers:
-        by_key.setdefault(group_key(worker, adjacency), []).append(worker)
-    return list(by_key.values())
-
-
-def group_key(
-    worker: base.WorkerView, adjacency: documents.Adjacency
-) -> tuple[str, ...]:
-    """Return what workers of one group have in common."""
-    match adjacency:
-        case documents.Adjacency.WORKER:
-            return (worker.data_centre, worker.rack, worker.worker_id)
-        case documents.Adjacency.RACK:
-            return (worker.data_centre, worker.rack)
-        case documents.Adjacency.DATA_CENTRE:
-            return (worker.data_centre,)
-    return ()
-
-
 def first_fit(
     spec: documents.JobSpec,
     workers: collections.abc.Sequence[base.WorkerView],
@@ -75,7 +51,7 @@
 ) -> str | None:
     """Say why the job fits no group of empty workers, or return None."""
     full = {worker.worker_id: (1 << worker.units) - 1 for worker in workers}
-    for group in groups(workers, spec.adjacency):
+    for group in ledgers.group_workers(workers, spec.adjacency):
         if first_fit(spec, group, full):
             return None
     return (
@@ -119,7 +95,7 @@
     free: collections.abc.Mapping[str, int],
 ) -> tuple[records.Placement, ...]:
     """Return placements within the first group that holds the gang."""
-    for group in groups(workers, spec.adjacency):
+    for group in ledgers.group_workers(workers, spec.adjacency):
         placements = first_fit(spec, group, free)
         if placements:
             return placements
--- /dev/null
+++ b/cardamomcroft/policy/granted.py
@@ -0,0 +1,307 @@
+"""Place gangs under their account's guarantee, reclaiming borrowers."""
+
+import dataclasses
+
+from cardamomcroft.log import records
+from cardamomcroft.policy import base
+from cardamomcroft.policy import cells
+from cardamomcroft.policy import ledger as ledgers
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+
+LADDER = (
+    documents.Adjacency.WORKER,
+    documents.Adjacency.RACK,
+    documents.Adjacency.DATA_CENTRE,
+    documents.Adjacency.REGION,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold placements and the gangs that must stop first."""
+
+    placements: tuple[records.Placement, ...]
+    victims: tuple[base.RunningGang, ...] = ()
+    bound: tuple[ledgers.Grant, ...] = ()
+    lost_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """Offer one cell for a member; ``top`` is set for a new pin."""
+
+    cost: float
+    slack: int
+    worker_id: str
+    cell: messages.Cell
+    grant: ledgers.Grant
+    top: messages.Cell | None = None
+
+    @property
+    def key(self) -> tuple:
+        """Order candidates: least work lost, pinned cells, tightest."""
+        return (
+            self.cost,
+            self.top is not None,
+            self.slack,
+            self.worker_id,
+            self.cell.start,
+        )
+
+
+class GrantedPlacer:
+    """Find cells for a gang inside its account's guarantee."""
+
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        """Work on a ledger."""
+        self._ledger = ledger
+        self._groups: dict[
+            documents.Adjacency, list[list[base.WorkerView]]
+        ] = {}
+
+    def plan(
+        self, job: base.WaitingJob, demoted: frozenset[str] = frozenset()
+    ) -> Plan | None:
+        """Return a plan; ``demoted`` are gangs that lose their grant."""
+        by_size = self._ledger.unbound.get(job.account)
+        if by_size is None or not job.spec.accelerators:
+            return None
+        best = None
+        for adjacency in LADDER:
+            for group in self._groups_of(adjacency, job.spec):
+                plan = self._plan_group(job, group, demoted)
+                if plan is None:
+                    continue
+                if not plan.victims:
+                    return plan
+                self._undo(plan)
+                if best is None or _harm(plan) < _harm(best[0]):
+                    best = (plan, group)
+            if adjacency is job.spec.adjacency:
+                break
+        return self._plan_group(job, best[1], demoted) if best else None
+
+    def _undo(self, plan: Plan) -> None:
+        for grant in plan.bound:
+            self._ledger.unbind(grant)
+
+    def _groups_of(
+        self, adjacency: documents.Adjacency, spec: documents.JobSpec
+    ) -> list[list[base.WorkerView]]:
+        if adjacency not in self._groups:
+            workers = [
+                worker
+                for worker in self._ledger.workers.values()
+                if worker.accelerators
+            ]
+            self._groups[adjacency] = ledgers.group_workers(workers, adjacency)
+        groups = self._groups[adjacency]
+        if adjacency is documents.Adjacency.WORKER and spec.members > 1:
+            return [
+                group
+                for group in groups
+                if spec.members * spec.accelerators <= group[0].units
+            ]
+        if adjacency is documents.Adjacency.WORKER and (
+            spec.adjacency is not documents.Adjacency.WORKER
+        ):
+            return []  # one member fits one worker in any wider group
+        return groups
+
+    def _plan_group(
+        self,
+        job: base.WaitingJob,
+        group: list[base.WorkerView],
+        demoted: frozenset[str],
+    ) -> Plan | None:
+        candidates = self._candidates(job, group, demoted)
+        candidates.sort(key=lambda candidate: candidate.key)
+        chosen: list[Candidate] = []
+        bound: list[ledgers.Grant] = []
+        pinned: dict[tuple[str, int], ledgers.Grant] = {}
+        for candidate in candidates:
+            if len(chosen) == job.spec.members:
+                break
+            grant = self._secure(candidate, pinned, bound)
+            if grant is not None:
+                chosen.append(dataclasses.replace(candidate, grant=grant))
+        if len(chosen) < job.spec.members:
+            for grant in bound:
+                self._ledger.unbind(grant)
+            return None
+        return self._make_plan(chosen, tuple(bound), demoted)
+
+    def _secure(
+        self,
+        candidate: Candidate,
+        pinned: dict[tuple[str, int], ledgers.Grant],
+        bound: list[ledgers.Grant],
+    ) -> ledgers.Grant | None:
+        """Pin the guaranteed cell that a candidate needs."""
+        if candidate.top is None:
+            return candidate.grant
+        key = (candidate.worker_id, candidate.top.start)
+        if key in pinned:
+            return pinned[key]
+        account, size = candidate.grant.account, candidate.grant.size
+        grants = self._ledger.unbound[account].get(size)
+        mask = cells.mask_of(candidate.top)
+        if not grants or self._ledger.reserved[candidate.worker_id] & mask:
+            return None
+        grant = grants[0]
+        if not self._ledger.try_bind(
+            grant, candidate.worker_id, candidate.top
+        ):
+            return None
+        pinned[key] = grant
+        bound.append(grant)
+        return grant
+
+    def _make_plan(
+        self,
+        chosen: list[Candidate],
+        bound: tuple[ledgers.Grant, ...],
+        demoted: frozenset[str],
+    ) -> Plan:
+        placements = []
+        victims: dict[str, base.RunningGang] = {}
+        for candidate in chosen:
+            placements.append(
+                records.Placement(
+                    candidate.worker_id, candidate.cell, str(candidate.grant)
+                )
+            )
+            mask = cells.mask_of(candidate.cell)
+            for gang in self._ledger.borrowers(candidate.worker_id, mask):
+                victims[gang.job_id] = gang
+        now = self._ledger.view.now
+        lost_s = sum(
+            (now - gang.started_at).total_seconds() * len(gang.placements)
+            for gang in victims.values()
+        )
+        return Plan(tuple(placements), tuple(victims.values()), bound, lost_s)
+
+    def _candidates(
+        self,
+        job: base.WaitingJob,
+        group: list[base.WorkerView],
+        demoted: frozenset[str],
+    ) -> list[Candidate]:
+        worker_ids = {worker.worker_id for worker in group}
+        found: list[Candidate] = []
+        for binding in self._ledger.bindings_by_account[job.account]:
+            if binding.worker_id in worker_ids:
+                found.extend(self._inside(job, binding, demoted))
+        needed = job.spec.members
+        if sum(not candidate.cost for candidate in found) >= needed:
+            return found
+        for worker in group:
+            found.extend(self._new_pins(job, worker))
+        return found
+
+    def _inside(
+        self,
+        job: base.WaitingJob,
+        binding: ledgers.Binding,
+        demoted: frozenset[str],
+    ) -> list[Candidate]:
+        """Offer the cells of a pinned guaranteed cell."""
+        worker_id = binding.worker_id
+        worker = self._ledger.workers.get(worker_id)
+        if worker is None:
+            return []
+        granted = self._ledger.granted[worker_id]
+        for used, gang in self._ledger.gangs_by_worker[worker_id]:
+            if gang.job_id in demoted:
+                granted &= ~used
+        free = cells.mask_of(binding.cell) & ~granted
+        return [
+            self._offer(worker, cell, free, binding.grant)
+            for cell in self._split(job, worker, free)
+        ]
+
+    def _split(
+        self, job: base.WaitingJob, worker: base.WorkerView, free: int
+    ) -> list[messages.Cell]:
+        """Cut a mask into member cells, idle ones first."""
+        size = cells.member_size(job.spec, worker)
+        if size is None:
+            return []
+        found = []
+        idle = free & self._ledger.idle[worker.worker_id]
+        for mask in (idle, free):
+            mask &= free
+            while len(found) < job.spec.members:
+                self._ledger.cells_examined += 1
+                cell = cells.find_cell(mask, worker.units, size)
+                if cell is None:
+                    break
+                found.append(cell)
+                mask &= ~cells.mask_of(cell)
+                free &= ~cells.mask_of(cell)
+        return found
+
+    def _offer(
+        self,
+        worker: base.WorkerView,
+        cell: messages.Cell,
+        free: int,
+        grant: ledgers.Grant,
+        top: messages.Cell | None = None,
+    ) -> Candidate:
+        return Candidate(
+            self._cost(worker.worker_id, cell),
+            cells.block_size(free, worker.units, cell),
+            worker.worker_id,
+            cell,
+            grant,
+            top,
+        )
+
+    def _cost(self, worker_id: str, cell: messages.Cell) -> float:
+        """Return the member-seconds lost by reclaiming a cell."""
+        mask = cells.mask_of(cell)
+        if self._ledger.idle[worker_id] & mask == mask:
+            return 0.0
+        now = self._ledger.view.now
+        lost_s = 1e-3  # waiting for a stopping gang is worse than idle
+        for gang in self._ledger.borrowers(worker_id, mask):
+            ran_s = (now - gang.started_at).total_seconds()
+            lost_s += 1.0 + ran_s * len(gang.placements)
+        return lost_s
+
+    def _new_pins(
+        self, job: base.WaitingJob, worker: base.WorkerView
+    ) -> list[Candidate]:
+        """Offer cells in the smallest guaranteed cell that holds one."""
+        size = cells.member_size(job.spec, worker)
+        if size is None:
+            return []
+        by_size = self._ledger.unbound[job.account]
+        sizes = [
+            top_size
+            for top_size, grants in by_size.items()
+            if grants and size <= top_size <= worker.units
+        ]
+        if not sizes:
+            return []
+        top_size = min(sizes)
+        worker_id = worker.worker_id
+        open_mask = (
+            self._ledger.full[worker_id] & ~self._ledger.reserved[worker_id]
+        )
+        found = []
+        for top in cells.aligned_cells(worker.units, top_size):
+            self._ledger.cells_examined += 1
+            mask = cells.mask_of(top)
+            if open_mask & mask != mask:
+                continue
+            grant = by_size[top_size][0]
+            for cell in self._split(job, worker, mask):
+                found.append(self._offer(worker, cell, open_mask, grant, top))
+        return found
+
+
+def _harm(plan: Plan) -> tuple[float, int]:
+    return plan.lost_s, len(plan.victims)
--- /dev/null
+++ b/cardamomcroft/policy/invariants.py
@@ -0,0 +1,119 @@
+"""State what every policy must keep, for checks after each step."""
+
+import collections
+
+from cardamomcroft.policy import base
+from cardamomcroft.policy import cells
+from cardamomcroft.policy import feasibility
+from cardamomcroft.policy import ledger as ledgers
+from cardamomcroft.settings import documents
+
+
+def overlaps(view: base.View) -> int:
+    """Count cells of usable workers that two gangs hold at once."""
+    used: dict[str, int] = collections.defaultdict(int)
+    count = 0
+    for gang in view.running:
+        for placement in gang.placements:
+            mask = cells.mask_of(placement.cell)
+            count += bool(used[placement.worker_id] & mask)
+            used[placement.worker_id] |= mask
+    return count
+
+
+def split_gangs(view: base.View) -> int:
+    """Count gangs that hold fewer or more cells than members."""
+    return sum(
+        len(gang.placements) != gang.spec.members for gang in view.running
+    )
+
+
+def broken_adjacency(view: base.View) -> int:
+    """Count gangs that span more than they declared."""
+    workers = {worker.worker_id: worker for worker in view.workers}
+    count = 0
+    for gang in view.running:
+        keys = {
+            ledgers.group_key(
+                workers[placement.worker_id], gang.spec.adjacency
+            )
+            for placement in gang.placements
+            if placement.worker_id in workers
+        }
+        count += len(keys) > 1
+    return count
+
+
+def unreclaimable(view: base.View) -> int:
+    """Return guaranteed accelerators lost beyond what the fleet lacks.
+
+    Every account's guaranteed shape, the part it uses now included, must
+    fit the usable workers after stopping borrowers only. What even the
+    empty usable fleet could not hold is not the policy's doing.
+    """
+    ledger = ledgers.Ledger(view)
+    gap = ledger.shortage() + _misplaced(view, ledger)
+    return max(0, gap - _lacking(view))
+
+
+def _misplaced(view: base.View, ledger: ledgers.Ledger) -> int:
+    """Return granted units outside their pinned cell, or pinned twice."""
+    count = 0
+    pinned: dict[str, int] = collections.defaultdict(int)
+    for binding in ledger.bindings.values():
+        mask = cells.mask_of(binding.cell)
+        if pinned[binding.worker_id] & mask:
+            count += binding.grant.size
+        pinned[binding.worker_id] |= mask
+    for gang in view.running:
+        for placement in gang.placements:
+            if not placement.grant or placement.worker_id not in ledger.full:
+                continue
+            grant = ledgers.parse_grant(gang.account, placement.grant)
+            binding = ledger.bindings[grant]
+            inside = cells.mask_of(binding.cell)
+            mask = cells.mask_of(placement.cell)
+            wrong_worker = binding.worker_id != placement.worker_id
+            if wrong_worker or mask & ~inside:
+                count += placement.cell.size
+    return count
+
+
+def _lacking(view: base.View) -> int:
+    supply: collections.Counter[int] = collections.Counter()
+    for worker in view.workers:
+        if worker.usable and worker.accelerators:
+            supply[worker.accelerators] += 1
+    demand: collections.Counter[int] = collections.Counter()
+    for account in view.accounts.values():
+        for guarantee in account.guarantee:
+            demand[guarantee.accelerators] += guarantee.count
+    missing = feasibility.missing_cells(supply, demand)
+    return sum(size * count for size, count in missing.items())
+
+
+def check(view: base.View) -> dict[str, int]:
+    """Return violations by promise."""
+    return {
+        "overlapping_cells": overlaps(view),
+        "partial_gangs": split_gangs(view),
+        "broken_adjacency": broken_adjacency(view),
+        "unreclaimable_accelerators": unreclaimable(view),
+    }
+
+
+def entitled(
+    account: base.AccountView,
+    holders: list[documents.JobSpec],
+    spec: documents.JobSpec,
+) -> bool:
+    """Tell whether a job fits the part of a guarantee left by holders."""
+    supply: collections.Counter[int] = collections.Counter()
+    for guarantee in account.guarantee:
+        supply[guarantee.accelerators] += guarantee.count
+    demand: collections.Counter[int] = collections.Counter()
+    for held in [*holders, spec]:
+        if held.accelerators:
+            size = cells.next_power_of_two(held.accelerators)
+            demand[size] += held.members
+    return not feasibility.missing_cells(supply, demand)
--- /dev/null
+++ b/cardamomcroft/policy/ledger.py
@@ -0,0 +1,245 @@
+"""Account for the cells of every worker during one decision round."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from cardamomcroft.log import records
+from cardamomcroft.policy import base
+from cardamomcroft.policy import cells
+from cardamomcroft.policy import feasibility
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Name one guaranteed cell of an account."""
+
+    account: str
+    size: int
+    index: int
+
+    def __str__(self) -> str:
+        """Return the name that placements carry."""
+        return f"{self.size}/{self.index}"
+
+
+def parse_grant(account: str, text: str) -> Grant:
+    """Return the grant that a placement carries."""
+    size, _, index = text.partition("/")
+    return Grant(account, int(size), int(index))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Binding:
+    """Pin a guaranteed cell to the cell of a worker."""
+
+    grant: Grant
+    worker_id: str
+    cell: messages.Cell
+
+
+def enclosing(cell: messages.Cell, size: int) -> messages.Cell:
+    """Return the aligned cell of a size around a smaller one."""
+    return messages.Cell(cell.start // size * size, max(size, cell.size))
+
+
+class Ledger:
+    """Hold masks of each worker's units, by use.
+
+    ``idle``: used by nobody. ``granted``: used under guarantees.
+    ``reserved``: inside a guaranteed cell that is pinned to the worker
+    because part of it is in use; only its account may be granted units
+    there. Everything that is neither idle nor granted is borrowed.
+    """
+
+    def __init__(self, view: base.View) -> None:
+        """Read the masks out of the view."""
+        self.view = view
+        self.workers = {
+            worker.worker_id: worker
+            for worker in view.workers
+            if worker.usable
+        }
+        self.full = {
+            worker_id: (1 << worker.units) - 1
+            for worker_id, worker in self.workers.items()
+        }
+        self.idle = dict(self.full)
+        self.granted = dict.fromkeys(self.workers, 0)
+        self.reserved = dict.fromkeys(self.workers, 0)
+        self.bindings: dict[Grant, Binding] = {}
+        self.bindings_by_account: dict[str, list[Binding]] = (
+            collections.defaultdict(list)
+        )
+        self.gangs_by_worker: dict[str, list[tuple[int, base.RunningGang]]] = (
+            collections.defaultdict(list)
+        )
+        self.stopping: set[str] = set()
+        self.cells_examined = 0
+        for gang in view.running:
+            self._add_gang(gang)
+        self.unbound = self._find_unbound()
+        self._demand = self._count_demand()
+        self._supply = self._count_supply()
+
+    def _add_gang(self, gang: base.RunningGang) -> None:
+        if gang.stopping:
+            self.stopping.add(gang.job_id)
+        for placement in gang.placements:
+            worker_id = placement.worker_id
+            if worker_id not in self.workers:
+                continue
+            mask = cells.mask_of(placement.cell)
+            self.idle[worker_id] &= ~mask
+            self.gangs_by_worker[worker_id].append((mask, gang))
+            if placement.grant:
+                self.granted[worker_id] |= mask
+                self._bind_placement(gang.account, placement)
+
+    def _bind_placement(
+        self, account: str, placement: records.Placement
+    ) -> None:
+        grant = parse_grant(account, placement.grant)
+        if grant not in self.bindings:
+            top = enclosing(placement.cell, grant.size)
+            self._bind(Binding(grant, placement.worker_id, top))
+
+    def _bind(self, binding: Binding) -> None:
+        self.bindings[binding.grant] = binding
+        self.bindings_by_account[binding.grant.account].append(binding)
+        mask = cells.mask_of(binding.cell)
+        self.reserved[binding.worker_id] |= mask
+
+    def _find_unbound(self) -> dict[str, dict[int, list[Grant]]]:
+        unbound = {}
+        for account, terms in self.view.accounts.items():
+            by_size: dict[int, list[Grant]] = {}
+            for grant in grants_of(terms):
+                if grant not in self.bindings:
+                    by_size.setdefault(grant.size, []).append(grant)
+            unbound[account] = by_size
+        return unbound
+
+    def _count_demand(self) -> collections.Counter[int]:
+        demand: collections.Counter[int] = collections.Counter()
+        for by_size in self.unbound.values():
+            for size, grants in by_size.items():
+                demand[size] += len(grants)
+        return demand
+
+    def _count_supply(self) -> collections.Counter[int]:
+        supply: collections.Counter[int] = collections.Counter()
+        for worker_id, worker in self.workers.items():
+            if worker.accelerators:
+                supply.update(self._open_blocks(worker_id))
+        return supply
+
+    def _open_blocks(self, worker_id: str) -> tuple[int, ...]:
+        """Return the blocks of a worker that no guarantee is pinned to."""
+        free = self.full[worker_id] & ~self.reserved[worker_id]
+        return cells.free_blocks(free, self.workers[worker_id].units)
+
+    def shortage(self) -> int:
+        """Return the guaranteed accelerators that cannot be given back."""
+        missing = feasibility.missing_cells(self._supply, self._demand)
+        return sum(size * count for size, count in missing.items())
+
+    def try_bind(
+        self, grant: Grant, worker_id: str, cell: messages.Cell
+    ) -> bool:
+        """Pin a guaranteed cell unless that endangers another one."""
+        before = self.shortage()
+        self._supply.subtract(self._open_blocks(worker_id))
+        self.reserved[worker_id] |= cells.mask_of(cell)
+        self._supply.update(self._open_blocks(worker_id))
+        self._demand[grant.size] -= 1
+        if self.shortage() > before:
+            self._unpin(grant, worker_id, cell)
+            return False
+        self.unbound[grant.account][grant.size].remove(grant)
+        binding = Binding(grant, worker_id, cell)
+        self.bindings[grant] = binding
+        self.bindings_by_account[grant.account].append(binding)
+        return True
+
+    def _unpin(
+        self, grant: Grant, worker_id: str, cell: messages.Cell
+    ) -> None:
+        self._supply.subtract(self._open_blocks(worker_id))
+        self.reserved[worker_id] &= ~cells.mask_of(cell)
+        self._supply.update(self._open_blocks(worker_id))
+        self._demand[grant.size] += 1
+
+    def unbind(self, grant: Grant) -> None:
+        """Take back a pin that turned out not to be needed."""
+        binding = self.bindings.pop(grant)
+        self.bindings_by_account[grant.account].remove(binding)
+        self.unbound[grant.account].setdefault(grant.size, []).append(grant)
+        self._unpin(grant, binding.worker_id, binding.cell)
+
+    def borrowers(self, worker_id: str, mask: int) -> list[base.RunningGang]:
+        """Return the gangs in the way that are not stopping yet."""
+        return [
+            gang
+            for used, gang in self.gangs_by_worker[worker_id]
+            if used & mask and gang.job_id not in self.stopping
+        ]
+
+    def take(
+        self, placements: collections.abc.Iterable[records.Placement]
+    ) -> None:
+        """Mark cells as used by a start or kept for a planned one."""
+        for placement in placements:
+            mask = cells.mask_of(placement.cell)
+            self.idle[placement.worker_id] &= ~mask
+            if placement.grant:
+                self.granted[placement.worker_id] |= mask
+
+    def is_idle(
+        self, placements: collections.abc.Iterable[records.Placement]
+    ) -> bool:
+        """Tell whether nobody uses the cells."""
+        return all(
+            self.idle[placement.worker_id] & cells.mask_of(placement.cell)
+            == cells.mask_of(placement.cell)
+            for placement in placements
+        )
+
+
+def grants_of(account: base.AccountView) -> list[Grant]:
+    """Return the guaranteed cells of an account."""
+    counts: collections.Counter[int] = collections.Counter()
+    for guarantee in account.guarantee:
+        counts[guarantee.accelerators] += guarantee.count
+    return [
+        Grant(account.account, size, index)
+        for size, count in sorted(counts.items())
+        for index in range(count)
+    ]
+
+
+def group_workers(
+    workers: collections.abc.Iterable[base.WorkerView],
+    adjacency: documents.Adjacency,
+) -> list[list[base.WorkerView]]:
+    """Return the sets of workers that one gang may span."""
+    by_key: dict[tuple, list[base.WorkerView]] = {}
+    for worker in workers:
+        by_key.setdefault(group_key(worker, adjacency), []).append(worker)
+    return list(by_key.values())
+
+
+def group_key(
+    worker: base.WorkerView, adjacency: documents.Adjacency
+) -> tuple[str, ...]:
+    """Return what workers of one group have in common."""
+    match adjacency:
+        case documents.Adjacency.WORKER:
+            return (worker.data_centre, worker.rack, worker.worker_id)
+        case documents.Adjacency.RACK:
+            return (worker.data_centre, worker.rack)
+        case documents.Adjacency.DATA_CENTRE:
+            return (worker.data_centre,)
+    return ()
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -1,10 +1,20 @@
 """List the policies by name."""
 
 from cardamomcroft.policy import base
+from cardamomcroft.policy import fair
 from cardamomcroft.policy import fifo
+from cardamomcroft.policy import quota
+
+CURRENT = "cardamomcroft"
+
+VERSIONS = (fair.Options(CURRENT),)
 
 
 def by_name() -> dict[str, base.Policy]:
-    """Return a new policy for each name."""
-    policies = (fifo.FirstFit(),)
+    """Return a new policy for each name; earlier versions have a number."""
+    policies = (
+        *(fair.FairPolicy(options) for options in VERSIONS),
+        fifo.FirstFit(),
+        quota.Quota(),
+    )
     return {policy.name: policy for policy in policies}
--- a/cardamomcroft/settings/instance.py
+++ b/cardamomcroft/settings/instance.py
@@ -107,7 +107,7 @@
     logging: Logging = Logging()
     statsd: Statsd | None = None
     timing: Timing = Timing()
-    policy: str = "fifo"
+    policy: str = "cardamomcroft"
 
     def __post_init__(self) -> None:
         """Check the addresses."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -76,7 +76,7 @@
         self,
         instance_count: int = 3,
         worker_count: int = 4,
-        policy: str = "fifo",
+        policy: str = "cardamomcroft",
         timing: instance.Timing | None = None,
         seed: int = 1,
     ) -> None:
