Bench the policies on workloads drawn from seeds

Cause: no figure said how well decisions do. Change: workload files with a checked schema, an event loop that drives policies and checks their invariants, reports, bounds, tables and plots.

--- /dev/null
+++ b/cardamomcroft/bench/engine.py
@@ -0,0 +1,526 @@
+"""Drive a policy with a workload on a fake clock."""
+
+import collections
+import dataclasses
+import datetime
+import heapq
+import itertools
+import random
+import time
+
+from cardamomcroft.bench import arrivals
+from cardamomcroft.bench import workload as workloads
+from cardamomcroft.log import records
+from cardamomcroft.policy import base
+from cardamomcroft.policy import cells
+from cardamomcroft.policy import estimates
+from cardamomcroft.policy import invariants
+from cardamomcroft.ports import base as ports
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+from cardamomcroft.state import models
+from cardamomcroft.workers import health as healths
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+HEADS = 64  # jobs of each queue that a policy is shown
+FAIL_AFTER_S = 1.0  # a failing worker fails a task after this time
+MAX_ATTEMPTS = 3
+DRAIN_FACTOR = 20.0  # times the arrival hours to wait for the last end
+REVIEW_S = 30.0  # time between decisions when nothing happens
+
+
+class EngineClock(ports.Clock):
+    """Show the engine's time to the parts that ask for it."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.elapsed_s = 0.0
+
+    def now(self) -> datetime.datetime:
+        """Return the time reached."""
+        return START + datetime.timedelta(seconds=self.elapsed_s)
+
+    def monotonic(self) -> datetime.timedelta:
+        """Return the time advanced so far."""
+        return datetime.timedelta(seconds=self.elapsed_s)
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Refuse: the engine has no coroutines."""
+        raise NotImplementedError
+
+
+@dataclasses.dataclass(slots=True)
+class JobRun:
+    """Follow one job through the bench."""
+
+    arrival: arrivals.Arrival
+    order: int
+    is_entitled: bool = False
+    attempt: int = 0
+    failures: int = 0
+    done_s: float = 0.0
+    started_s: float | None = None
+    first_start_s: float | None = None
+    ended_s: float | None = None
+    outcome: str = ""
+    placements: tuple[records.Placement, ...] = ()
+    is_stopping: bool = False
+    spans: list[tuple[float, float]] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Costs:
+    """Count the work of the decisions."""
+
+    rounds: int = 0
+    cells: int = 0
+    jobs: int = 0
+    max_round_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold everything that a report needs."""
+
+    workload: workloads.Workload
+    runs: tuple[JobRun, ...]
+    capacity: int
+    fragmentation: float
+    work_lost_s: float
+    reclaim_s: tuple[float, ...]
+    costs: Costs
+    violations: dict[str, int]
+    end_s: float
+
+
+class Engine:
+    """Apply a policy's decisions to fake workers, event by event."""
+
+    def __init__(
+        self,
+        workload: workloads.Workload,
+        policy: base.Policy,
+        seed: int,
+        check_every: int = 1,
+    ) -> None:
+        """Draw the workload."""
+        self._workload = workload
+        self._policy = policy
+        self._check_every = check_every
+        self._clock = EngineClock()
+        self._health = healths.Health(self._clock)
+        self._estimates = estimates.Estimates()
+        self._workers = make_workers(workload)
+        self._index = {
+            worker.worker_id: number
+            for number, worker in enumerate(self._workers)
+        }
+        self._lost: set[int] = set()
+        self._accounts = {
+            name: base.AccountView(
+                name, terms.weight, terms.guarantee, dict(terms.callers)
+            )
+            for name, terms in workload.accounts.items()
+        }
+        generator = arrivals.Generator(workload, seed)
+        self._arrivals = generator.arrivals()
+        self._failing = generator.failing_workers(len(self._workers))
+        self._events: list[tuple[float, int, object]] = []
+        self._order = itertools.count()
+        for arrival in self._arrivals:
+            self._push(arrival.at_s, arrival)
+        for fault in generator.faults(len(self._workers)):
+            self._push(fault.at_s, fault)
+        self.jobs: dict[str, JobRun] = {}
+        self._queues: dict[tuple, dict[str, JobRun]] = collections.defaultdict(
+            dict
+        )
+        self._running: dict[str, JobRun] = {}
+        self._costs = Costs()
+        self._violations: collections.Counter[str] = collections.Counter()
+        self._work_lost_s = 0.0
+        self._reclaims: list[float] = []
+        self._unusable_s = 0.0
+        self._measured_s = 0.0
+
+    def _push(self, at_s: float, event: object) -> None:
+        heapq.heappush(self._events, (at_s, next(self._order), event))
+
+    @property
+    def _now_s(self) -> float:
+        return self._clock.elapsed_s
+
+    def run(self) -> Outcome:
+        """Run until every job has ended or the time is over."""
+        limit_s = self._workload.hours * arrivals.HOUR_S * DRAIN_FACTOR
+        next_review_s = 0.0
+        while self._events and self._now_s < limit_s:
+            at_s = self._events[0][0]
+            self._measure(min(at_s, limit_s))
+            self._clock.elapsed_s = at_s
+            while self._events and self._events[0][0] <= at_s:
+                self._handle(heapq.heappop(self._events)[2])
+            self._decide()
+            is_waiting = any(self._queues.values())
+            if is_waiting and at_s >= next_review_s:
+                next_review_s = at_s + REVIEW_S
+                self._push(next_review_s, None)
+        return self._finish()
+
+    def _finish(self) -> Outcome:
+        for run in self.jobs.values():
+            if not run.outcome:
+                self._violations["unfinished"] += 1
+        capacity = sum(worker.accelerators for worker in self._workers)
+        measured_s = max(self._measured_s, 1.0)
+        return Outcome(
+            self._workload,
+            tuple(self.jobs.values()),
+            capacity,
+            self._unusable_s / measured_s / max(capacity, 1),
+            self._work_lost_s,
+            tuple(self._reclaims),
+            self._costs,
+            dict(self._violations),
+            self._now_s,
+        )
+
+    def _measure(self, until_s: float) -> None:
+        """Weigh free accelerators that the largest shape cannot use."""
+        span_s = until_s - self._now_s
+        waiting = [
+            run.arrival.spec.accelerators
+            for queue in self._queues.values()
+            for run in itertools.islice(queue.values(), 1)
+        ]
+        self._measured_s += span_s
+        size = max(waiting, default=0)
+        if size <= 1 or span_s <= 0:
+            return
+        size = cells.next_power_of_two(size)
+        free = self._free_masks()
+        unusable = 0
+        for worker in self._workers:
+            mask = free.get(worker.worker_id, 0)
+            if not worker.accelerators:
+                continue
+            unusable += sum(
+                block
+                for block in cells.free_blocks(mask, worker.units)
+                if block < size
+            )
+        self._unusable_s += unusable * span_s
+
+    def _free_masks(self) -> dict[str, int]:
+        free = {
+            worker.worker_id: (1 << worker.units) - 1
+            for number, worker in enumerate(self._workers)
+            if number not in self._lost
+        }
+        for run in self._running.values():
+            for placement in run.placements:
+                if placement.worker_id in free:
+                    mask = cells.mask_of(placement.cell)
+                    free[placement.worker_id] &= ~mask
+        return free
+
+    def _handle(self, event: object) -> None:
+        match event:
+            case arrivals.Arrival():
+                self._arrive(event)
+            case arrivals.Fault():
+                self._fail(event)
+            case _End():
+                self._end(event)
+            case _Stopped():
+                self._stopped(event)
+
+    def _arrive(self, arrival: arrivals.Arrival) -> None:
+        run = JobRun(arrival, len(self.jobs))
+        self.jobs[arrival.job_id] = run
+        account = self._accounts[arrival.account]
+        reason = self._policy.refusal(arrival.spec, account, self._workers)
+        if reason is not None:
+            run.outcome = "refused"
+            return
+        run.is_entitled = self._is_entitled(arrival, account)
+        self._enqueue(run)
+
+    def _is_entitled(
+        self, arrival: arrivals.Arrival, account: base.AccountView
+    ) -> bool:
+        """Tell whether urgent work fits its account's guarantee now."""
+        if arrival.spec.urgency is not documents.Urgency.URGENT:
+            return False
+        if self._lost:
+            return False
+        holders = [
+            run.arrival.spec
+            for run in itertools.chain(
+                self._running.values(),
+                *map(dict.values, self._queues_of(arrival.account)),
+            )
+            if run.arrival.account == arrival.account
+            and run.arrival.spec.urgency is not documents.Urgency.BATCH
+        ]
+        return invariants.entitled(account, holders, arrival.spec)
+
+    def _queues_of(self, account: str) -> list[dict[str, JobRun]]:
+        return [
+            queue for key, queue in self._queues.items() if key[0] == account
+        ]
+
+    def _key(self, run: JobRun) -> tuple:
+        arrival = run.arrival
+        return (arrival.account, arrival.spec.urgency, arrival.caller)
+
+    def _enqueue(self, run: JobRun) -> None:
+        queue = self._queues[self._key(run)]
+        queue[run.arrival.job_id] = run
+        if run.attempt:
+            ordered = sorted(queue.values(), key=lambda run: run.order)
+            queue.clear()
+            queue.update((run.arrival.job_id, run) for run in ordered)
+
+    def _dequeue(self, run: JobRun) -> None:
+        key = self._key(run)
+        self._queues[key].pop(run.arrival.job_id, None)
+        if not self._queues[key]:
+            del self._queues[key]
+
+    def _fail(self, fault: arrivals.Fault) -> None:
+        match fault.kind:
+            case arrivals.FaultKind.LOSE:
+                self._lost.add(fault.worker)
+                worker_id = self._workers[fault.worker].worker_id
+                for run in list(self._running.values()):
+                    if any(
+                        placement.worker_id == worker_id
+                        for placement in run.placements
+                    ):
+                        self._interrupt(run, 0.0)
+                        self._enqueue(run)
+            case arrivals.FaultKind.RETURN:
+                self._lost.discard(fault.worker)
+            case arrivals.FaultKind.CANCEL:
+                self._cancel(fault)
+
+    def _cancel(self, fault: arrivals.Fault) -> None:
+        generator = random.Random(fault.draw)
+        active = [
+            run
+            for run in self.jobs.values()
+            if not run.outcome and run.arrival.kind == fault.wave.kind
+        ]
+        for run in active:
+            if generator.random() >= fault.wave.share:
+                continue
+            if run.arrival.job_id in self._running:
+                self._interrupt(run, 0.0)
+            else:
+                self._dequeue(run)
+            run.outcome = "cancelled"
+            run.ended_s = self._now_s
+
+    def _interrupt(self, run: JobRun, kept_s: float) -> None:
+        """End the current attempt and keep some of its work."""
+        ran_s = max(0.0, self._now_s - run.started_s)
+        run.spans.append((run.started_s, self._now_s))
+        run.done_s += min(kept_s, ran_s)
+        lost_s = (ran_s - min(kept_s, ran_s)) * run.arrival.spec.members
+        self._work_lost_s += lost_s
+        run.started_s = None
+        run.placements = ()
+        run.is_stopping = False
+        run.attempt += 1
+        del self._running[run.arrival.job_id]
+
+    def _end(self, event: "_End") -> None:
+        run = event.run
+        if run.attempt != event.attempt or run.started_s is None:
+            return
+        failed = [
+            placement.worker_id
+            for placement in run.placements
+            if self._index[placement.worker_id] in self._failing
+        ]
+        kind = records.EndKind.FAILED if failed else records.EndKind.FINISHED
+        worker_ids = failed or [
+            placement.worker_id for placement in run.placements
+        ]
+        self._tell_health(run, set(worker_ids), kind)
+        if failed:
+            self._fail_attempt(run, failed)
+            return
+        run.spans.append((run.started_s, self._now_s))
+        run.ended_s = self._now_s
+        run.outcome = "completed"
+        ran_s = self._now_s - run.started_s + run.done_s
+        self._estimates = self._estimates.observe(
+            run.arrival.account, run.arrival.spec, ran_s
+        )
+        del self._running[run.arrival.job_id]
+
+    def _fail_attempt(self, run: JobRun, failed: list[str]) -> None:
+        blamed = any(
+            not self._health.is_suspect(worker_id) for worker_id in failed
+        )
+        run.failures += blamed
+        self._interrupt(run, 0.0)
+        if run.failures >= MAX_ATTEMPTS:
+            run.outcome = "failed"
+            run.ended_s = self._now_s
+        else:
+            self._enqueue(run)
+
+    def _tell_health(
+        self, run: JobRun, worker_ids: set[str], kind: records.EndKind
+    ) -> None:
+        task = messages.TaskId(run.arrival.job_id, run.attempt, 0)
+        for worker_id in worker_ids:
+            body = records.TasksEnded(
+                worker_id, (records.TaskEnd(task, kind),)
+            )
+            record = records.Record("", "", self._clock.now(), 0, body)
+            self._health.observe(record, models.Applied(0, True))
+
+    def _stopped(self, event: "_Stopped") -> None:
+        run = event.run
+        if run.attempt != event.attempt or not run.is_stopping:
+            return
+        ran_s = self._now_s - run.started_s
+        self._reclaims.append(self._now_s - event.asked_s)
+        self._interrupt(run, ran_s - self._workload.checkpoint_s)
+        self._enqueue(run)
+
+    def _decide(self) -> None:
+        view = self._view()
+        began = time.perf_counter()
+        decision = self._policy.decide(view)
+        took_s = time.perf_counter() - began
+        self._costs.rounds += 1
+        self._costs.cells += decision.cells_examined
+        self._costs.jobs += decision.jobs_examined
+        self._costs.max_round_s = max(self._costs.max_round_s, took_s)
+        for stop in decision.stops:
+            self._stop(self.jobs[stop.job_id])
+        for start in decision.starts:
+            self._start(self.jobs[start.job_id], start.placements)
+        if self._costs.rounds % self._check_every == 0:
+            self._violations.update(
+                {
+                    promise: count
+                    for promise, count in invariants.check(
+                        self._view()
+                    ).items()
+                    if count
+                }
+            )
+
+    def _stop(self, run: JobRun) -> None:
+        if run.is_stopping:
+            return
+        run.is_stopping = True
+        event = _Stopped(run, run.attempt, self._now_s)
+        self._push(self._now_s + self._workload.checkpoint_s, event)
+
+    def _start(
+        self, run: JobRun, placements: tuple[records.Placement, ...]
+    ) -> None:
+        self._dequeue(run)
+        run.placements = placements
+        run.started_s = self._now_s + self._workload.launch_s
+        if run.first_start_s is None:
+            run.first_start_s = run.started_s
+        self._running[run.arrival.job_id] = run
+        left_s = max(run.arrival.run_s - run.done_s, 0.0)
+        is_failing = any(
+            self._index[placement.worker_id] in self._failing
+            for placement in placements
+        )
+        length_s = min(left_s, FAIL_AFTER_S) if is_failing else left_s
+        self._push(run.started_s + length_s, _End(run, run.attempt))
+
+    def _view(self) -> base.View:
+        now = self._clock.now()
+        waiting = [
+            _waiting(run)
+            for queue in self._queues.values()
+            for run in itertools.islice(queue.values(), HEADS)
+        ]
+        waiting.sort(key=lambda job: job.order)
+        workers = tuple(
+            dataclasses.replace(worker, usable=False)
+            if not self._is_usable(number, worker.worker_id)
+            else worker
+            for number, worker in enumerate(self._workers)
+        )
+        running = tuple(_running(run, now) for run in self._running.values())
+        return base.View(
+            now, workers, self._accounts, waiting, running, self._estimates
+        )
+
+    def _is_usable(self, number: int, worker_id: str) -> bool:
+        return number not in self._lost and self._health.is_usable(worker_id)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    run: JobRun
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stopped:
+    run: JobRun
+    attempt: int
+    asked_s: float
+
+
+def _waiting(run: JobRun) -> base.WaitingJob:
+    arrival = run.arrival
+    return base.WaitingJob(
+        arrival.job_id,
+        arrival.account,
+        arrival.caller,
+        arrival.spec,
+        START + datetime.timedelta(seconds=arrival.at_s),
+        run.order,
+        run.done_s,
+    )
+
+
+def _running(run: JobRun, now: datetime.datetime) -> base.RunningGang:
+    started_at = START + datetime.timedelta(seconds=run.started_s)
+    return base.RunningGang(
+        run.arrival.job_id,
+        run.arrival.account,
+        run.arrival.caller,
+        run.arrival.spec,
+        run.placements,
+        min(started_at, now),
+        run.is_stopping,
+    )
+
+
+def make_workers(
+    workload: workloads.Workload,
+) -> tuple[base.WorkerView, ...]:
+    """Return the workers of every pool."""
+    workers = []
+    for number, pool in enumerate(workload.pools):
+        for centre in range(pool.data_centres):
+            for rack in range(pool.racks):
+                for place in range(pool.workers):
+                    rack_id = f"p{number}r{rack}"
+                    workers.append(
+                        base.WorkerView(
+                            f"d{centre}{rack_id}w{place}",
+                            f"d{centre}",
+                            rack_id,
+                            pool.accelerators,
+                            pool.cores,
+                            pool.memory_gb,
+                        )
+                    )
+    return tuple(workers)
--- /dev/null
+++ b/cardamomcroft/bench/policy.py
@@ -0,0 +1,175 @@
+"""Run the policy bench."""
+
+import dataclasses
+import json
+import pathlib
+import sys
+import typing
+
+import cyclopts
+
+from cardamomcroft.bench import bounds
+from cardamomcroft.bench import engine
+from cardamomcroft.bench import report
+from cardamomcroft.bench import tables
+from cardamomcroft.bench import workload as workloads
+from cardamomcroft.cli import client
+from cardamomcroft.cli import running
+from cardamomcroft.policy import registry
+
+CHECK_EVERY_LARGE = 25  # rounds between checks of large fleets
+LARGE_FLEET = 200  # workers
+
+app = cyclopts.App(name="bench policy", help="Measure the policies.")
+
+
+def measure(
+    workload: workloads.Workload, policy: str, seed: int
+) -> dict[str, typing.Any]:
+    """Run one policy on one workload; floods run once more without."""
+    outcome = _run(workload, policy, seed)
+    calm = None
+    if workload.floods:
+        calm = _run(workload.without_floods(), policy, seed)
+    return report.make(outcome, calm) | {"policy": policy, "seed": seed}
+
+
+def _run(
+    workload: workloads.Workload, policy: str, seed: int
+) -> engine.Outcome:
+    size = len(engine.make_workers(workload))
+    check_every = CHECK_EVERY_LARGE if size > LARGE_FLEET else 1
+    made = registry.by_name()[policy]
+    return engine.Engine(workload, made, seed, check_every).run()
+
+
+def _load(name: str) -> workloads.Workload:
+    loaded = workloads.load(name)
+    if loaded.is_error():
+        for problem in loaded.error:
+            print(problem, file=sys.stderr)
+        sys.exit(client.ExitCode.WRONG_USE)
+    return loaded.ok
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selection:
+    """Choose what to run."""
+
+    workload_names: tuple[str, ...]
+    policies: tuple[str, ...]
+    seeds: tuple[int, ...]
+
+
+def run_all(selection: Selection) -> list[dict[str, typing.Any]]:
+    """Run every combination, with progress on standard error."""
+    results = []
+    for name in selection.workload_names:
+        workload = _load(name)
+        for policy in selection.policies:
+            for seed in selection.seeds:
+                print(f"{name} {policy} seed {seed}", file=sys.stderr)
+                results.append(measure(workload, policy, seed))
+    return results
+
+
+@app.default
+def main(
+    *,
+    workload: str = "guild",
+    seed: int = 1,
+    policy: str = registry.CURRENT,
+    json_output: bool = False,
+    list_names: bool = False,
+    run_every: bool = False,
+    seeds: int = 5,
+    report_to: pathlib.Path | None = None,
+    only: str = "",
+    check_bounds: bool = False,
+) -> None:
+    """Measure policies on workloads.
+
+    Parameters
+    ----------
+    workload
+        A shipped workload's name, or any workload file.
+    seed
+        The seed of one run.
+    policy
+        The policy's name.
+    json_output
+        Print one JSON object.
+    list_names
+        Print the workloads and policies.
+    run_every
+        Run the whole table instead of one run.
+    seeds
+        The number of seeds of the whole table.
+    report_to
+        The directory for tables and plots of the whole table.
+    only
+        Workloads of the whole table, separated by commas.
+    check_bounds
+        Exit 1 when a bound of the whole table falls short.
+    """
+    if list_names:
+        _print_names()
+        return
+    if policy not in registry.by_name():
+        print(f"no policy {policy!r}", file=sys.stderr)
+        sys.exit(client.ExitCode.WRONG_USE)
+    if run_every:
+        names = tuple(only.split(",")) if only else workloads.names()
+        selection = Selection(
+            names,
+            tuple(registry.by_name()),
+            tuple(range(1, seeds + 1)),
+        )
+        _run_table(selection, report_to, json_output, check_bounds)
+        return
+    result = measure(_load(workload), policy, seed)
+    _print_result(result, json_output)
+    sys.exit(1 if result["violations"] else 0)
+
+
+def _print_names() -> None:
+    names = {
+        "workloads": list(workloads.names()),
+        "policies": list(registry.by_name()),
+    }
+    print(json.dumps(names))
+
+
+def _print_result(result: dict[str, typing.Any], as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(result))
+        return
+    for key, value in result.items():
+        print(f"{key}: {value}")
+
+
+def _run_table(
+    selection: Selection,
+    report_to: pathlib.Path | None,
+    as_json: bool,
+    check_bounds: bool,
+) -> None:
+    results = run_all(selection)
+    shortfalls = bounds.check(results)
+    if report_to is not None:
+        tables.write(results, shortfalls, report_to)
+    plain = {
+        "runs": len(results),
+        "shortfalls": [dataclasses.asdict(found) for found in shortfalls],
+    }
+    if as_json:
+        print(json.dumps(plain))
+    else:
+        print(tables.render(results))
+        for found in shortfalls:
+            print(found)
+    sys.exit(1 if check_bounds and shortfalls else 0)
+
+
+if __name__ == "__main__":
+    running.run(app)
--- /dev/null
+++ b/cardamomcroft/bench/report.py
@@ -0,0 +1,170 @@
+"""Work out the measures of a run of the policy bench."""
+
+import collections
+import collections.abc
+import typing
+
+import numpy
+
+from cardamomcroft.bench import arrivals
+from cardamomcroft.bench import engine
+from cardamomcroft.settings import documents
+
+SLOWDOWN_FLOOR_S = 10.0  # shorter runs count as this long
+LARGE_SHARE = 0.5  # callers that together ask for this share are large
+
+JobRuns = collections.abc.Sequence[engine.JobRun]
+
+
+def spread(values: collections.abc.Sequence[float]) -> dict[str, float]:
+    """Return the mean and percentiles; zeros when there are no values."""
+    if not values:
+        return dict.fromkeys(("mean", "p50", "p95", "p99"), 0.0)
+    array = numpy.asarray(values)
+    p50, p95, p99 = numpy.percentile(array, (50, 95, 99))
+    return {
+        "mean": round(float(array.mean()), 4),
+        "p50": round(float(p50), 4),
+        "p95": round(float(p95), 4),
+        "p99": round(float(p99), 4),
+    }
+
+
+def completion_s(run: engine.JobRun) -> float:
+    """Return the time from arrival to the whole end."""
+    return run.ended_s - run.arrival.at_s
+
+
+def slowdown(run: engine.JobRun) -> float:
+    """Return the completion time over the run time."""
+    return completion_s(run) / max(run.arrival.run_s, SLOWDOWN_FLOOR_S)
+
+
+def _grouped(
+    runs: JobRuns,
+    measure: collections.abc.Callable[[engine.JobRun], float],
+) -> dict[str, typing.Any]:
+    by_class = collections.defaultdict(list)
+    by_account = collections.defaultdict(list)
+    for run in runs:
+        by_class[run.arrival.spec.urgency.value].append(measure(run))
+        by_account[run.arrival.account].append(measure(run))
+    return spread([measure(run) for run in runs]) | {
+        "by_class": {key: spread(by_class[key]) for key in sorted(by_class)},
+        "by_account": {
+            key: spread(by_account[key]) for key in sorted(by_account)
+        },
+    }
+
+
+def small_over_large(runs: JobRuns) -> float | None:
+    """Return the p95 slowdown of small callers over that of large ones."""
+    asked: collections.Counter[tuple[str, str]] = collections.Counter()
+    for run in runs:
+        spec = run.arrival.spec
+        units = spec.members * max(1, spec.accelerators)
+        key = (run.arrival.account, run.arrival.caller)
+        asked[key] += units * run.arrival.run_s
+    large, total = set(), sum(asked.values())
+    covered = 0.0
+    for key, work in asked.most_common():
+        if covered >= LARGE_SHARE * total:
+            break
+        large.add(key)
+        covered += work
+    by_size = collections.defaultdict(list)
+    for run in runs:
+        key = (run.arrival.account, run.arrival.caller)
+        by_size[key in large].append(slowdown(run))
+    if not by_size[True] or not by_size[False]:
+        return None
+    p95_small = numpy.percentile(by_size[False], 95)
+    p95_large = numpy.percentile(by_size[True], 95)
+    return round(float(p95_small / p95_large), 4)
+
+
+def served(runs: JobRuns, from_s: float, to_s: float) -> dict[str, float]:
+    """Return accelerator-seconds by account within a window."""
+    by_account: dict[str, float] = collections.defaultdict(float)
+    for run in runs:
+        spec = run.arrival.spec
+        for began_s, ended_s in run.spans:
+            span_s = min(ended_s, to_s) - max(began_s, from_s)
+            if span_s > 0:
+                units = spec.members * spec.accelerators
+                by_account[run.arrival.account] += units * span_s
+    return by_account
+
+
+def others_kept(flooded: engine.Outcome, calm: engine.Outcome) -> float | None:
+    """Return what other work kept in a flood, up to its fair share."""
+    floods = flooded.workload.floods
+    if not floods:
+        return None
+    from_s = min(flood.from_hour for flood in floods) * arrivals.HOUR_S
+    to_s = max(flood.to_hour for flood in floods) * arrivals.HOUR_S
+    others = [run for run in flooded.runs if not run.arrival.is_flood]
+    kept = served(others, from_s, to_s)
+    before = served(calm.runs, from_s, to_s)
+    accounts = flooded.workload.accounts
+    total_weight = sum(terms.weight for terms in accounts.values())
+    wanted, got = 0.0, 0.0
+    for account, terms in accounts.items():
+        share = terms.weight / total_weight
+        fair = share * flooded.capacity * (to_s - from_s)
+        target = min(before.get(account, 0.0), fair)
+        wanted += target
+        got += min(kept.get(account, 0.0), target)
+    return round(got / wanted, 4) if wanted else None
+
+
+def urgent_starts(runs: JobRuns) -> list[float]:
+    """Return start delays of urgent jobs that fit their guarantee."""
+    return [
+        run.first_start_s - run.arrival.at_s
+        for run in runs
+        if run.is_entitled
+        and run.arrival.spec.urgency is documents.Urgency.URGENT
+        and run.first_start_s is not None
+    ]
+
+
+def make(
+    outcome: engine.Outcome, calm: engine.Outcome | None
+) -> dict[str, typing.Any]:
+    """Return the report of one run."""
+    ordinary = [run for run in outcome.runs if not run.arrival.is_flood]
+    done = [run for run in ordinary if run.outcome == "completed"]
+    outcomes = collections.Counter(run.outcome for run in outcome.runs)
+    costs = outcome.costs
+    rounds = max(1, costs.rounds)
+    return {
+        "workload": outcome.workload.name,
+        "completion_s": _grouped(done, completion_s),
+        "slowdown": _grouped(done, slowdown),
+        "completion_lower_bound_s": spread(
+            [run.arrival.run_s for run in done]
+        ),
+        "urgent_start_s": spread(urgent_starts(ordinary)),
+        "urgent_entitled": len(urgent_starts(ordinary)),
+        "small_over_large_p95": small_over_large(done),
+        "fragmentation": round(outcome.fragmentation, 5),
+        "others_kept": others_kept(outcome, calm) if calm else None,
+        "jobs": {
+            "accepted": len(outcome.runs) - outcomes["refused"],
+            "completed": outcomes["completed"],
+            "refused": outcomes["refused"],
+            "cancelled": outcomes["cancelled"],
+            "failed": outcomes["failed"],
+        },
+        "work_lost_s": round(outcome.work_lost_s, 1),
+        "reclaim_s": spread(outcome.reclaim_s),
+        "reclaims": len(outcome.reclaim_s),
+        "decision": {
+            "rounds": costs.rounds,
+            "cells_per_round": round(costs.cells / rounds, 2),
+            "jobs_per_round": round(costs.jobs / rounds, 2),
+            "max_round_s": round(costs.max_round_s, 4),
+        },
+        "violations": outcome.violations,
+    }
--- a/cardamomcroft/policy/cells.py
+++ b/cardamomcroft/policy/cells.py
@@ -7,6 +7,8 @@
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import documents
 
+MASKS_CACHED = 65_536  # masks of distinct workers seen lately
+
 
 def next_power_of_two(number: int) -> int:
     """Return the smallest power of two not below the number."""
@@ -41,7 +43,7 @@
     return size if size <= units else None
 
 
-@functools.cache
+@functools.lru_cache(maxsize=MASKS_CACHED)
 def find_cell(free: int, units: int, size: int) -> messages.Cell | None:
     """Return the free cell whose enclosing free block is smallest."""
     best, best_block = None, units + 1
@@ -67,7 +69,7 @@
     return size
 
 
-@functools.cache
+@functools.lru_cache(maxsize=MASKS_CACHED)
 def free_blocks(free: int, units: int) -> tuple[int, ...]:
     """Return the sizes of the maximal aligned free blocks."""
     blocks = []
--- a/cardamomcroft/settings/documents.py
+++ b/cardamomcroft/settings/documents.py
@@ -4,7 +4,7 @@
 import datetime
 import enum
 
-UNITS_PER_PLAIN_WORKER = 8  # cells of a worker without accelerators
+UNITS_PER_PLAIN_WORKER = 32  # cells of a worker without accelerators
 
 
 class Urgency(enum.Enum):
