Lend to batch work first and let the longest urgent wait look first

Change: batch takes idle cells before its guarantee; accounts are served by their longest urgent wait; class weights 24:3:1. The fault machine found that a scheduler ran a job whose submission the log had not accepted: only records of work done are folded ahead of the log now.

--- a/cardamomcroft/bench/engine.py
+++ b/cardamomcroft/bench/engine.py
@@ -354,6 +354,7 @@
             return
         run.spans.append((run.started_s, self._now_s))
         run.ended_s = self._now_s
+        run.is_stopping = False
         run.outcome = "completed"
         ran_s = self._now_s - run.started_s + run.done_s
         self._estimates = self._estimates.observe(
--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -27,6 +27,7 @@
 from cardamomcroft.workers import health as healths
 
 CLAIM_BACKOFF = datetime.timedelta(milliseconds=500)  # for each rank
+DRAIN_POLL = datetime.timedelta(milliseconds=50)
 CONFIRM_LIMIT = datetime.timedelta(seconds=5)
 
 
@@ -72,7 +73,9 @@
     def effective(self) -> models.State:
         """Return the state with this instance's pending records."""
         parts = self._parts
-        return fold.fold_all(parts.replica.state, parts.appender.pending())
+        return fold.fold_all(
+            parts.replica.state, parts.appender.pending_work()
+        )
 
     def holds_claim(self) -> bool:
         """Tell whether the newest claim seen is this incarnation's."""
@@ -457,11 +460,7 @@
         """Stop starting and wait for launches under way."""
         self.is_draining = True
         while self._launches:
-            await clocks.within(
-                self._parts.clock,
-                datetime.timedelta(milliseconds=50),
-                asyncio.gather(*self._tasks, return_exceptions=True),
-            )
+            await self._parts.clock.sleep(DRAIN_POLL)
 
 
 def declared_submission(
--- a/cardamomcroft/log/appender.py
+++ b/cardamomcroft/log/appender.py
@@ -69,6 +69,18 @@
         """Return the unconfirmed records in the order they were made."""
         return tuple(entry.record for entry in self._entries.values())
 
+    def pending_work(self) -> tuple[records.Record, ...]:
+        """Return the unconfirmed records of what workers already did.
+
+        These are facts, whatever the log says later. A submission or a
+        cancellation is none until the log has accepted it.
+        """
+        return tuple(
+            record
+            for record in self.pending()
+            if isinstance(record.body, records.WORK_DONE)
+        )
+
     def submit(
         self, body: records.Body, priority: Priority
     ) -> asyncio.Future[models.Applied]:
--- a/cardamomcroft/log/records.py
+++ b/cardamomcroft/log/records.py
@@ -172,6 +172,9 @@
 )
 
 
+WORK_DONE = (GangStarted, TasksEnded, AttemptSettled)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
     """Wrap a body with its identity, author and validity."""
--- a/cardamomcroft/policy/borrowed.py
+++ b/cardamomcroft/policy/borrowed.py
@@ -7,7 +7,6 @@
 from cardamomcroft.log import records
 from cardamomcroft.policy import base
 from cardamomcroft.policy import cells
-from cardamomcroft.policy import granted
 from cardamomcroft.policy import ledger as ledgers
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import documents
@@ -21,17 +20,7 @@
 
     job_id: str
     at: datetime.datetime
-    placements: tuple[records.Placement, ...]
-
-    def masks(self) -> dict[str, int]:
-        """Return the kept units of each worker."""
-        masks: dict[str, int] = {}
-        for placement in self.placements:
-            mask = cells.mask_of(placement.cell)
-            masks[placement.worker_id] = (
-                masks.get(placement.worker_id, 0) | mask
-            )
-        return masks
+    masks: collections.abc.Mapping[str, int]
 
 
 class BorrowedPlacer:
@@ -44,13 +33,26 @@
             documents.Adjacency, list[list[base.WorkerView]]
         ] = {}
         self.reservations: list[Reservation] = []
+        self._failed: dict[tuple, datetime.datetime] = {}
 
     def place(
         self, job: base.WaitingJob, until: datetime.datetime
     ) -> tuple[records.Placement, ...]:
         """Return placements for the whole gang, or none."""
         spec = job.spec
-        for adjacency in granted.LADDER:
+        failed_until = self._failed.get(shape_of(spec))
+        if failed_until is not None and failed_until <= until:
+            return ()  # cells only get scarcer within a round
+        placements = self._search(job, until)
+        if not placements:
+            self._failed[shape_of(spec)] = until
+        return placements
+
+    def _search(
+        self, job: base.WaitingJob, until: datetime.datetime
+    ) -> tuple[records.Placement, ...]:
+        spec = job.spec
+        for adjacency in ledgers.LADDER:
             if self._may_skip(adjacency, spec):
                 continue
             for group in self._groups_of(adjacency):
@@ -100,7 +102,7 @@
         free = self._ledger.idle[worker_id]
         for reservation in self.reservations:
             if reservation.job_id != job_id and reservation.at < until:
-                free &= ~reservation.masks().get(worker_id, 0)
+                free &= ~reservation.masks.get(worker_id, 0)
         return free
 
     def _offers(
@@ -157,10 +159,11 @@
             return None
         offers.sort(key=lambda offer: (offer[0], offer[1], offer[2].start))
         chosen = offers[: job.spec.members]
-        placements = tuple(
-            records.Placement(worker_id, cell) for _, worker_id, cell in chosen
-        )
-        return Reservation(job.job_id, chosen[-1][0], placements)
+        masks: dict[str, int] = {}
+        for _, worker_id, cell in chosen:
+            kept = masks.get(worker_id, 0)
+            masks[worker_id] = kept | cells.mask_of(cell)
+        return Reservation(job.job_id, chosen[-1][0], masks)
 
     def _free_at(
         self, worker_id: str, cell: messages.Cell, end_of: EndOf
@@ -168,9 +171,20 @@
         mask = cells.mask_of(cell)
         at = self._ledger.view.now
         for reservation in self.reservations:
-            if reservation.masks().get(worker_id, 0) & mask:
+            if reservation.masks.get(worker_id, 0) & mask:
                 at = max(at, reservation.at + datetime.timedelta(hours=1))
         for used, gang in self._ledger.gangs_by_worker[worker_id]:
             if used & mask:
                 at = max(at, end_of(gang))
         return at
+
+
+def shape_of(spec: documents.JobSpec) -> tuple:
+    """Return what decides where a gang fits."""
+    return (
+        spec.members,
+        spec.accelerators,
+        spec.cores,
+        spec.memory_gb,
+        spec.adjacency,
+    )
--- a/cardamomcroft/policy/cells.py
+++ b/cardamomcroft/policy/cells.py
@@ -8,6 +8,7 @@
 from cardamomcroft.settings import documents
 
 MASKS_CACHED = 65_536  # masks of distinct workers seen lately
+SHAPES_CACHED = 4096  # pairs of member and worker shapes seen lately
 
 
 def next_power_of_two(number: int) -> int:
@@ -30,13 +31,32 @@
     spec: documents.JobSpec, worker: base.WorkerView
 ) -> int | None:
     """Return the units that one member needs, None when it never fits."""
-    if spec.accelerators and not worker.accelerators:
+    return _size_on(
+        spec.accelerators,
+        spec.cores,
+        spec.memory_gb,
+        worker.accelerators,
+        worker.cores,
+        worker.memory_gb,
+    )
+
+
+@functools.lru_cache(maxsize=SHAPES_CACHED)
+def _size_on(
+    accelerators: int,
+    cores: int,
+    memory_gb: int,
+    worker_accelerators: int,
+    worker_cores: int,
+    worker_memory_gb: int,
+) -> int | None:
+    if accelerators and not worker_accelerators:
         return None
-    units = worker.units
+    units = worker_accelerators or documents.UNITS_PER_PLAIN_WORKER
     needed = max(
-        spec.accelerators,
-        math.ceil(spec.cores * units / worker.cores),
-        math.ceil(spec.memory_gb * units / worker.memory_gb),
+        accelerators,
+        math.ceil(cores * units / worker_cores),
+        math.ceil(memory_gb * units / worker_memory_gb),
         1,
     )
     size = next_power_of_two(needed)
--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -24,6 +24,8 @@
     bypass: int = 8  # later jobs of a caller that may go ahead
     reservations: int = 4  # blocked gangs that cells are kept for
     batch_floor: float = 0.1  # share that urgent work leaves to batch
+    lends_first: tuple[documents.Urgency, ...] = ()  # before granting
+    class_weights: tuple[float, float, float] = (8.0, 3.0, 1.0)  # by urgency
 
 
 class _Round:
@@ -41,7 +43,9 @@
                 gang.caller,
                 sum(placement.cell.size for placement in gang.placements),
             )
-        self.flows = order.Flows(view, self.usage, options.bypass)
+        self.flows = order.Flows(
+            view, self.usage, options.bypass, options.class_weights
+        )
         self.granted = granted.GrantedPlacer(self.ledger)
         self.borrowed = borrowed.BorrowedPlacer(self.ledger)
         self.starts: list[base.GangStart] = []
@@ -50,10 +54,13 @@
 
     def run(self) -> base.Decision:
         """Grant first, then lend what is left."""
+        skipped = []
         for account in self.flows.accounts():
             terms = self.view.accounts.get(account)
             if terms is not None and terms.guarantee:
-                self._grant(account)
+                skipped.extend(self._grant(account))
+        left = [job for job in skipped if not self._lend_first(job)]
+        self.flows.put_back(left)
         self._lend()
         return base.Decision(
             tuple(self.starts),
@@ -62,21 +69,33 @@
             self.jobs_examined,
         )
 
-    def _grant(self, account: str) -> None:
+    def _grant(self, account: str) -> list[base.WaitingJob]:
+        """Carry out what fits the guarantee; return the other jobs."""
         skipped = []
         for _ in range(self.options.granted_tries):
             job = self.flows.pick(account)
             if job is None:
                 break
             self.jobs_examined += 1
-            plan = self.granted.plan(job)
-            if plan is None and job.spec.urgency is documents.Urgency.URGENT:
-                plan = self.granted.plan(job, self._demotable(account))
-            if plan is None:
+            if job.spec.urgency in self.options.lends_first:
+                skipped.append(job)
+            elif not self._grant_job(job):
                 skipped.append(job)
-            else:
-                self._carry_out(job, plan)
-        self.flows.put_back(skipped)
+        return skipped
+
+    def _grant_job(self, job: base.WaitingJob) -> bool:
+        plan = self.granted.plan(job)
+        if plan is None and job.spec.urgency is documents.Urgency.URGENT:
+            plan = self.granted.plan(job, self._demotable(job.account))
+        if plan is not None:
+            self._carry_out(job, plan)
+        return plan is not None
+
+    def _lend_first(self, job: base.WaitingJob) -> bool:
+        """Use the guarantee of such a class only when nothing is idle."""
+        if job.spec.urgency not in self.options.lends_first:
+            return False
+        return self._borrow(job) or self._grant_job(job)
 
     def _demotable(self, account: str) -> frozenset[str]:
         """Return the account's batch gangs beyond the batch floor."""
@@ -118,20 +137,24 @@
             sum(placement.cell.size for placement in placements),
         )
 
+    def _borrow(self, job: base.WaitingJob) -> bool:
+        """Start on idle cells that no reservation needs in time."""
+        run_time = self.view.run_times.run_time(
+            job.account, job.spec, job.checkpoint_s
+        )
+        placements = self.borrowed.place(job, self.view.now + run_time)
+        if placements:
+            self._start(job, placements)
+        return bool(placements)
+
     def _lend(self) -> None:
-        now = self.view.now
         reserved_accounts = set()
         for _ in range(self.options.borrowed_tries):
             job = self.flows.pick()
             if job is None:
                 return
             self.jobs_examined += 1
-            run_time = self.view.run_times.run_time(
-                job.account, job.spec, job.checkpoint_s
-            )
-            placements = self.borrowed.place(job, now + run_time)
-            if placements:
-                self._start(job, placements)
+            if self._borrow(job):
                 continue
             self.flows.pass_over(job)
             may_reserve = (
--- a/cardamomcroft/policy/granted.py
+++ b/cardamomcroft/policy/granted.py
@@ -4,18 +4,12 @@
 
 from cardamomcroft.log import records
 from cardamomcroft.policy import base
+from cardamomcroft.policy import borrowed
 from cardamomcroft.policy import cells
 from cardamomcroft.policy import ledger as ledgers
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import documents
 
-LADDER = (
-    documents.Adjacency.WORKER,
-    documents.Adjacency.RACK,
-    documents.Adjacency.DATA_CENTRE,
-    documents.Adjacency.REGION,
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
@@ -56,6 +50,7 @@
     def __init__(self, ledger: ledgers.Ledger) -> None:
         """Work on a ledger."""
         self._ledger = ledger
+        self._failed: set[tuple] = set()
         self._groups: dict[
             documents.Adjacency, list[list[base.WorkerView]]
         ] = {}
@@ -67,8 +62,19 @@
         by_size = self._ledger.unbound.get(job.account)
         if by_size is None or not job.spec.accelerators:
             return None
+        key = (job.account, demoted, borrowed.shape_of(job.spec))
+        if key in self._failed:
+            return None  # cells only get scarcer within a round
+        plan = self._search(job, demoted)
+        if plan is None:
+            self._failed.add(key)
+        return plan
+
+    def _search(
+        self, job: base.WaitingJob, demoted: frozenset[str]
+    ) -> Plan | None:
         best = None
-        for adjacency in LADDER:
+        for adjacency in ledgers.LADDER:
             for group in self._groups_of(adjacency, job.spec):
                 plan = self._plan_group(job, group, demoted)
                 if plan is None:
--- a/cardamomcroft/policy/ledger.py
+++ b/cardamomcroft/policy/ledger.py
@@ -11,6 +11,8 @@
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import documents
 
+LADDER = tuple(documents.Adjacency)  # from nearest to farthest
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
--- a/cardamomcroft/policy/order.py
+++ b/cardamomcroft/policy/order.py
@@ -8,11 +8,6 @@
 from cardamomcroft.policy import base
 from cardamomcroft.settings import documents
 
-CLASS_WEIGHTS = {
-    documents.Urgency.URGENT: 8.0,
-    documents.Urgency.NORMAL: 3.0,
-    documents.Urgency.BATCH: 1.0,
-}
 AGEING = datetime.timedelta(hours=4)  # wait that makes up for all usage
 
 
@@ -60,11 +55,15 @@
         view: base.View,
         usage: Usage,
         bypass: int,
+        class_weights: tuple[float, float, float],
     ) -> None:
         """Split the waiting jobs into queues, oldest first."""
         self._view = view
         self._usage = usage
         self._bypass = bypass
+        self._weights = dict(
+            zip(documents.Urgency, class_weights, strict=True)
+        )
         self._queues: dict[FlowKey, collections.deque[base.WaitingJob]] = (
             collections.defaultdict(collections.deque)
         )
@@ -74,8 +73,16 @@
             self._queues[key].append(job)
 
     def accounts(self) -> list[str]:
-        """Return the accounts with waiting jobs."""
-        return list(dict.fromkeys(key.account for key in self._queues))
+        """Return the accounts with waiting jobs, longest urgent wait first.
+
+        A job that waits for reclaimed cells thus finds them before any
+        other account looks.
+        """
+        oldest: dict[str, tuple] = {}
+        for key, job in self.heads():
+            rank = (key.urgency is not documents.Urgency.URGENT, job.order)
+            oldest[key.account] = min(oldest.get(key.account, rank), rank)
+        return sorted(oldest, key=oldest.__getitem__)
 
     def heads(
         self, account: str | None = None
@@ -113,7 +120,7 @@
         used = self._usage.by_class[key.account, key.urgency]
         waited = self._view.now - job.submitted_at
         aged = max(0.0, 1.0 - waited / AGEING)
-        return (1 + used) / CLASS_WEIGHTS[key.urgency] * aged
+        return (1 + used) / self._weights[key.urgency] * aged
 
     def _caller_share(self, key: FlowKey) -> float:
         terms = self._view.accounts.get(key.account)
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -4,10 +4,18 @@
 from cardamomcroft.policy import fair
 from cardamomcroft.policy import fifo
 from cardamomcroft.policy import quota
+from cardamomcroft.settings import documents
 
 CURRENT = "cardamomcroft"
 
-VERSIONS = (fair.Options(CURRENT),)
+VERSIONS = (
+    fair.Options(
+        CURRENT,
+        lends_first=(documents.Urgency.BATCH,),
+        class_weights=(24.0, 3.0, 1.0),
+    ),
+    fair.Options("cardamomcroft-1"),
+)
 
 
 def by_name() -> dict[str, base.Policy]:
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -61,7 +61,9 @@
         if not self._freshness.is_fresh():
             self._metrics.increment("renewer.stale")
             return
-        state = fold.fold_all(self._replica.state, self._appender.pending())
+        state = fold.fold_all(
+            self._replica.state, self._appender.pending_work()
+        )
         await asyncio.gather(
             *(
                 self._renew(worker_id, state)
--- /dev/null
+++ b/tests/faults/test_faults_cluster.py
@@ -0,0 +1,60 @@
+"""Explore faults at the seed of CI, or at CARDAMOMCROFT_SEED."""
+
+import os
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+
+from tests.faults import machine
+
+SEED = os.environ.get("CARDAMOMCROFT_SEED")
+EXAMPLES = int(os.environ.get("CARDAMOMCROFT_EXAMPLES", "30"))
+STEPS = 25
+EXPECTED_FAULTS = (
+    "append_answer_lost",
+    "append_lost",
+    "answer_crossed",
+    "execute_answer_lost",
+    "instance_killed",
+    "instance_stopped",
+    "log_down",
+    "log_slow",
+    "operators_raced",
+    "owner_killed",
+    "peer_link_cut",
+    "renew_answer_lost",
+    "reserve_answer_lost",
+    "reserve_refused",
+    "start_answer_lost",
+    "start_refused",
+    "stop_answer_lost",
+    "worker_lost",
+    "worker_unreachable",
+)
+
+
+class ClusterFaultsTest(unittest.TestCase):
+    """Check every promise of the brief under arbitrary faults."""
+
+    def test_promises_hold_and_every_fault_happened(self):
+        factory = machine.ClusterMachine
+        if SEED is not None:
+            factory = hypothesis.seed(int(SEED))(factory)
+        machine.FAULTS.clear()
+        settings = hypothesis.settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=STEPS,
+            deadline=None,
+            derandomize=SEED is None,
+            database=None,
+            print_blob=False,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        )
+        stateful.run_state_machine_as_test(factory, settings=settings)
+        if os.environ.get("CARDAMOMCROFT_TABLE"):
+            print(dict(sorted(machine.FAULTS.items())))
+        missing = [
+            fault for fault in EXPECTED_FAULTS if not machine.FAULTS[fault]
+        ]
+        self.assertEqual([], missing, "faults that did not happen")
