--- a/tests/faults/machine.py
+++ b/tests/faults/machine.py
@@ -250,17 +250,24 @@
         worker.faults.unreachable = is_cut
 
     @stateful.rule(
-        number=worker_numbers,
+        numbers=strategies.sets(worker_numbers, min_size=1),
         operation=strategies.sampled_from(
             ("reserve", "start", "stop", "renew", "execute")
         ),
         is_lost=strategies.booleans(),
+        members=strategies.integers(1, 4),
+        accelerators=strategies.sampled_from((4, 8)),
     )
-    def disturb_worker(self, number, operation, is_lost):
-        """Refuse a command, or lose its answer after the effect."""
-        faults = self.cluster.workers.by_id[f"w{number + 1}"].faults
-        counter = faults.lost_answers if is_lost else faults.refused
-        counter[operation] += 1
+    def submit_under_fault(
+        self, numbers, operation, is_lost, members, accelerators
+    ):
+        """Submit while a command is refused or its answer is lost."""
+        for number in numbers:
+            faults = self.cluster.workers.by_id[f"w{number + 1}"].faults
+            counter = faults.lost_answers if is_lost else faults.refused
+            counter[operation] += 1
+        self.submit(numbers.pop(), members, accelerators, 5.0)
+        self.do(self.cluster.advance(0.3))
 
     @stateful.rule(number=worker_numbers)
     def cross_answer(self, number):
--- a/tests/faults/test_faults_cluster.py
+++ b/tests/faults/test_faults_cluster.py
@@ -9,8 +9,8 @@
 from tests.faults import machine
 
 SEED = os.environ.get("CARDAMOMCROFT_SEED")
-EXAMPLES = int(os.environ.get("CARDAMOMCROFT_EXAMPLES", "30"))
-STEPS = 25
+EXAMPLES = int(os.environ.get("CARDAMOMCROFT_EXAMPLES", "120"))
+STEPS = 40
 EXPECTED_FAULTS = (
     "append_answer_lost",
     "append_lost",
