Measure what control costs one node

Change: bin/bench control runs the roles of one node against stand-ins on a thread of their own and counts bytes through relays.

--- /dev/null
+++ b/cardamomcroft/bench/control.py
@@ -0,0 +1,491 @@
+"""Measure what control costs one node at a given size."""
+
+import asyncio
+import dataclasses
+import datetime
+import json
+import pathlib
+import random
+import threading
+import time
+import typing
+
+import cyclopts
+
+from cardamomcroft.bench import local
+from cardamomcroft.bench import population as populations
+from cardamomcroft.bench import relay as relays
+from cardamomcroft.cli import running
+from cardamomcroft.daemon import logs
+from cardamomcroft.daemon import node as nodes
+from cardamomcroft.log import records
+from cardamomcroft.membership import digests
+from cardamomcroft.peers import base as peers_base
+from cardamomcroft.peers import rpc
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import http
+from cardamomcroft.ports import messages
+from cardamomcroft.ports import metrics
+from cardamomcroft.settings import instance
+from cardamomcroft.standin import instances
+from cardamomcroft.standin import log
+from cardamomcroft.standin import service
+from cardamomcroft.standin import workers
+from cardamomcroft.state import fold
+from cardamomcroft.state import snapshots
+from cardamomcroft.workers import fleet as fleets
+
+STEPS = 10
+DAY_S = 86_400.0
+RECORDS_PER_JOB = 4  # submitted, started, ended, and one in reserve
+BUDGET_CORE_SHARE = 0.029
+BUDGET_RSS_BYTES = 128_000_000
+BUDGET_BYTES_PER_S = 3_000
+
+app = cyclopts.App(name="bench control", help="Measure control's cost.")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """Hold what one role costs."""
+
+    rss_bytes: int = 0
+    core_share: float = 0.0
+    bytes_per_s: float = 0.0
+    messages_per_s: float = 0.0
+    state_bytes: int = 0
+    log_appends_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rates:
+    """Say how often things happen in a day."""
+
+    jobs_per_day: float = 890.0
+    settings_per_day: float = 1300.0
+    restarts_per_day: float = 350.0
+
+
+class _FakePeer(peers_base.PeerHandler):
+    """Answer digests as a peer of the same size would."""
+
+    def __init__(self, digest: digests.Digest) -> None:
+        self._digest = digest
+
+    def exchange(self, digest: digests.Digest) -> digests.Digest:
+        return self._digest
+
+    def read_log(self, offset: int, limit: int) -> messages.LogPage:
+        return messages.LogPage(0, offset, ())
+
+    def snapshot(self) -> str:
+        return ""
+
+
+class Platform:
+    """Run stand-ins, fake peers and relays on a thread of their own.
+
+    The node's processor time is then that of the main thread alone.
+    """
+
+    def __init__(self, size: populations.Size) -> None:
+        """Choose addresses."""
+        self.size = size
+        self.clock = clocks.SystemClock()
+        self.log = log.StandinLog(self.clock)
+        self.workers = workers.StandinWorkers(self.clock)
+        self.instances = instances.StandinInstances(self.clock)
+        names = ("log", "list", "workers", "peers", "node")
+        addresses = iter(local.free_addresses(2 * len(names)))
+        self.behind = {name: next(addresses) for name in names}
+        self.front = {name: next(addresses) for name in names}
+        self.relays = {
+            name: relays.CountingRelay(self.front[name], self.behind[name])
+            for name in names
+        }
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+
+    def start(self) -> None:
+        """Serve on the thread."""
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._start(), self._loop).result()
+
+    async def _start(self) -> None:
+        for name, web_app in (
+            ("log", service.log_app(self.log)),
+            ("list", service.instances_app(self.instances)),
+            ("workers", service.workers_app(self.workers)),
+        ):
+            await service.serve(web_app, self.behind[name])
+        peer = _FakePeer(self.digest(1))
+        await rpc.PeerServer(self.behind["peers"], peer).start()
+        for relay in self.relays.values():
+            await relay.start()
+
+    def digest(self, number: int) -> digests.Digest:
+        """Return a peer's digest."""
+        return digests.Digest(
+            f"entry-{number}",
+            f"entry-{number}@01234567",
+            "region-0",
+            "dc0",
+            10_000,
+            1,
+            True,
+            False,
+            "10.0.0.1:7400",
+            self.front["peers"],
+        )
+
+    def call(self, coroutine) -> typing.Any:
+        """Run a coroutine on the thread's loop."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+
+def rss_bytes() -> int:
+    """Return the resident memory of the process."""
+    for line in pathlib.Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepCost:
+    """Hold the cost of one step of a role."""
+
+    cpu_s: float
+    bytes_moved: float
+    messages_sent: float
+
+
+class Meter:
+    """Measure roles of one node, step by step."""
+
+    def __init__(
+        self,
+        size: populations.Size,
+        rates: Rates,
+        timing: instance.Timing,
+    ) -> None:
+        """Build the platform and the node."""
+        self.size = size
+        self.rates = rates
+        self.timing = timing
+        self.rss_imports = rss_bytes()
+        self.platform = Platform(size)
+        self.node = self._make_node()
+        self._fill()
+        self.rss_platform = rss_bytes()
+        self.platform.start()
+
+    def _make_node(self) -> nodes.Node:
+        platform = self.platform
+        settings = instance.InstanceSettings(
+            "entry-0",
+            "dc0",
+            "region-0",
+            local.free_addresses(1)[0],
+            platform.behind["node"],
+            instance.Platform("", ""),
+            timing=self.timing,
+        )
+        client = http.HttpClient(self.timing.duration("call_timeout"))
+        self._client = client
+        self._peers = rpc.RpcPeers(self.timing.duration("call_timeout"))
+        ports = nodes.Ports(
+            http.HttpLog(f"http://{platform.front['log']}", client),
+            http.HttpInstances(f"http://{platform.front['list']}", client),
+            http.HttpWorkers(self._address_of, client),
+            self._peers,
+            clocks.SystemClock(),
+            metrics.MemoryMetrics(),
+        )
+        return nodes.Node(settings, ports, random.Random(1))
+
+    def _address_of(self, worker_id: str) -> str:
+        return f"http://{self.platform.front['workers']}/{worker_id}"
+
+    def _fill(self) -> None:
+        population = populations.Population(
+            self.size,
+            self.platform.log,
+            self.platform.workers,
+            self.platform.clock,
+            self.platform.front["workers"],
+        )
+        population.fill(self.node.incarnation)
+
+    def _hear_peers(self) -> None:
+        regional = max(1, self.size.instances // self.size.regions)
+        for number in range(1, self.size.instances):
+            digest = self.platform.digest(number)
+            if number >= regional:
+                digest = dataclasses.replace(digest, region="region-x")
+            self.node.membership.hear(digest)
+
+    async def measure(self) -> dict[str, Cost]:
+        """Return the cost of each role."""
+        costs = {}
+        costs["replica"] = await self._measure_replica()
+        self.node.replica.caught_up = True
+        self._hear_peers()
+        costs["peer"] = await self._measure_peer()
+        self._hear_peers()
+        costs["lease_renewer"] = await self._measure_renewer()
+        costs["scheduler"] = await self._measure_scheduler()
+        costs["gateway"] = self._measure_gateway()
+        rss = rss_bytes()
+        self.rss_node = self.rss_imports + max(0, rss - self.rss_platform)
+        await self._client.close()
+        self._peers.close()
+        self.platform.stop()
+        return costs
+
+    async def _step_cost(self, relay_name: str, step, steps: int = STEPS):
+        relay = self.platform.relays[relay_name]
+        await step()
+        before = relay.total
+        began = time.thread_time()
+        for _ in range(steps):
+            await step()
+        cpu_s = (time.thread_time() - began) / steps
+        moved = (relay.total - before) / steps
+        return StepCost(cpu_s, moved, 0.0)
+
+    async def _measure_replica(self) -> Cost:
+        replica = self.node.replica
+        began = time.thread_time()
+        before = self.platform.relays["log"].total
+        await replica.refresh()
+        fold_s = time.thread_time() - began
+        moved = self.platform.relays["log"].total - before
+        count = max(1, replica.state.applied + 1)
+        per_record_s, per_record_bytes = fold_s / count, moved / count
+        idle = await self._step_cost(
+            "log", lambda: replica.poll(datetime.timedelta())
+        )
+        listing = await self._step_cost("list", self.node.listing.step)
+        rate = self._records_per_s()
+        list_rate = 1 / self.timing.list_period_s
+        text = snapshots.encode(replica.state)
+        snapshot_rate = rate / self.timing.snapshot_every_records
+        snapshot_s = self._snapshot_cpu()
+        self.snapshot_bytes = len(text)
+        self.start_s = self._decode_cpu(text)
+        share = snapshot_rate / max(1, self.size.instances)
+        return Cost(
+            core_share=per_record_s * rate
+            + idle.cpu_s
+            + listing.cpu_s * list_rate
+            + snapshot_s * share,
+            bytes_per_s=per_record_bytes * rate
+            + idle.bytes_moved
+            + listing.bytes_moved * list_rate
+            + len(text) * snapshot_rate,
+            messages_per_s=1.0 + rate + list_rate,
+            state_bytes=len(text),
+            log_appends_per_s=rate + len(text) / 48_000 * snapshot_rate,
+        )
+
+    def _records_per_s(self) -> float:
+        per_day = (
+            self.rates.jobs_per_day * RECORDS_PER_JOB
+            + self.rates.settings_per_day
+        )
+        return per_day / DAY_S
+
+    def _snapshot_cpu(self) -> float:
+        began = time.thread_time()
+        snapshots.chunks(self.node.replica.state, "x")
+        return time.thread_time() - began
+
+    def _decode_cpu(self, text: str) -> float:
+        began = time.thread_time()
+        snapshots.decode(text)
+        return time.thread_time() - began
+
+    async def _measure_peer(self) -> Cost:
+        count = len(self.node.membership.by_id)
+        out = await self._step_cost("peers", self.node.exchange.step)
+        rate = 1 / self.timing.digest_period_s
+        # Each exchange that the node begins is matched by one it answers.
+        return Cost(
+            core_share=2 * out.cpu_s * rate,
+            bytes_per_s=2 * out.bytes_moved * rate,
+            messages_per_s=4 * count * rate,
+        )
+
+    async def _measure_renewer(self) -> Cost:
+        step = await self._step_cost("workers", self.node.renewer.step)
+        rate = 1 / self.timing.renew_period_s
+        state = self.node.replica.state
+        regional = fleets.Fleet().region(state, "region-0")
+        share = len(regional) / max(
+            1, len(self.node.membership.live_ids("region-0"))
+        )
+        return Cost(
+            core_share=step.cpu_s * rate,
+            bytes_per_s=step.bytes_moved * rate,
+            messages_per_s=2 * share * rate,
+        )
+
+    async def _measure_scheduler(self) -> Cost:
+        scheduler = self.node.scheduler
+        relay = self.platform.relays["workers"]
+        before = relay.total
+        began = time.thread_time()
+        while scheduler.takeover is None or not scheduler.takeover.is_settled:
+            await self.node.replica.poll(datetime.timedelta())
+            await scheduler.step()
+        self.takeover_cpu_s = time.thread_time() - began
+        self.takeover_bytes = relay.total - before
+        idle = await self._step_cost("workers", self._schedule)
+        began = time.thread_time()
+        scheduler._decide(scheduler.effective)
+        self.round_s = time.thread_time() - began
+        rate = 1 / self.timing.schedule_period_s
+        return Cost(
+            core_share=idle.cpu_s * rate
+            + self.round_s * self._records_per_s(),
+            bytes_per_s=idle.bytes_moved * rate,
+            log_appends_per_s=self._records_per_s(),
+        )
+
+    async def _schedule(self) -> None:
+        self.node.replica.confirmed_at = self.node.ports.clock.monotonic()
+        await self.node.scheduler.step()
+
+    def _measure_gateway(self) -> Cost:
+        """Fold one change as the gateway's part that grows with size."""
+        state = self.node.replica.state
+        path = next(iter(state.settings))
+        entry = state.settings[path]
+        body = records.SettingsChanged(
+            "x", (records.Edit(path, entry.revision, entry.content),)
+        )
+        record = records.Record(
+            "x", "x", self.platform.clock.now(), state.applied + 9, body
+        )
+        began = time.thread_time()
+        for _ in range(STEPS):
+            fold.fold(state, state.applied + 1, record)
+        per_change_s = (time.thread_time() - began) / STEPS
+        rate = self.rates.settings_per_day / DAY_S
+        return Cost(
+            core_share=per_change_s * rate,
+            bytes_per_s=2 * len(entry.content) * rate,
+            messages_per_s=2 * rate,
+            log_appends_per_s=rate,
+        )
+
+
+def total(costs: dict[str, Cost], rss: int) -> Cost:
+    """Return the cost of the whole node."""
+    values = costs.values()
+    return Cost(
+        rss,
+        sum(cost.core_share for cost in values),
+        sum(cost.bytes_per_s for cost in values),
+        sum(cost.messages_per_s for cost in values),
+        sum(cost.state_bytes for cost in values),
+        max(cost.log_appends_per_s for cost in values),
+    )
+
+
+def measure(
+    size: populations.Size,
+    timing: instance.Timing,
+    rates: Rates | None = None,
+) -> dict[str, typing.Any]:
+    """Return the report of one size."""
+    meter = Meter(size, rates or Rates(), timing)
+    costs = asyncio.run(meter.measure())
+    node = total(costs, meter.rss_node)
+    return {
+        "size": dataclasses.asdict(size),
+        "timing": dataclasses.asdict(timing),
+        "nodes": {
+            role: dataclasses.asdict(cost) for role, cost in costs.items()
+        },
+        "node": dataclasses.asdict(node),
+        "budget": {
+            "core_share": BUDGET_CORE_SHARE,
+            "rss_bytes": BUDGET_RSS_BYTES,
+            "bytes_per_s": BUDGET_BYTES_PER_S,
+        },
+        "start_up": {
+            "snapshot_bytes": meter.snapshot_bytes,
+            "decode_s": meter.start_s,
+        },
+        "takeover": {
+            "cpu_s": meter.takeover_cpu_s,
+            "bytes": meter.takeover_bytes,
+        },
+        "round_s": meter.round_s,
+    }
+
+
+def is_within_budget(report: dict[str, typing.Any]) -> bool:
+    """Tell whether the whole node stays within every budget."""
+    return all(
+        report["node"][name] <= limit
+        for name, limit in report["budget"].items()
+    )
+
+
+@app.default
+def main(
+    *,
+    workers: int = 24,
+    accelerators: int = 192,
+    tasks: int = 100,
+    instances: int = 7,
+    accounts: int = 4,
+    settings: int = 20,
+    waiting: int = 10,
+    regions: int = 1,
+    data_centres: int = 4,
+    timing: pathlib.Path | None = None,
+    json_output: bool = False,
+) -> None:
+    """Measure one node's roles at a size; exit 1 over budget.
+
+    Parameters
+    ----------
+    timing
+        A YAML file with periods and limits.
+    json_output
+        Print one JSON object.
+    """
+    logs.configure(instance.Logging(level="error"))
+    size = populations.Size(
+        workers,
+        accelerators,
+        tasks,
+        instances,
+        accounts,
+        settings,
+        waiting,
+        regions,
+        data_centres,
+    )
+    report = measure(size, instance.load_timing(timing))
+    if json_output:
+        print(json.dumps(report))
+    else:
+        for role, cost in (report["nodes"] | {"node": report["node"]}).items():
+            print(role, cost)
+    raise SystemExit(0 if is_within_budget(report) else 1)
+
+
+if __name__ == "__main__":
+    running.run(app)
--- /dev/null
+++ b/cardamomcroft/bench/population.py
@@ -0,0 +1,194 @@
+"""Fill a log and stand-in workers with a fleet of a given size."""
+
+import dataclasses
+
+from cardamomcroft.log import records
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import parsing
+from cardamomcroft.standin import log
+from cardamomcroft.standin import workers
+
+FAR_S = 1_000_000.0
+TOKEN_DIGEST = "0" * 64
+GANG_MEMBERS = 32
+FIRST_EPOCH = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """Say how large the system is."""
+
+    workers: int = 24
+    accelerators: int = 192
+    tasks: int = 100
+    instances: int = 7
+    accounts: int = 4
+    settings: int = 20
+    waiting: int = 10
+    regions: int = 1
+    data_centres: int = 4
+
+
+class Population:
+    """Write a fleet's settings and running jobs into a log."""
+
+    def __init__(
+        self,
+        size: Size,
+        standin_log: log.StandinLog,
+        standin_workers: workers.StandinWorkers,
+        clock: base.Clock,
+        workers_at: str,
+    ) -> None:
+        """Take the stand-ins to fill."""
+        self.size = size
+        self._log = standin_log
+        self._workers = standin_workers
+        self._clock = clock
+        self._workers_at = workers_at
+        self._count = 0
+        self._worker_ids_by_region: dict[str, list[str]] = {}
+
+    def region(self, number: int) -> str:
+        """Return the name of a region."""
+        return f"region-{number % self.size.regions}"
+
+    def _append(self, body: records.Body) -> int:
+        self._count += 1
+        record = records.Record(
+            f"seed-{self._count}",
+            "seed",
+            self._clock.now(),
+            self._log.end + records.VALIDITY_OFFSETS,
+            body,
+        )
+        self._log.payloads.append(records.encode(record))
+        return self._log.end - 1
+
+    def fill(self, incarnation: str) -> None:
+        """Write settings, a claim for the incarnation, jobs and tasks."""
+        self._append(records.SettingsChanged("seed", tuple(self._edits())))
+        for number in range(self.size.regions):
+            holder = incarnation if number == 0 else "other@0"
+            self._append(
+                records.SchedulerClaimed(
+                    self.region(number), FIRST_EPOCH, holder
+                )
+            )
+        self._fill_running()
+        for number in range(self.size.waiting):
+            spec = documents.JobSpec(
+                "waiting", 128, 8, adjacency=documents.Adjacency.RACK
+            )
+            self._submit(f"waiting-{number}", number, spec)
+
+    def _edits(self):
+        yield from self._fleet_edits()
+        for number in range(self.size.accounts):
+            account = documents.Account(
+                self.region(number),
+                (),
+                1.0,
+                callers={
+                    name: documents.Principal(TOKEN_DIGEST) for name in "abc"
+                },
+            )
+            yield self._edit(f"teams/t{number}/accounts/main", account)
+        for number in range(self.size.settings):
+            operators = documents.Operators(
+                {"lead": documents.Principal(TOKEN_DIGEST)}
+            )
+            yield self._edit(f"teams/s{number}/operators", operators)
+
+    def _fleet_edits(self):
+        size = self.size
+        rich = size.accelerators // 8
+        for centre in range(size.data_centres):
+            region = self.region(centre)
+            numbers = range(centre, size.workers, size.data_centres)
+            declared = {}
+            for number in numbers:
+                worker_id = f"w{number}"
+                accelerators = 8 if number < rich else 0
+                worker = documents.Worker(
+                    f"http://{self._workers_at}/{worker_id}",
+                    accelerators,
+                    64,
+                    256,
+                )
+                declared[worker_id] = worker
+                self._workers.add(worker_id, worker.units, worker.slots)
+                self._worker_ids_by_region.setdefault(region, []).append(
+                    worker_id
+                )
+            racks = {"r1": documents.Rack(declared)}
+            document = documents.DataCentre(region, racks)
+            yield self._edit(f"fleet/dc{centre}", document)
+
+    def _edit(self, path: str, document: documents.Document) -> records.Edit:
+        return records.Edit(path, -1, parsing.to_json(document))
+
+    def _submit(
+        self, job_id: str, number: int, spec: documents.JobSpec
+    ) -> None:
+        self._append(
+            records.JobSubmitted(
+                job_id,
+                f"t{number % self.size.accounts}/main",
+                "a",
+                job_id,
+                self.region(number),
+                spec,
+            )
+        )
+
+    def _fill_running(self) -> None:
+        left = self.size.tasks
+        number = 0
+        places = {
+            region: [
+                (worker_id, unit)
+                for unit in range(self.units_needed())
+                for worker_id in worker_ids
+            ]
+            for region, worker_ids in self._worker_ids_by_region.items()
+        }
+        while left > 0:
+            region = self.region(number)
+            free = places[region]
+            members = min(GANG_MEMBERS, left, len(free))
+            if not members:
+                break
+            chosen, places[region] = free[:members], free[members:]
+            self._run_gang(number, chosen)
+            left -= members
+            number += 1
+
+    def units_needed(self) -> int:
+        """Return the tasks that each worker must hold."""
+        return -(-self.size.tasks // self.size.workers) + 1
+
+    def _run_gang(self, number: int, places: list[tuple[str, int]]) -> None:
+        job_id = f"running-{number}"
+        spec = documents.JobSpec(
+            "running", len(places), 0, run_s=FAR_S, payload="x" * 40
+        )
+        self._submit(job_id, number, spec)
+        placements = tuple(
+            records.Placement(worker_id, messages.Cell(unit, 1))
+            for worker_id, unit in places
+        )
+        epoch = self._epoch(self.region(number))
+        self._append(records.GangStarted(job_id, 1, epoch, placements))
+        for member, placement in enumerate(placements):
+            task = messages.TaskId(job_id, 1, member)
+            worker = self._workers.by_id[placement.worker_id]
+            worker.reserve(
+                messages.Reserve(task, epoch, placement.cell, FAR_S)
+            )
+            worker.start(messages.Start(task, epoch, FAR_S, "", FAR_S))
+
+    def _epoch(self, region: str) -> int:
+        return 1 + int(region.partition("-")[2])
--- /dev/null
+++ b/cardamomcroft/bench/relay.py
@@ -0,0 +1,55 @@
+"""Count the bytes that cross a TCP connection."""
+
+import asyncio
+import contextlib
+
+from cardamomcroft.settings import instance
+
+READ_BYTES = 65_536
+
+
+class CountingRelay:
+    """Pass bytes between a client and a target and count both ways."""
+
+    def __init__(self, listen: str, target: str) -> None:
+        """Take the addresses."""
+        self.bytes_out = 0
+        self.bytes_in = 0
+        self._listen = instance.split_address(listen)
+        self._target = instance.split_address(target)
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on the running loop."""
+        self._server = await asyncio.start_server(self._serve, *self._listen)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            to_reader, to_writer = await asyncio.open_connection(*self._target)
+            await asyncio.gather(
+                self._pump(reader, to_writer, True),
+                self._pump(to_reader, writer, False),
+            )
+        writer.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_out: bool,
+    ) -> None:
+        while data := await reader.read(READ_BYTES):
+            if is_out:
+                self.bytes_out += len(data)
+            else:
+                self.bytes_in += len(data)
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    @property
+    def total(self) -> int:
+        """Return the bytes of both ways."""
+        return self.bytes_out + self.bytes_in
--- a/cardamomcroft/settings/instance.py
+++ b/cardamomcroft/settings/instance.py
@@ -125,6 +125,22 @@
     return host, int(port)
 
 
+def load_timing(path: pathlib.Path | None) -> Timing:
+    """Read periods from a file, or return the defaults.
+
+    Raise ValueError when the file is wrong.
+    """
+    if path is None:
+        return Timing()
+    text = path.read_text(encoding="utf-8")
+    checked = parsing.parse_yaml(os.fspath(path), text).bind(
+        lambda plain: parsing.structure(os.fspath(path), plain, Timing)
+    )
+    if checked.is_error():
+        raise ValueError("; ".join(map(str, checked.error)))
+    return checked.ok
+
+
 def load(
     path: pathlib.Path,
 ) -> parsing.Checked[InstanceSettings, parsing.Problems]:
