Number attempts by epoch, keep late results and share facts in an outage

A focused test found that the owner did not learn in an outage of ends that another instance had seen. Change: attempt numbers start from the epoch; a stop that comes after the end keeps the result and the fold takes it; digests carry the ends that the log does not show yet; a second request under a key waits for the first one's answer; an instance catches up at once when it starts. Ruled out: the lapse time (raising it changed nothing).

--- a/cardamomcroft/api/bodies.py
+++ b/cardamomcroft/api/bodies.py
@@ -97,7 +97,7 @@
         "key": job.key,
         "region": job.region,
         "phase": job.phase.value,
-        "attempt": job.attempt,
+        "attempts": job.starts,
         "failures": job.failures,
         "detail": job.detail,
         "cancel_requested": job.cancel_requested,
--- a/cardamomcroft/cli/callers.py
+++ b/cardamomcroft/cli/callers.py
@@ -83,7 +83,7 @@
         _show_job(server, plain, wait, is_json)
         return
     plain = common.fetch(server, "/v1/jobs", is_json)
-    columns = ("job_id", "account", "caller", "phase", "attempt", "detail")
+    columns = ("job_id", "account", "caller", "phase", "attempts", "detail")
     output.show(plain, is_json, output.table(plain["jobs"], columns))
 
 
--- a/cardamomcroft/daemon/node.py
+++ b/cardamomcroft/daemon/node.py
@@ -13,6 +13,7 @@
 from cardamomcroft.charts import loading
 from cardamomcroft.daemon import listing
 from cardamomcroft.jobs import history as histories
+from cardamomcroft.jobs import overlay as overlays
 from cardamomcroft.jobs import scheduler as schedulers
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import replica as replicas
@@ -146,10 +147,14 @@
     def _build_jobs(self) -> None:
         settings, ports = self.settings, self.ports
         self.policy = registry.by_name()[settings.policy]
+        self.overlay = overlays.Overlay(
+            self.replica, self.appender, self.membership
+        )
         self.renewer = renewers.LeaseRenewer(
             settings.region,
             self.replica,
             self.appender,
+            self.overlay,
             ports.workers,
             self.membership,
             self.freshness,
@@ -165,6 +170,7 @@
                 self.incarnation,
                 self.replica,
                 self.appender,
+                self.overlay,
                 ports.workers,
                 self.membership,
                 self.freshness,
@@ -254,6 +260,7 @@
                 for worker_id in self.membership.leaving_workers
                 if self.membership.is_worker_leaving(worker_id)
             ),
+            self.overlay.facts(),
         )
 
     async def start(self) -> None:
--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -160,26 +160,31 @@
         )
 
 
+ATTEMPTS_OF_EPOCH = 65_536  # attempt numbers that each epoch has
+
+
+def first_attempt(epoch: int) -> int:
+    """Return the number before the first attempt of an epoch."""
+    return epoch * ATTEMPTS_OF_EPOCH
+
+
 async def stop_surely(
     workers: base.WorkerClient,
     clock: base.Clock,
     timing: instance.Timing,
     worker_id: str,
     command: messages.Stop,
-) -> float:
-    """Stop a task, or wait until its lease has certainly lapsed.
-
-    Return the seconds of work that a checkpoint kept.
-    """
+) -> messages.Done:
+    """Stop a task, or wait until its lease has certainly lapsed."""
     began = clock.monotonic()
     while True:
         result = await workers.stop(worker_id, command)
         if result.is_ok():
-            return result.ok.checkpoint_s
+            return result.ok
         stale = result.error.reason is verdict.Reason.STALE
         waited = clock.monotonic() - began
         if stale or waited >= lapse_time(timing):
-            return 0.0
+            return messages.Done()
         await clock.sleep(STOP_RETRY_DELAY)
 
 
--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -8,6 +8,7 @@
 
 from cardamomcroft.jobs import history as histories
 from cardamomcroft.jobs import launch as launches
+from cardamomcroft.jobs import overlay as overlays
 from cardamomcroft.jobs import takeover as takeovers
 from cardamomcroft.jobs import views
 from cardamomcroft.log import appender as appenders
@@ -21,7 +22,6 @@
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import instance
-from cardamomcroft.state import fold
 from cardamomcroft.state import models
 from cardamomcroft.workers import fleet as fleets
 from cardamomcroft.workers import health as healths
@@ -39,6 +39,7 @@
     incarnation: str
     replica: replicas.Replica
     appender: appenders.Appender
+    overlay: overlays.Overlay
     workers: base.WorkerClient
     membership: members.Membership
     freshness: freshnesses.Freshness
@@ -74,10 +75,7 @@
     @property
     def effective(self) -> models.State:
         """Return the state with this instance's pending records."""
-        parts = self._parts
-        return fold.fold_all(
-            parts.replica.state, parts.appender.pending_work()
-        )
+        return self._parts.overlay.state()
 
     def holds_claim(self) -> bool:
         """Tell whether the newest claim seen is this incarnation's."""
@@ -199,7 +197,7 @@
         seen = (
             state.jobs,
             state.settings,
-            parts.appender.pending_work(),
+            parts.overlay.pending(),
             frozenset(self._launches),
             frozenset(self._settling),
             self.takeover.is_settled,
@@ -239,7 +237,7 @@
 
     async def _stop_surely(
         self, worker_id: str, command: messages.Stop
-    ) -> float:
+    ) -> messages.Done:
         parts = self._parts
         return await launches.stop_surely(
             parts.workers, parts.clock, parts.timing, worker_id, command
@@ -301,7 +299,7 @@
     ) -> None:
         token = self.takeover.epoch
         try:
-            kept = await asyncio.gather(
+            stopped = await asyncio.gather(
                 *(
                     self._stop_surely(
                         placement.worker_id,
@@ -310,18 +308,36 @@
                     for member, placement in enumerate(job.placements)
                 )
             )
+            self._record_finished(job, stopped)
+            if stopped and all(done.is_finished for done in stopped):
+                return  # the fold completes the job
+            kept = min((done.checkpoint_s for done in stopped), default=0.0)
             body = records.AttemptSettled(
                 job.job_id,
                 job.attempt,
                 token,
                 reason,
                 blamed=self._is_job_to_blame(job),
-                checkpoint_s=job.checkpoint_s + min(kept, default=0.0),
+                checkpoint_s=job.checkpoint_s + kept,
             )
             await self._parts.appender.submit(body, appenders.Priority.START)
         finally:
             self._settling.discard(job.job_id)
 
+    def _record_finished(
+        self, job: models.Job, stopped: list[messages.Done]
+    ) -> None:
+        """Record members that had finished before the stop came."""
+        for member, done in enumerate(stopped):
+            if not done.is_finished or member in job.finished:
+                continue
+            end = records.TaskEnd(job.task(member), records.EndKind.FINISHED)
+            worker_id = job.placements[member].worker_id
+            self._parts.appender.submit(
+                records.TasksEnded(worker_id, (end,)),
+                appenders.Priority.START,
+            )
+
     def _is_job_to_blame(self, job: models.Job) -> bool:
         """Blame the job unless each worker it failed on is suspect."""
         health = self._parts.health
@@ -388,7 +404,11 @@
     def _begin_launch(
         self, job: models.Job, start: policies.GangStart
     ) -> None:
-        attempt = max(job.attempt, self._attempts.get(job.job_id, 0)) + 1
+        attempt = 1 + max(
+            job.attempt,
+            self._attempts.get(job.job_id, 0),
+            launches.first_attempt(self.takeover.epoch),
+        )
         self._attempts[job.job_id] = attempt
         launch = launches.Launch(
             job,
--- a/cardamomcroft/log/replica.py
+++ b/cardamomcroft/log/replica.py
@@ -16,6 +16,7 @@
 from cardamomcroft.state import snapshots
 
 READ_LIMIT = 500  # records a page
+NO_WAIT = datetime.timedelta()
 RETRY_DELAY = datetime.timedelta(milliseconds=250)
 
 Observer = collections.abc.Callable[[records.Record, models.Applied], None]
@@ -64,7 +65,8 @@
     async def run(self) -> None:
         """Follow the log until cancelled."""
         while True:
-            if not await self.poll(self._read_wait):
+            wait = self._read_wait if self.caught_up else NO_WAIT
+            if not await self.poll(wait):
                 await self._clock.sleep(RETRY_DELAY)
 
     async def poll(self, wait: datetime.timedelta) -> bool:
--- a/cardamomcroft/membership/digests.py
+++ b/cardamomcroft/membership/digests.py
@@ -19,3 +19,4 @@
     peer_address: str = ""
     requests_running: int = 0
     leaving_workers: tuple[str, ...] = ()
+    facts: tuple[str, ...] = ()
--- a/cardamomcroft/membership/members.py
+++ b/cardamomcroft/membership/members.py
@@ -148,6 +148,15 @@
         )
         return not has_failed and not member.digest.leaving
 
+    def facts(self) -> tuple[str, ...]:
+        """Return the records that peers hold for a log out of reach."""
+        return tuple(
+            fact
+            for member in self.regional()
+            if member.digest is not None
+            for fact in member.digest.facts
+        )
+
     def regional(self) -> tuple[Member, ...]:
         """Return the other members that may be of this region."""
         return tuple(
--- a/cardamomcroft/peers/exchange.py
+++ b/cardamomcroft/peers/exchange.py
@@ -176,6 +176,7 @@
         ]
         if not ahead:
             return
+        # In an outage, what the peers hold is all that can be known.
         best = max(ahead, key=lambda member: member.digest.applied)
         offset = self._replica.state.applied + 1
         page = await self._peers.read_log(
@@ -183,6 +184,8 @@
         )
         if page.is_ok() and page.ok.payloads:
             self._replica.apply_page(page.ok)
+            if self._replica.state.applied >= best.digest.applied:
+                self._replica.caught_up = True
             return
         await self.load_snapshot(best.peer_address)
 
--- a/cardamomcroft/peers/peer.thrift
+++ b/cardamomcroft/peers/peer.thrift
@@ -11,6 +11,7 @@
   10: string peer_address
   11: i32 requests_running
   12: list<string> leaving_workers
+  13: list<string> facts
 }
 
 struct LogPage {
--- a/cardamomcroft/peers/rpc.py
+++ b/cardamomcroft/peers/rpc.py
@@ -22,6 +22,7 @@
 from cardamomcroft.settings import instance
 
 CONNECT_TIMEOUT_MS = 500
+LIST_FIELDS = ("leaving_workers", "facts")
 IDLE_TIMEOUT_MS = 60_000
 
 _IDL = importlib.resources.files("cardamomcroft.peers") / "peer.thrift"
@@ -42,7 +43,8 @@
         field.name: getattr(digest, field.name)
         for field in dataclasses.fields(digest)
     }
-    fields["leaving_workers"] = list(digest.leaving_workers)
+    for name in LIST_FIELDS:
+        fields[name] = list(fields[name])
     return WIRE.Digest(**fields)
 
 
@@ -52,7 +54,8 @@
         field.name: getattr(wire, field.name)
         for field in dataclasses.fields(digests.Digest)
     }
-    fields["leaving_workers"] = tuple(wire.leaving_workers or ())
+    for name in LIST_FIELDS:
+        fields[name] = tuple(fields[name] or ())
     return digests.Digest(**fields)
 
 
--- a/cardamomcroft/ports/messages.py
+++ b/cardamomcroft/ports/messages.py
@@ -53,7 +53,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskId:
-    """Identify one gang member of one attempt."""
+    """Identify one gang member of one attempt.
+
+    Attempt numbers grow and no two epochs share any, so that what a
+    former owner left behind is never taken for a later attempt.
+    """
 
     job_id: str
     attempt: int
@@ -161,6 +165,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
-    """Confirm a command; a stop tells the seconds of work kept."""
+    """Confirm a command.
+
+    A stop tells the seconds of work kept, or that it came after the end.
+    """
 
     checkpoint_s: float = 0.0
+    is_finished: bool = False
--- a/cardamomcroft/requests/router.py
+++ b/cardamomcroft/requests/router.py
@@ -126,7 +126,7 @@
             return None
         await progress.refuse()
         if confirmed.is_ok():
-            return self._repeated(request, confirmed.ok)
+            return await self._repeated(request, confirmed.ok)
         # Nothing was dispatched, whether or not the intent got recorded.
         if confirmed.error.verdict is verdict.Verdict.MAY_HAVE_RUN:
             self._record_end(request, expression.Error(_no_worker()))
@@ -137,7 +137,7 @@
         )
         return expression.Error(failure)
 
-    def _repeated(
+    async def _repeated(
         self, request: messages.Request, applied: models.Applied
     ) -> Outcome:
         if applied.reason != "repeated key":
@@ -148,8 +148,7 @@
                     appenders.RETRY_AFTER,
                 )
             )
-        key = models.CallerKey(request.account, request.caller, request.key)
-        use = self._replica.state.request_keys[key]
+        use = await self._wait_for_first(request)
         if use.outcome is verdict.Verdict.RAN:
             return expression.Ok(
                 messages.Reply(use.entity_id, use.answer, "", tries=0)
@@ -162,6 +161,19 @@
             )
         )
 
+    async def _wait_for_first(
+        self, request: messages.Request
+    ) -> models.KeyUse:
+        """Wait until the request that holds the key has ended."""
+        key = models.CallerKey(request.account, request.caller, request.key)
+        while True:
+            use = self._replica.state.request_keys[key]
+            left = request.deadline - self._clock.monotonic()
+            is_over = use.outcome is not verdict.Verdict.MAY_HAVE_RUN
+            if is_over or left <= datetime.timedelta():
+                return use
+            await clocks.within(self._clock, left, self._replica.changed())
+
     def _record_end(self, request: messages.Request, outcome: Outcome) -> None:
         if outcome.is_ok():
             found, answer = verdict.Verdict.RAN, outcome.ok.body
--- a/cardamomcroft/standin/workers.py
+++ b/cardamomcroft/standin/workers.py
@@ -215,8 +215,11 @@
         """Stop the task and refuse it from now on."""
         if command.token < self.fence:
             return _refusal(verdict.Reason.STALE, "stale fencing token")
+        task = self._tasks.get(command.task)
+        if task and task.report.phase is messages.TaskPhase.FINISHED:
+            return expression.Ok(messages.Done(is_finished=True))
         self._stopped.add(command.task)
-        task = self._tasks.pop(command.task, None)
+        self._tasks.pop(command.task, None)
         kept = 0.0
         if task is not None and task.started_at is not None:
             now = self._clock.monotonic()
--- a/cardamomcroft/state/jobs.py
+++ b/cardamomcroft/state/jobs.py
@@ -116,6 +116,7 @@
         job,
         "start",
         attempt=body.attempt,
+        starts=job.starts + 1,
         token=body.token,
         placements=body.placements,
         failed_on=frozenset(),
@@ -169,7 +170,7 @@
     if job is None or job.phase.is_final:
         return state, False
     member = end.task.member
-    if end.task.attempt != job.attempt or member in job.ended:
+    if end.task.attempt != job.attempt or not _is_news(job, end):
         return state, False
     if member >= len(job.placements):
         return state, False
@@ -182,6 +183,14 @@
     return _put(state, offset, moved), True
 
 
+def _is_news(job: models.Job, end: records.TaskEnd) -> bool:
+    """Tell whether an end adds anything; a lost member may have finished."""
+    if end.task.member not in job.ended:
+        return True
+    is_finished = end.kind is records.EndKind.FINISHED
+    return is_finished and end.task.member not in job.finished
+
+
 def _lose_member(
     job: models.Job, end: records.TaskEnd, ended: frozenset[int]
 ) -> models.Job:
--- a/cardamomcroft/state/models.py
+++ b/cardamomcroft/state/models.py
@@ -69,6 +69,7 @@
     submitted_at: datetime.datetime
     phase: Phase = Phase.QUEUED
     attempt: int = 0
+    starts: int = 0
     token: int = 0
     failures: int = 0
     placements: tuple[records.Placement, ...] = ()
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from cardamomcroft.jobs import overlay as overlays
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.log import replica as replicas
@@ -15,7 +16,6 @@
 from cardamomcroft.ports import messages
 from cardamomcroft.ports import verdict
 from cardamomcroft.settings import instance
-from cardamomcroft.state import fold
 from cardamomcroft.state import models
 from cardamomcroft.workers import fleet as fleets
 
@@ -28,6 +28,7 @@
         region: str,
         replica: replicas.Replica,
         appender: appenders.Appender,
+        overlay: overlays.Overlay,
         workers: base.WorkerClient,
         membership: members.Membership,
         freshness: freshnesses.Freshness,
@@ -39,6 +40,7 @@
         self._region = region
         self._replica = replica
         self._appender = appender
+        self._overlay = overlay
         self._workers = workers
         self._membership = membership
         self._freshness = freshness
@@ -63,9 +65,7 @@
         if not self._freshness.is_fresh():
             self._metrics.increment("renewer.stale")
             return
-        state = fold.fold_all(
-            self._replica.state, self._appender.pending_work()
-        )
+        state = self._overlay.state()
         await asyncio.gather(
             *(
                 self._renew(worker_id, state)
