--- a/cardamomcroft/bench/policy.py
+++ b/cardamomcroft/bench/policy.py
@@ -17,7 +17,8 @@
 from cardamomcroft.cli import running
 from cardamomcroft.policy import registry
 
-CHECK_EVERY_LARGE = 25  # rounds between checks of large fleets
+CHECK_EVERY = 5  # rounds between checks of the invariants
+CHECK_EVERY_LARGE = 25  # the same for large fleets
 LARGE_FLEET = 200  # workers
 
 app = cyclopts.App(name="bench policy", help="Measure the policies.")
@@ -38,7 +39,7 @@
     workload: workloads.Workload, policy: str, seed: int
 ) -> engine.Outcome:
     size = len(engine.make_workers(workload))
-    check_every = CHECK_EVERY_LARGE if size > LARGE_FLEET else 1
+    check_every = CHECK_EVERY_LARGE if size > LARGE_FLEET else CHECK_EVERY
     made = registry.by_name()[policy]
     return engine.Engine(workload, made, seed, check_every).run()
 
--- a/cardamomcroft/policy/borrowed.py
+++ b/cardamomcroft/policy/borrowed.py
@@ -1,5 +1,6 @@
 """Place gangs on idle cells beyond any guarantee."""
 
+import collections
 import collections.abc
 import dataclasses
 import datetime
@@ -56,6 +57,8 @@
             if self._may_skip(adjacency, spec):
                 continue
             for group in self._groups_of(adjacency):
+                if self._is_too_small(adjacency, group, spec):
+                    continue
                 placements = self._place_in(job, group, until)
                 if placements:
                     return placements
@@ -63,6 +66,21 @@
                 break
         return ()
 
+    def _is_too_small(
+        self,
+        adjacency: documents.Adjacency,
+        group: list[base.WorkerView],
+        spec: documents.JobSpec,
+    ) -> bool:
+        """Tell cheaply that one worker cannot hold the whole gang."""
+        if adjacency is not documents.Adjacency.WORKER:
+            return False
+        size = cells.member_size(spec, group[0])
+        if size is None:
+            return True
+        idle = self._ledger.idle[group[0].worker_id]
+        return size * spec.members > idle.bit_count()
+
     def _may_skip(
         self, adjacency: documents.Adjacency, spec: documents.JobSpec
     ) -> bool:
@@ -87,9 +105,17 @@
         until: datetime.datetime,
     ) -> tuple[records.Placement, ...]:
         offers = []
+        from_empty: collections.Counter[int] = collections.Counter()
         for worker in group:
             free = self._free(worker.worker_id, job.job_id, until)
-            offers.extend(self._offers(job.spec, worker, free))
+            if free == self._ledger.full[worker.worker_id]:
+                if from_empty[worker.accelerators] >= job.spec.members:
+                    continue  # one empty worker is as good as another
+                made = self._offers(job.spec, worker, free)
+                from_empty[worker.accelerators] += len(made)
+                offers.extend(made)
+            elif free:
+                offers.extend(self._offers(job.spec, worker, free))
         if len(offers) < job.spec.members:
             return ()
         offers.sort(key=lambda offer: offer[0])
--- a/cardamomcroft/policy/granted.py
+++ b/cardamomcroft/policy/granted.py
@@ -202,8 +202,14 @@
         needed = job.spec.members
         if sum(not candidate.cost for candidate in found) >= needed:
             return found
+        from_empty = 0
         for worker in group:
-            found.extend(self._new_pins(job, worker))
+            is_empty = self._ledger.is_empty(worker.worker_id)
+            if is_empty and from_empty >= needed:
+                continue  # one empty worker is as good as another
+            pins = self._new_pins(job, worker)
+            from_empty += len(pins) if is_empty else 0
+            found.extend(pins)
         return found
 
     def _inside(
@@ -281,8 +287,12 @@
         self, job: base.WaitingJob, worker: base.WorkerView
     ) -> list[Candidate]:
         """Offer cells in the smallest guaranteed cell that holds one."""
+        worker_id = worker.worker_id
+        open_mask = (
+            self._ledger.full[worker_id] & ~self._ledger.reserved[worker_id]
+        )
         size = cells.member_size(job.spec, worker)
-        if size is None:
+        if size is None or not open_mask:
             return []
         by_size = self._ledger.unbound[job.account]
         sizes = [
@@ -293,10 +303,6 @@
         if not sizes:
             return []
         top_size = min(sizes)
-        worker_id = worker.worker_id
-        open_mask = (
-            self._ledger.full[worker_id] & ~self._ledger.reserved[worker_id]
-        )
         found = []
         for top in cells.aligned_cells(worker.units, top_size):
             self._ledger.cells_examined += 1
--- a/cardamomcroft/policy/ledger.py
+++ b/cardamomcroft/policy/ledger.py
@@ -199,6 +199,11 @@
             if placement.grant:
                 self.granted[placement.worker_id] |= mask
 
+    def is_empty(self, worker_id: str) -> bool:
+        """Tell whether nothing runs on a worker or is pinned to it."""
+        full = self.full[worker_id]
+        return self.idle[worker_id] == full and not self.reserved[worker_id]
+
     def is_idle(
         self, placements: collections.abc.Iterable[records.Placement]
     ) -> bool:
