--- a/cardamomcroft/bench/control.py
+++ b/cardamomcroft/bench/control.py
@@ -6,7 +6,6 @@
 import json
 import pathlib
 import random
-import threading
 import time
 import typing
 
@@ -15,6 +14,7 @@
 from cardamomcroft.bench import local
 from cardamomcroft.bench import population as populations
 from cardamomcroft.bench import relay as relays
+from cardamomcroft.bench import threads
 from cardamomcroft.cli import running
 from cardamomcroft.daemon import logs
 from cardamomcroft.daemon import node as nodes
@@ -103,15 +103,11 @@
             name: relays.CountingRelay(self.front[name], self.behind[name])
             for name in names
         }
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(
-            target=self._loop.run_forever, daemon=True
-        )
+        self._thread = threads.LoopThread()
 
     def start(self) -> None:
         """Serve on the thread."""
-        self._thread.start()
-        asyncio.run_coroutine_threadsafe(self._start(), self._loop).result()
+        self._thread.call(self._start())
 
     async def _start(self) -> None:
         for name, web_app in (
@@ -140,23 +136,9 @@
             self.front["peers"],
         )
 
-    def call(self, coroutine) -> typing.Any:
-        """Run a coroutine on the thread's loop."""
-        return asyncio.run_coroutine_threadsafe(coroutine, self._loop)
-
     def stop(self) -> None:
         """End the thread."""
-        self.call(self._cancel_all()).result()
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join()
-        self._loop.close()
-
-    async def _cancel_all(self) -> None:
-        own = asyncio.current_task()
-        tasks = [task for task in asyncio.all_tasks() if task is not own]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        self._thread.stop()
 
 
 def rss_bytes() -> int:
--- a/cardamomcroft/bench/local.py
+++ b/cardamomcroft/bench/local.py
@@ -87,7 +87,7 @@
         self.log = log.StandinLog(self.clock)
         self.workers = workers.StandinWorkers(self.clock)
         self.instances = instances.StandinInstances(self.clock)
-        self._log_at, self._list_at, self._workers_at = free_addresses(3)
+        self._log_at, self._list_at, self.workers_at = free_addresses(3)
         self.by_path = {
             path: self._locate(document) for path, document in by_path.items()
         }
@@ -102,7 +102,7 @@
         self.workers.add_declared(document)
         for rack in plain["racks"].values():
             for worker_id, worker in rack["workers"].items():
-                worker["address"] = f"http://{self._workers_at}/{worker_id}"
+                worker["address"] = f"http://{self.workers_at}/{worker_id}"
         return parsing.CONVERTER.structure(plain, documents.DataCentre)
 
     def _make_servers(self, count: int, policy: str) -> list[serving.Server]:
@@ -140,7 +140,7 @@
         for app, address in (
             (service.log_app(self.log), self._log_at),
             (service.instances_app(self.instances), self._list_at),
-            (service.workers_app(self.workers), self._workers_at),
+            (service.workers_app(self.workers), self.workers_at),
         ):
             self._runners.append(await service.serve(app, address))
         for settings in self.settings:
