Keep reclaimed cells for the job they were reclaimed for

Change: plans whose cells are being reclaimed go back to the policy with the next view and are served first; accounts within their guarantee are spared as victims; within an account callers come before classes, urgent work ahead up to its caller's part.

--- a/cardamomcroft/bench/engine.py
+++ b/cardamomcroft/bench/engine.py
@@ -137,6 +137,7 @@
         )
         self._running: dict[str, JobRun] = {}
         self._costs = Costs()
+        self._plans: tuple[base.GangStart, ...] = ()
         self._violations: collections.Counter[str] = collections.Counter()
         self._work_lost_s = 0.0
         self._reclaims: list[float] = []
@@ -399,6 +400,7 @@
         began = time.perf_counter()
         decision = self._policy.decide(view)
         took_s = time.perf_counter() - began
+        self._plans = decision.plans
         self._costs.rounds += 1
         self._costs.cells += decision.cells_examined
         self._costs.jobs += decision.jobs_examined
@@ -458,7 +460,13 @@
         )
         running = tuple(_running(run, now) for run in self._running.values())
         return base.View(
-            now, workers, self._accounts, waiting, running, self._estimates
+            now,
+            workers,
+            self._accounts,
+            waiting,
+            running,
+            self._estimates,
+            self._plans,
         )
 
     def _is_usable(self, number: int, worker_id: str) -> bool:
--- a/cardamomcroft/bench/report.py
+++ b/cardamomcroft/bench/report.py
@@ -8,6 +8,7 @@
 
 from cardamomcroft.bench import arrivals
 from cardamomcroft.bench import engine
+from cardamomcroft.bench import workload as workloads
 from cardamomcroft.settings import documents
 
 SLOWDOWN_FLOOR_S = 10.0  # shorter runs count as this long
@@ -103,14 +104,19 @@
         return None
     from_s = min(flood.from_hour for flood in floods) * arrivals.HOUR_S
     to_s = max(flood.to_hour for flood in floods) * arrivals.HOUR_S
-    others = [run for run in flooded.runs if not run.arrival.is_flood]
-    kept = served(others, from_s, to_s)
-    before = served(calm.runs, from_s, to_s)
+    flooding = {
+        (account, flood.caller)
+        for flood in floods
+        for account in flood.accounts
+    }
+    kept = served(_of_others(flooded.runs, flooding), from_s, to_s)
+    before = served(_of_others(calm.runs, flooding), from_s, to_s)
     accounts = flooded.workload.accounts
     total_weight = sum(terms.weight for terms in accounts.values())
     wanted, got = 0.0, 0.0
     for account, terms in accounts.items():
         share = terms.weight / total_weight
+        share *= _part_of_others(account, terms, flooding)
         fair = share * flooded.capacity * (to_s - from_s)
         target = min(before.get(account, 0.0), fair)
         wanted += target
@@ -118,6 +124,34 @@
     return round(got / wanted, 4) if wanted else None
 
 
+def _of_others(
+    runs: JobRuns, flooding: set[tuple[str, str]]
+) -> list[engine.JobRun]:
+    return [
+        run
+        for run in runs
+        if (run.arrival.account, run.arrival.caller) not in flooding
+    ]
+
+
+def _part_of_others(
+    account: str,
+    terms: workloads.AccountTerms,
+    flooding: set[tuple[str, str]],
+) -> float:
+    """Return the callers' part of a share beside those that flood."""
+    weights = dict(terms.callers)
+    for flooded, caller in flooding:
+        if flooded == account:
+            weights.setdefault(caller, 1.0)
+    others = sum(
+        weight
+        for caller, weight in weights.items()
+        if (account, caller) not in flooding
+    )
+    return others / sum(weights.values())
+
+
 def urgent_starts(runs: JobRuns) -> list[float]:
     """Return start delays of urgent jobs that fit their guarantee."""
     return [
--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -69,6 +69,7 @@
         self._suspect_since: datetime.timedelta | None = None
         self._seen: tuple = ()
         self._reviewed_at = datetime.timedelta()
+        self._plans: tuple[policies.GangStart, ...] = ()
         self._claiming = False
         self._logger = structlog.get_logger()
 
@@ -356,9 +357,11 @@
             self._is_held_back,
             self._settling,
             parts.history.estimates,
+            self._plans,
         )
         began = parts.clock.monotonic()
         decision = parts.policy.decide(view)
+        self._plans = decision.plans
         parts.metrics.timing(
             "scheduler.round", parts.clock.monotonic() - began
         )
--- a/cardamomcroft/jobs/views.py
+++ b/cardamomcroft/jobs/views.py
@@ -80,6 +80,7 @@
     held_back: collections.abc.Callable[[models.Job], bool],
     stopping: collections.abc.Set[str] = frozenset(),
     known: estimates.Estimates = base.NO_ESTIMATES,
+    plans: tuple[base.GangStart, ...] = (),
 ) -> base.View:
     """Return the whole view; jobs being launched count as running."""
     launching = tuple(launching)
@@ -103,4 +104,5 @@
         tuple(waiting),
         tuple(running),
         known,
+        plans,
     )
--- a/cardamomcroft/policy/base.py
+++ b/cardamomcroft/policy/base.py
@@ -68,6 +68,14 @@
     stopping: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GangStart:
+    """Start a job on these cells."""
+
+    job_id: str
+    placements: tuple[records.Placement, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
     """Hold everything that a decision may depend on."""
@@ -78,14 +86,7 @@
     waiting: collections.abc.Sequence[WaitingJob]
     running: tuple[RunningGang, ...]
     run_times: estimates.Estimates = NO_ESTIMATES
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GangStart:
-    """Start a job on these cells."""
-
-    job_id: str
-    placements: tuple[records.Placement, ...]
+    plans: tuple[GangStart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,10 +99,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
-    """Say what to start and what to reclaim; count the work done."""
+    """Say what to start and what to reclaim; count the work done.
+
+    ``plans`` wait for cells that are being reclaimed. Whoever carries the
+    decision out shows them in the next view.
+    """
 
     starts: tuple[GangStart, ...] = ()
     stops: tuple[GangStop, ...] = ()
+    plans: tuple[GangStart, ...] = ()
     cells_examined: int = 0
     jobs_examined: int = 0
 
--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -25,6 +25,9 @@
     reservations: int = 4  # blocked gangs that cells are kept for
     batch_floor: float = 0.1  # share that urgent work leaves to batch
     lends_first: tuple[documents.Urgency, ...] = ()  # before granting
+    keeps_plans: bool = False  # reclaimed cells wait for their job
+    spares_within: bool = False  # accounts within their guarantee
+    orders_callers: bool = False  # callers before classes
     class_weights: tuple[float, float, float] = (8.0, 3.0, 1.0)  # by urgency
 
 
@@ -44,16 +47,25 @@
                 sum(placement.cell.size for placement in gang.placements),
             )
         self.flows = order.Flows(
-            view, self.usage, options.bypass, options.class_weights
+            view,
+            self.usage,
+            options.bypass,
+            options.class_weights,
+            options.orders_callers,
+        )
+        self.granted = granted.GrantedPlacer(
+            self.ledger, options.spares_within
         )
-        self.granted = granted.GrantedPlacer(self.ledger)
         self.borrowed = borrowed.BorrowedPlacer(self.ledger)
         self.starts: list[base.GangStart] = []
         self.stops: list[base.GangStop] = []
+        self.plans: list[base.GangStart] = []
         self.jobs_examined = 0
 
     def run(self) -> base.Decision:
         """Grant first, then lend what is left."""
+        if self.options.keeps_plans:
+            self._resume_plans()
         skipped = []
         for account in self.flows.accounts():
             terms = self.view.accounts.get(account)
@@ -65,6 +77,7 @@
         return base.Decision(
             tuple(self.starts),
             tuple(self.stops),
+            tuple(self.plans),
             self.ledger.cells_examined,
             self.jobs_examined,
         )
@@ -126,9 +139,29 @@
             self.ledger.stopping.add(gang.job_id)
             self.stops.append(base.GangStop(gang.job_id, job.account))
         self.ledger.take(plan.placements)
+        self.plans.append(base.GangStart(job.job_id, plan.placements))
+
+    def _resume_plans(self) -> None:
+        """Start what earlier rounds reclaimed cells for, or wait on."""
+        waiting = {job.job_id: job for job in self.view.waiting}
+        for plan in self.view.plans:
+            job = waiting.get(plan.job_id)
+            if job is None:
+                continue
+            is_idle = self.ledger.is_idle(plan.placements)
+            if not self.ledger.resume(job.account, plan.placements):
+                continue
+            self.flows.remove(job)
+            if is_idle:
+                self._note_start(job, plan.placements)
+            else:
+                self.plans.append(plan)
 
     def _start(self, job: base.WaitingJob, placements) -> None:
         self.ledger.take(placements)
+        self._note_start(job, placements)
+
+    def _note_start(self, job: base.WaitingJob, placements) -> None:
         self.starts.append(base.GangStart(job.job_id, placements))
         self.usage.add(
             job.account,
--- a/cardamomcroft/policy/ledger.py
+++ b/cardamomcroft/policy/ledger.py
@@ -79,6 +79,7 @@
             collections.defaultdict(list)
         )
         self.stopping: set[str] = set()
+        self.used_by_account: collections.Counter[str] = collections.Counter()
         self.cells_examined = 0
         for gang in view.running:
             self._add_gang(gang)
@@ -94,6 +95,7 @@
             if worker_id not in self.workers:
                 continue
             mask = cells.mask_of(placement.cell)
+            self.used_by_account[gang.account] += placement.cell.size
             self.idle[worker_id] &= ~mask
             self.gangs_by_worker[worker_id].append((mask, gang))
             if placement.grant:
@@ -181,6 +183,52 @@
         self.unbound[grant.account].setdefault(grant.size, []).append(grant)
         self._unpin(grant, binding.worker_id, binding.cell)
 
+    def resume(
+        self,
+        account: str,
+        placements: collections.abc.Sequence[records.Placement],
+    ) -> bool:
+        """Secure the guaranteed cells of an earlier plan again."""
+        bound: list[Grant] = []
+        for placement in placements:
+            if not self._resume_one(account, placement, bound):
+                for grant in bound:
+                    self.unbind(grant)
+                return False
+        self.take(placements)
+        return True
+
+    def _resume_one(
+        self, account: str, placement: records.Placement, bound: list[Grant]
+    ) -> bool:
+        worker_id = placement.worker_id
+        mask = cells.mask_of(placement.cell)
+        if worker_id not in self.workers:
+            return False
+        grant = parse_grant(account, placement.grant)
+        binding = self.bindings.get(grant)
+        if binding is not None:
+            inside = cells.mask_of(binding.cell)
+            is_same = binding.worker_id == worker_id and not mask & ~inside
+            return is_same and not self._is_kept(worker_id, mask)
+        if grant not in self.unbound.get(account, {}).get(grant.size, ()):
+            return False
+        top = enclosing(placement.cell, grant.size)
+        if self.reserved[worker_id] & cells.mask_of(top):
+            return False
+        if not self.try_bind(grant, worker_id, top):
+            return False
+        bound.append(grant)
+        return True
+
+    def _is_kept(self, worker_id: str, mask: int) -> bool:
+        """Tell whether a granted gang holds units and is to keep them."""
+        return any(
+            used & mask and gang.job_id not in self.stopping
+            for used, gang in self.gangs_by_worker[worker_id]
+            if self.granted[worker_id] & used
+        )
+
     def borrowers(self, worker_id: str, mask: int) -> list[base.RunningGang]:
         """Return the gangs in the way that are not stopping yet."""
         return [
@@ -199,6 +247,16 @@
             if placement.grant:
                 self.granted[placement.worker_id] |= mask
 
+    def is_within_guarantee(self, account: str) -> bool:
+        """Tell whether an account uses no more than it was promised."""
+        terms = self.view.accounts.get(account)
+        if terms is None:
+            return False
+        promised = sum(
+            cell.accelerators * cell.count for cell in terms.guarantee
+        )
+        return self.used_by_account[account] <= promised
+
     def is_empty(self, worker_id: str) -> bool:
         """Tell whether nothing runs on a worker or is pinned to it."""
         full = self.full[worker_id]
@@ -209,7 +267,8 @@
     ) -> bool:
         """Tell whether nobody uses the cells."""
         return all(
-            self.idle[placement.worker_id] & cells.mask_of(placement.cell)
+            self.idle.get(placement.worker_id, 0)
+            & cells.mask_of(placement.cell)
             == cells.mask_of(placement.cell)
             for placement in placements
         )
--- a/cardamomcroft/policy/order.py
+++ b/cardamomcroft/policy/order.py
@@ -33,6 +33,9 @@
     by_caller: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
+    by_person: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def add(
         self,
@@ -45,6 +48,7 @@
         self.by_account[account] += units
         self.by_class[account, urgency] += units
         self.by_caller[account, urgency, caller] += units
+        self.by_person[account, caller] += units
 
 
 class Flows:
@@ -56,17 +60,20 @@
         usage: Usage,
         bypass: int,
         class_weights: tuple[float, float, float],
+        orders_callers: bool,
     ) -> None:
         """Split the waiting jobs into queues, oldest first."""
         self._view = view
         self._usage = usage
         self._bypass = bypass
+        self._orders_callers = orders_callers
         self._weights = dict(
             zip(documents.Urgency, class_weights, strict=True)
         )
         self._queues: dict[FlowKey, collections.deque[base.WaitingJob]] = (
             collections.defaultdict(collections.deque)
         )
+        self._parts: dict[str, float] = {}
         self._passed: collections.Counter[FlowKey] = collections.Counter()
         for job in view.waiting:
             key = FlowKey(job.account, job.spec.urgency, job.caller)
@@ -101,8 +108,21 @@
         self._queues[key].popleft()
         return job
 
+    def remove(self, job: base.WaitingJob) -> None:
+        """Take a job out of its queue."""
+        key = FlowKey(job.account, job.spec.urgency, job.caller)
+        self._queues[key].remove(job)
+
     def _turn(self, head: tuple[FlowKey, base.WaitingJob]) -> tuple:
         key, job = head
+        if self._orders_callers:
+            return (
+                self.account_share(key.account, job),
+                not self._is_modestly_urgent(key),
+                self._caller_total(key),
+                self._class_share(key, job),
+                job.order,
+            )
         return (
             self.account_share(key.account, job),
             self._class_share(key, job),
@@ -122,6 +142,41 @@
         aged = max(0.0, 1.0 - waited / AGEING)
         return (1 + used) / self._weights[key.urgency] * aged
 
+    def _is_modestly_urgent(self, key: FlowKey) -> bool:
+        """Tell whether urgent work goes ahead of other callers' work.
+
+        It does up to the caller's part of its account's share, so that
+        a flood of it cannot crowd out the account's other callers.
+        """
+        if key.urgency is not documents.Urgency.URGENT:
+            return False
+        used = self._usage.by_caller[key.account, key.urgency, key.caller]
+        return used < self._part_of(key.account)
+
+    def _part_of(self, account: str) -> float:
+        """Return an active caller's equal part of its account's units."""
+        if account not in self._parts:
+            total = sum(
+                worker.units for worker in self._view.workers if worker.usable
+            )
+            weights = {
+                name: terms.weight
+                for name, terms in self._view.accounts.items()
+            }
+            weight = weights.get(account, 1.0)
+            share = total * weight / max(sum(weights.values()), weight)
+            callers = {
+                key.caller for key in self._queues if key.account == account
+            }
+            self._parts[account] = share / max(1, len(callers))
+        return self._parts[account]
+
+    def _caller_total(self, key: FlowKey) -> float:
+        """Return a caller's weighted units over all classes."""
+        terms = self._view.accounts.get(key.account)
+        weight = terms.callers.get(key.caller, 1.0) if terms else 1.0
+        return self._usage.by_person[key.account, key.caller] / weight
+
     def _caller_share(self, key: FlowKey) -> float:
         terms = self._view.accounts.get(key.account)
         weight = terms.callers.get(key.caller, 1.0) if terms else 1.0
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -13,6 +13,21 @@
         CURRENT,
         lends_first=(documents.Urgency.BATCH,),
         class_weights=(24.0, 3.0, 1.0),
+        keeps_plans=True,
+        spares_within=True,
+        orders_callers=True,
+    ),
+    fair.Options(
+        "cardamomcroft-3",
+        lends_first=(documents.Urgency.BATCH,),
+        class_weights=(24.0, 3.0, 1.0),
+        keeps_plans=True,
+        spares_within=True,
+    ),
+    fair.Options(
+        "cardamomcroft-2",
+        lends_first=(documents.Urgency.BATCH,),
+        class_weights=(24.0, 3.0, 1.0),
     ),
     fair.Options("cardamomcroft-1"),
 )
--- a/tests/policy/test_invariants.py
+++ b/tests/policy/test_invariants.py
@@ -51,6 +51,7 @@
         self.waiting: dict[str, base.WaitingJob] = {}
         self.running: dict[str, base.RunningGang] = {}
         self.count = 0
+        self.plans: tuple[base.GangStart, ...] = ()
 
     def view(self) -> base.View:
         """Return what the policy sees."""
@@ -66,6 +67,7 @@
             self.accounts,
             tuple(self.waiting.values()),
             tuple(self.running.values()),
+            plans=self.plans,
         )
 
     @stateful.rule(
@@ -159,6 +161,7 @@
     def decide(self):
         """Carry out a decision, stops at once."""
         decision = self.policy.decide(self.view())
+        self.plans = decision.plans
         for stop in decision.stops:
             gang = self.running.pop(stop.job_id)
             self.count += 1
@@ -234,6 +237,7 @@
                 deadline=None,
                 derandomize=True,
                 database=None,
+                phases=[hypothesis.Phase.generate],
                 suppress_health_check=list(hypothesis.HealthCheck),
             ),
         )
