--- a/cardamomcroft/api/context.py
+++ b/cardamomcroft/api/context.py
@@ -40,7 +40,7 @@
 
 
 CONTEXT: web.AppKey[Context] = web.AppKey("context", Context)
-IDENTITY = "identity"
+IDENTITY: web.RequestKey[object] = web.RequestKey("identity", object)
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
 
 
--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -26,7 +26,6 @@
     batch_floor: float = 0.1  # share that urgent work leaves to batch
     lends_first: tuple[documents.Urgency, ...] = ()  # before granting
     keeps_plans: bool = False  # reclaimed cells wait for their job
-    spares_within: bool = False  # accounts within their guarantee
     orders_callers: bool = False  # callers before classes
     class_weights: tuple[float, float, float] = (8.0, 3.0, 1.0)  # by urgency
 
@@ -53,9 +52,7 @@
             options.class_weights,
             options.orders_callers,
         )
-        self.granted = granted.GrantedPlacer(
-            self.ledger, options.spares_within
-        )
+        self.granted = granted.GrantedPlacer(self.ledger)
         self.borrowed = borrowed.BorrowedPlacer(self.ledger)
         self.starts: list[base.GangStart] = []
         self.stops: list[base.GangStop] = []
--- a/cardamomcroft/policy/granted.py
+++ b/cardamomcroft/policy/granted.py
@@ -10,8 +10,6 @@
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import documents
 
-SPARED_S = 1e6  # member-seconds that a chain of reclaims counts for
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
@@ -49,10 +47,9 @@
 class GrantedPlacer:
     """Find cells for a gang inside its account's guarantee."""
 
-    def __init__(self, ledger: ledgers.Ledger, is_sparing: bool) -> None:
-        """Work on a ledger; spare accounts within their guarantee."""
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        """Work on a ledger."""
         self._ledger = ledger
-        self._is_sparing = is_sparing
         self._failed: set[tuple] = set()
         self._groups: dict[
             documents.Adjacency, list[list[base.WorkerView]]
@@ -284,11 +281,6 @@
         for gang in self._ledger.borrowers(worker_id, mask):
             ran_s = (now - gang.started_at).total_seconds()
             lost_s += 1.0 + ran_s * len(gang.placements)
-            # Such an account would take as much back from others.
-            if self._is_sparing and self._ledger.is_within_guarantee(
-                gang.account
-            ):
-                lost_s += SPARED_S
         return lost_s
 
     def _new_pins(
--- a/cardamomcroft/policy/ledger.py
+++ b/cardamomcroft/policy/ledger.py
@@ -79,7 +79,6 @@
             collections.defaultdict(list)
         )
         self.stopping: set[str] = set()
-        self.used_by_account: collections.Counter[str] = collections.Counter()
         self.cells_examined = 0
         for gang in view.running:
             self._add_gang(gang)
@@ -95,7 +94,6 @@
             if worker_id not in self.workers:
                 continue
             mask = cells.mask_of(placement.cell)
-            self.used_by_account[gang.account] += placement.cell.size
             self.idle[worker_id] &= ~mask
             self.gangs_by_worker[worker_id].append((mask, gang))
             if placement.grant:
@@ -247,16 +245,6 @@
             if placement.grant:
                 self.granted[placement.worker_id] |= mask
 
-    def is_within_guarantee(self, account: str) -> bool:
-        """Tell whether an account uses no more than it was promised."""
-        terms = self.view.accounts.get(account)
-        if terms is None:
-            return False
-        promised = sum(
-            cell.accelerators * cell.count for cell in terms.guarantee
-        )
-        return self.used_by_account[account] <= promised
-
     def is_empty(self, worker_id: str) -> bool:
         """Tell whether nothing runs on a worker or is pinned to it."""
         full = self.full[worker_id]
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -1,5 +1,7 @@
 """List the policies by name."""
 
+import dataclasses
+
 from cardamomcroft.policy import base
 from cardamomcroft.policy import fair
 from cardamomcroft.policy import fifo
@@ -8,27 +10,20 @@
 
 CURRENT = "cardamomcroft"
 
+_LENDING = fair.Options(
+    "cardamomcroft-2",
+    lends_first=(documents.Urgency.BATCH,),
+    class_weights=(24.0, 3.0, 1.0),
+)
+_KEEPING = dataclasses.replace(
+    _LENDING, name="cardamomcroft-3", keeps_plans=True
+)
+_BY_CALLER = dataclasses.replace(_KEEPING, name=CURRENT, orders_callers=True)
+
 VERSIONS = (
-    fair.Options(
-        CURRENT,
-        lends_first=(documents.Urgency.BATCH,),
-        class_weights=(24.0, 3.0, 1.0),
-        keeps_plans=True,
-        spares_within=True,
-        orders_callers=True,
-    ),
-    fair.Options(
-        "cardamomcroft-3",
-        lends_first=(documents.Urgency.BATCH,),
-        class_weights=(24.0, 3.0, 1.0),
-        keeps_plans=True,
-        spares_within=True,
-    ),
-    fair.Options(
-        "cardamomcroft-2",
-        lends_first=(documents.Urgency.BATCH,),
-        class_weights=(24.0, 3.0, 1.0),
-    ),
+    _BY_CALLER,
+    _KEEPING,
+    _LENDING,
     fair.Options("cardamomcroft-1"),
 )
 
