Count what a reclaimed gang loses by queueing, and take short work first

Cause: reclaims stopped whole young gangs of four workers to free one cell; they then waited long for their shape again. Change: a reclaimed unit counts as 5,000 s lost, so small borrowers go first; among accounts and callers within their fair part the least work goes first, with waiting making up for size within an hour.

--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -27,6 +27,8 @@
     lends_first: tuple[documents.Urgency, ...] = ()  # before granting
     keeps_plans: bool = False  # reclaimed cells wait for their job
     orders_callers: bool = False  # callers before classes
+    requeue_s: float = 0.0  # that a reclaimed unit counts as lost
+    shortest_first: bool = False  # among those within their fair part
     class_weights: tuple[float, float, float] = (8.0, 3.0, 1.0)  # by urgency
 
 
@@ -51,8 +53,9 @@
             options.bypass,
             options.class_weights,
             options.orders_callers,
+            options.shortest_first,
         )
-        self.granted = granted.GrantedPlacer(self.ledger)
+        self.granted = granted.GrantedPlacer(self.ledger, options.requeue_s)
         self.borrowed = borrowed.BorrowedPlacer(self.ledger)
         self.starts: list[base.GangStart] = []
         self.stops: list[base.GangStop] = []
--- a/cardamomcroft/policy/granted.py
+++ b/cardamomcroft/policy/granted.py
@@ -47,9 +47,10 @@
 class GrantedPlacer:
     """Find cells for a gang inside its account's guarantee."""
 
-    def __init__(self, ledger: ledgers.Ledger) -> None:
-        """Work on a ledger."""
+    def __init__(self, ledger: ledgers.Ledger, requeue_s: float) -> None:
+        """Work on a ledger; a unit put back in the queue costs a time."""
         self._ledger = ledger
+        self._requeue_s = requeue_s
         self._failed: set[tuple] = set()
         self._groups: dict[
             documents.Adjacency, list[list[base.WorkerView]]
@@ -181,11 +182,7 @@
             mask = cells.mask_of(candidate.cell)
             for gang in self._ledger.borrowers(candidate.worker_id, mask):
                 victims[gang.job_id] = gang
-        now = self._ledger.view.now
-        lost_s = sum(
-            (now - gang.started_at).total_seconds() * len(gang.placements)
-            for gang in victims.values()
-        )
+        lost_s = sum(candidate.cost for candidate in chosen)
         return Plan(tuple(placements), tuple(victims.values()), bound, lost_s)
 
     def _candidates(
@@ -281,6 +278,9 @@
         for gang in self._ledger.borrowers(worker_id, mask):
             ran_s = (now - gang.started_at).total_seconds()
             lost_s += 1.0 + ran_s * len(gang.placements)
+            lost_s += self._requeue_s * sum(
+                placement.cell.size for placement in gang.placements
+            )
         return lost_s
 
     def _new_pins(
--- a/cardamomcroft/policy/order.py
+++ b/cardamomcroft/policy/order.py
@@ -8,6 +8,8 @@
 from cardamomcroft.policy import base
 from cardamomcroft.settings import documents
 
+BATCH_FLOOR = 0.1  # part of an account's units that batch work may hold
+WORK_AGEING = datetime.timedelta(hours=1)  # wait that makes up for all work
 AGEING = datetime.timedelta(hours=4)  # wait that makes up for all usage
 
 
@@ -61,12 +63,14 @@
         bypass: int,
         class_weights: tuple[float, float, float],
         orders_callers: bool,
+        shortest_first: bool,
     ) -> None:
         """Split the waiting jobs into queues, oldest first."""
         self._view = view
         self._usage = usage
         self._bypass = bypass
         self._orders_callers = orders_callers
+        self._shortest_first = shortest_first
         self._weights = dict(
             zip(documents.Urgency, class_weights, strict=True)
         )
@@ -115,6 +119,8 @@
 
     def _turn(self, head: tuple[FlowKey, base.WaitingJob]) -> tuple:
         key, job = head
+        if self._shortest_first:
+            return self._turn_by_work(key, job)
         if self._orders_callers:
             return (
                 self.account_share(key.account, job),
@@ -142,6 +148,42 @@
         aged = max(0.0, 1.0 - waited / AGEING)
         return (1 + used) / self._weights[key.urgency] * aged
 
+    def _turn_by_work(self, key: FlowKey, job: base.WaitingJob) -> tuple:
+        """Order by least work among those within their fair part.
+
+        Beyond it, whoever is least beyond comes first. Waiting shrinks
+        the work that counts, so that long jobs get their turn.
+        """
+        callers = self._callers_of(key.account)
+        part = self._part_of(key.account)
+        used = self._usage.by_account[key.account]
+        used_by_caller = self._usage.by_person[key.account, key.caller]
+        return (
+            max(1.0, used / max(1.0, part * callers)),
+            not self._is_modestly_urgent(key),
+            max(1.0, used_by_caller / max(1.0, part)),
+            self._is_filling(key, used),
+            self._work_left(job),
+            job.order,
+        )
+
+    def _is_filling(self, key: FlowKey, used: float) -> bool:
+        """Tell whether batch work has more than its floor."""
+        if key.urgency is not documents.Urgency.BATCH:
+            return False
+        batch = self._usage.by_class[key.account, key.urgency]
+        return batch > BATCH_FLOOR * used
+
+    def _work_left(self, job: base.WaitingJob) -> float:
+        spec = job.spec
+        run_time = self._view.run_times.run_time(
+            job.account, spec, job.checkpoint_s
+        )
+        units = spec.members * max(1, spec.accelerators)
+        waited = self._view.now - job.submitted_at
+        aged = max(0.0, 1.0 - waited / WORK_AGEING)
+        return run_time.total_seconds() * units * aged
+
     def _is_modestly_urgent(self, key: FlowKey) -> bool:
         """Tell whether urgent work goes ahead of other callers' work.
 
@@ -165,12 +207,16 @@
             }
             weight = weights.get(account, 1.0)
             share = total * weight / max(sum(weights.values()), weight)
-            callers = {
-                key.caller for key in self._queues if key.account == account
-            }
-            self._parts[account] = share / max(1, len(callers))
+            self._parts[account] = share / self._callers_of(account)
         return self._parts[account]
 
+    def _callers_of(self, account: str) -> int:
+        """Return how many callers of an account are waiting."""
+        callers = {
+            key.caller for key in self._queues if key.account == account
+        }
+        return max(1, len(callers))
+
     def _caller_total(self, key: FlowKey) -> float:
         """Return a caller's weighted units over all classes."""
         terms = self._view.accounts.get(key.account)
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -18,9 +18,15 @@
 _KEEPING = dataclasses.replace(
     _LENDING, name="cardamomcroft-3", keeps_plans=True
 )
-_BY_CALLER = dataclasses.replace(_KEEPING, name=CURRENT, orders_callers=True)
+_BY_CALLER = dataclasses.replace(
+    _KEEPING, name="cardamomcroft-4", orders_callers=True
+)
+_BY_WORK = dataclasses.replace(
+    _BY_CALLER, name=CURRENT, requeue_s=5000.0, shortest_first=True
+)
 
 VERSIONS = (
+    _BY_WORK,
     _BY_CALLER,
     _KEEPING,
     _LENDING,
