--- a/cardamomcroft/bench/control.py
+++ b/cardamomcroft/bench/control.py
@@ -350,7 +350,7 @@
         self.takeover_bytes = relay.total - before
         idle = await self._step_cost("workers", self._schedule)
         began = time.thread_time()
-        scheduler._decide(scheduler.effective)
+        scheduler.decide()
         self.round_s = time.thread_time() - began
         rate = 1 / self.timing.schedule_period_s
         return Cost(
--- a/cardamomcroft/daemon/node.py
+++ b/cardamomcroft/daemon/node.py
@@ -14,6 +14,7 @@
 from cardamomcroft.daemon import listing
 from cardamomcroft.jobs import history as histories
 from cardamomcroft.jobs import overlay as overlays
+from cardamomcroft.jobs import parts as bundles
 from cardamomcroft.jobs import scheduler as schedulers
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import replica as replicas
@@ -165,7 +166,7 @@
         self.health = healths.Health(ports.clock)
         self.replica.observe(self.health.observe)
         self.scheduler = schedulers.Scheduler(
-            schedulers.Parts(
+            bundles.Parts(
                 settings.region,
                 self.incarnation,
                 self.replica,
@@ -328,7 +329,7 @@
     async def kill(self) -> None:
         """End the roles at once, as a crash does."""
         tasks, self._tasks = self._tasks, []
-        tasks.extend(self.scheduler.kill())
+        tasks.extend(self.scheduler.tasks())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/cardamomcroft/jobs/declared.py
@@ -0,0 +1,46 @@
+"""Submit the jobs that teams declare under their paths."""
+
+from cardamomcroft.jobs import parts as bundles
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import records
+from cardamomcroft.settings import documents
+from cardamomcroft.state import models
+
+
+class DeclaredJobs:
+    """Submit each revision of a declared job once."""
+
+    def __init__(self, parts: bundles.Parts) -> None:
+        """Start with nothing submitted."""
+        self._parts = parts
+        self._submitted: set[models.CallerKey] = set()
+
+    def submit(self, state: models.State) -> None:
+        """Submit what is declared and not yet accepted."""
+        for path, entry in state.settings.items():
+            if not isinstance(entry.document, documents.DeclaredJob):
+                continue
+            body = submission(state, path, entry)
+            key = models.CallerKey(body.account, body.caller, body.key)
+            is_known = key in state.job_keys or key in self._submitted
+            if body.region == self._parts.region and not is_known:
+                self._submitted.add(key)
+                self._parts.appender.submit(body, appenders.Priority.OPERATOR)
+
+
+def submission(
+    state: models.State, path: str, entry: models.SettingsEntry
+) -> records.JobSubmitted:
+    """Return the submission that a declared job stands for."""
+    document: documents.DeclaredJob = entry.document
+    team = path.split("/")[1]
+    account_path = f"teams/{team}/accounts/{document.account}"
+    account = state.settings.get(account_path)
+    return records.JobSubmitted(
+        f"declared-{path.replace('/', '.')}-{entry.revision}",
+        f"{team}/{document.account}",
+        document.caller,
+        f"declared:{path}:{entry.revision}",
+        account.document.region if account else "",
+        document.job,
+    )
--- /dev/null
+++ b/cardamomcroft/jobs/launcher.py
@@ -0,0 +1,158 @@
+"""Launch gangs in the background and record what came of it."""
+
+import asyncio
+import collections.abc
+import datetime
+
+import structlog
+
+from cardamomcroft.jobs import launch as launches
+from cardamomcroft.jobs import parts as bundles
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import records
+from cardamomcroft.policy import base as policies
+from cardamomcroft.ports import messages
+from cardamomcroft.state import models
+
+RETRY_DELAY = datetime.timedelta(milliseconds=500)  # after a miss
+
+
+class Launcher:
+    """Hold the launches under way."""
+
+    def __init__(self, parts: bundles.Parts) -> None:
+        """Start without launches."""
+        self._parts = parts
+        self._by_job: dict[str, launches.Launch] = {}
+        self._attempts: dict[str, int] = {}
+        self._retry_at: dict[str, datetime.timedelta] = {}
+        self._logger = structlog.get_logger()
+
+    @property
+    def job_ids(self) -> collections.abc.Set[str]:
+        """Return the jobs that are being launched."""
+        return self._by_job.keys()
+
+    def gangs(self) -> list[policies.RunningGang]:
+        """Return the launches as gangs that hold their cells."""
+        now = self._parts.clock.now()
+        return [
+            policies.RunningGang(
+                launch.job.job_id,
+                launch.job.account,
+                launch.job.caller,
+                launch.job.spec,
+                launch.placements,
+                now,
+            )
+            for launch in self._by_job.values()
+        ]
+
+    def is_waiting(self, job_id: str) -> bool:
+        """Tell whether a job was missed a moment ago."""
+        retry_at = self._retry_at.get(job_id)
+        if retry_at is None:
+            return False
+        if self._parts.clock.monotonic() < retry_at:
+            return True
+        del self._retry_at[job_id]
+        return False
+
+    def begin(
+        self, job: models.Job, token: int, start: policies.GangStart
+    ) -> None:
+        """Launch a job in the background."""
+        attempt = 1 + max(
+            job.attempt,
+            self._attempts.get(job.job_id, 0),
+            launches.first_attempt(token),
+        )
+        self._attempts[job.job_id] = attempt
+        launch = launches.Launch(
+            job,
+            attempt,
+            token,
+            start.placements,
+            self._parts.workers,
+            self._parts.clock,
+            self._parts.timing,
+            self._parts.may_act,
+        )
+        self._by_job[job.job_id] = launch
+        self._parts.background.spawn(self._run(launch, token))
+
+    async def _run(self, launch: launches.Launch, token: int) -> None:
+        job_id = launch.job.job_id
+        try:
+            result = await launch.run()
+            self._logger.info(
+                "gang_launch",
+                job_id=job_id,
+                attempt=launch.attempt,
+                outcome=result.outcome.value,
+                detail=result.detail,
+            )
+            if result.outcome is launches.LaunchOutcome.RUNNING:
+                self._record_start(launch, token)
+            else:
+                self._record_miss(launch, token, result)
+        finally:
+            del self._by_job[job_id]
+
+    def _record_start(self, launch: launches.Launch, token: int) -> None:
+        self._attempts.pop(launch.job.job_id, None)
+        body = records.GangStarted(
+            launch.job.job_id, launch.attempt, token, launch.placements
+        )
+        future = self._parts.appender.submit(body, appenders.Priority.START)
+        future.add_done_callback(lambda done: self._check(launch, done))
+        self._parts.metrics.increment("scheduler.started")
+
+    def _check(self, launch: launches.Launch, done: asyncio.Future) -> None:
+        """Stop a gang whose start the fold has refused."""
+        if done.cancelled() or done.result().accepted:
+            return
+        if not self._parts.holds_claim():
+            return  # the newer owner adopts or stops what it finds
+        self._logger.warning(
+            "start_refused",
+            job_id=launch.job.job_id,
+            reason=done.result().reason,
+        )
+        self._parts.background.spawn(self._stop_refused(launch))
+
+    async def _stop_refused(self, launch: launches.Launch) -> None:
+        claim = self._parts.replica.state.claims[self._parts.region]
+        job_id, attempt = launch.job.job_id, launch.attempt
+        await asyncio.gather(
+            *(
+                self._parts.stop_surely(
+                    placement.worker_id,
+                    messages.Stop(
+                        messages.TaskId(job_id, attempt, member),
+                        claim.epoch,
+                    ),
+                )
+                for member, placement in enumerate(launch.placements)
+            )
+        )
+
+    def _record_miss(
+        self,
+        launch: launches.Launch,
+        token: int,
+        result: launches.LaunchResult,
+    ) -> None:
+        self._parts.metrics.increment("scheduler.missed")
+        if result.worker_id:
+            self._parts.health.note_unreachable(result.worker_id)
+        now = self._parts.clock.monotonic()
+        self._retry_at[launch.job.job_id] = now + RETRY_DELAY
+        if result.outcome is launches.LaunchOutcome.FAILED:
+            body = records.AttemptSettled(
+                launch.job.job_id,
+                launch.attempt,
+                token,
+                f"start failed on {result.worker_id}: {result.detail}",
+            )
+            self._parts.appender.submit(body, appenders.Priority.START)
--- /dev/null
+++ b/cardamomcroft/jobs/parts.py
@@ -0,0 +1,76 @@
+"""Bundle what the parts of the scheduler share."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from cardamomcroft.jobs import history as histories
+from cardamomcroft.jobs import launch as launches
+from cardamomcroft.jobs import overlay as overlays
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.membership import freshness as freshnesses
+from cardamomcroft.membership import members
+from cardamomcroft.policy import base as policies
+from cardamomcroft.ports import base
+from cardamomcroft.ports import messages
+from cardamomcroft.settings import instance
+from cardamomcroft.workers import health as healths
+
+
+class Background:
+    """Hold tasks that go on while decisions are made."""
+
+    def __init__(self) -> None:
+        """Start without tasks."""
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, coroutine: collections.abc.Coroutine) -> None:
+        """Run a coroutine beside the caller."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def tasks(self) -> tuple[asyncio.Task, ...]:
+        """Return the tasks under way."""
+        return tuple(self._tasks)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """Hold the roles and ports that scheduling works with."""
+
+    region: str
+    incarnation: str
+    replica: replicas.Replica
+    appender: appenders.Appender
+    overlay: overlays.Overlay
+    workers: base.WorkerClient
+    membership: members.Membership
+    freshness: freshnesses.Freshness
+    clock: base.Clock
+    metrics: base.Metrics
+    timing: instance.Timing
+    policy: policies.Policy
+    health: healths.Health
+    history: histories.RunHistory
+    background: Background = dataclasses.field(default_factory=Background)
+
+    async def stop_surely(
+        self, worker_id: str, command: messages.Stop
+    ) -> messages.Done:
+        """Stop a task, or wait until its lease has certainly lapsed."""
+        return await launches.stop_surely(
+            self.workers, self.clock, self.timing, worker_id, command
+        )
+
+    def holds_claim(self) -> bool:
+        """Tell whether the newest claim seen is this incarnation's."""
+        claim = self.replica.state.claims.get(self.region)
+        if claim is None or claim.incarnation != self.incarnation:
+            return False
+        return self.membership.known_epoch <= claim.epoch
+
+    def may_act(self) -> bool:
+        """Tell whether a start sent now is still this owner's to send."""
+        return self.holds_claim() and self.freshness.is_fresh()
--- /dev/null
+++ b/cardamomcroft/jobs/settler.py
@@ -0,0 +1,88 @@
+"""End attempts and record that nothing of them runs any more."""
+
+import asyncio
+import collections.abc
+
+from cardamomcroft.jobs import parts as bundles
+from cardamomcroft.log import appender as appenders
+from cardamomcroft.log import records
+from cardamomcroft.ports import messages
+from cardamomcroft.state import models
+
+
+class Settler:
+    """Stop every member for certain before an attempt counts as over."""
+
+    def __init__(self, parts: bundles.Parts) -> None:
+        """Start with nothing to settle."""
+        self._parts = parts
+        self._job_ids: set[str] = set()
+
+    @property
+    def job_ids(self) -> collections.abc.Set[str]:
+        """Return the jobs that are being settled."""
+        return self._job_ids
+
+    def begin(
+        self, job: models.Job, token: int, reason: str, checkpoint: bool
+    ) -> None:
+        """Settle a job's attempt in the background."""
+        self._job_ids.add(job.job_id)
+        self._parts.background.spawn(
+            self._settle(job, token, reason, checkpoint)
+        )
+
+    async def _settle(
+        self, job: models.Job, token: int, reason: str, checkpoint: bool
+    ) -> None:
+        try:
+            stopped = await self._stop_all(job, token, checkpoint)
+            self._record_finished(job, stopped)
+            if stopped and all(done.is_finished for done in stopped):
+                return  # the fold completes the job
+            kept = min((done.checkpoint_s for done in stopped), default=0.0)
+            body = records.AttemptSettled(
+                job.job_id,
+                job.attempt,
+                token,
+                reason,
+                blamed=self._is_job_to_blame(job),
+                checkpoint_s=job.checkpoint_s + kept,
+            )
+            await self._parts.appender.submit(body, appenders.Priority.START)
+        finally:
+            self._job_ids.discard(job.job_id)
+
+    async def _stop_all(
+        self, job: models.Job, token: int, checkpoint: bool
+    ) -> list[messages.Done]:
+        return await asyncio.gather(
+            *(
+                self._parts.stop_surely(
+                    placement.worker_id,
+                    messages.Stop(job.task(member), token, checkpoint),
+                )
+                for member, placement in enumerate(job.placements)
+            )
+        )
+
+    def _record_finished(
+        self, job: models.Job, stopped: list[messages.Done]
+    ) -> None:
+        """Record members that had finished before the stop came."""
+        for member, done in enumerate(stopped):
+            if not done.is_finished or member in job.finished:
+                continue
+            end = records.TaskEnd(job.task(member), records.EndKind.FINISHED)
+            worker_id = job.placements[member].worker_id
+            self._parts.appender.submit(
+                records.TasksEnded(worker_id, (end,)),
+                appenders.Priority.START,
+            )
+
+    def _is_job_to_blame(self, job: models.Job) -> bool:
+        """Blame the job unless each worker it failed on is suspect."""
+        health = self._parts.health
+        return any(
+            not health.is_suspect(worker_id) for worker_id in job.failed_on
+        )
