--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -7,6 +7,7 @@
 from cardamomcroft.policy import base
 from cardamomcroft.policy import borrowed
 from cardamomcroft.policy import cells
+from cardamomcroft.policy import fairness
 from cardamomcroft.policy import fifo
 from cardamomcroft.policy import granted
 from cardamomcroft.policy import ledger as ledgers
@@ -28,6 +29,7 @@
     keeps_plans: bool = False  # reclaimed cells wait for their job
     orders_callers: bool = False  # callers before classes
     requeue_s: float = 0.0  # that a reclaimed unit counts as lost
+    fair_tries: int = 0  # jobs that may reclaim beyond fair parts
     shortest_first: bool = False  # among those within their fair part
     class_weights: tuple[float, float, float] = (8.0, 3.0, 1.0)  # by urgency
 
@@ -56,6 +58,10 @@
             options.shortest_first,
         )
         self.granted = granted.GrantedPlacer(self.ledger, options.requeue_s)
+        self.fairness = fairness.FairReclaimer(
+            self.ledger, self.flows, self.usage, options.requeue_s
+        )
+        self.fair_left = options.fair_tries
         self.borrowed = borrowed.BorrowedPlacer(self.ledger)
         self.starts: list[base.GangStart] = []
         self.stops: list[base.GangStop] = []
@@ -189,6 +195,8 @@
             self.jobs_examined += 1
             if self._borrow(job):
                 continue
+            if self._reclaim_fairly(job):
+                continue
             self.flows.pass_over(job)
             may_reserve = (
                 job.account not in reserved_accounts
@@ -198,6 +206,17 @@
                 reserved_accounts.add(job.account)
                 self.borrowed.reserve(job, self._end_of)
 
+    def _reclaim_fairly(self, job: base.WaitingJob) -> bool:
+        if self.fair_left <= 0:
+            return False
+        self.fair_left -= 1
+        plan = self.fairness.plan(job)
+        if plan is None:
+            return False
+        self.fairness.note(plan.victims)
+        self._carry_out(job, plan)
+        return True
+
     def _end_of(self, gang: base.RunningGang) -> datetime.datetime:
         if gang.stopping or gang.job_id in self.ledger.stopping:
             return self.view.now
--- a/cardamomcroft/policy/ledger.py
+++ b/cardamomcroft/policy/ledger.py
@@ -203,6 +203,8 @@
         mask = cells.mask_of(placement.cell)
         if worker_id not in self.workers:
             return False
+        if not placement.grant:
+            return not self._is_kept(worker_id, mask)
         grant = parse_grant(account, placement.grant)
         binding = self.bindings.get(grant)
         if binding is not None:
@@ -220,11 +222,10 @@
         return True
 
     def _is_kept(self, worker_id: str, mask: int) -> bool:
-        """Tell whether a granted gang holds units and is to keep them."""
+        """Tell whether a gang that is not stopping holds units."""
         return any(
             used & mask and gang.job_id not in self.stopping
             for used, gang in self.gangs_by_worker[worker_id]
-            if self.granted[worker_id] & used
         )
 
     def borrowers(self, worker_id: str, mask: int) -> list[base.RunningGang]:
--- a/cardamomcroft/policy/order.py
+++ b/cardamomcroft/policy/order.py
@@ -77,7 +77,7 @@
         self._queues: dict[FlowKey, collections.deque[base.WaitingJob]] = (
             collections.defaultdict(collections.deque)
         )
-        self._parts: dict[str, float] = {}
+        self._shares: dict[str, float] = {}
         self._passed: collections.Counter[FlowKey] = collections.Counter()
         for job in view.waiting:
             key = FlowKey(job.account, job.spec.urgency, job.caller)
@@ -154,7 +154,7 @@
         Beyond it, whoever is least beyond comes first. Waiting shrinks
         the work that counts, so that long jobs get their turn.
         """
-        callers = self._callers_of(key.account)
+        callers = self.callers_of(key.account)
         part = self._part_of(key.account)
         used = self._usage.by_account[key.account]
         used_by_caller = self._usage.by_person[key.account, key.caller]
@@ -197,7 +197,11 @@
 
     def _part_of(self, account: str) -> float:
         """Return an active caller's equal part of its account's units."""
-        if account not in self._parts:
+        return self.share_of(account) / self.callers_of(account)
+
+    def share_of(self, account: str) -> float:
+        """Return the units that an account's weight stands for."""
+        if account not in self._shares:
             total = sum(
                 worker.units for worker in self._view.workers if worker.usable
             )
@@ -206,11 +210,11 @@
                 for name, terms in self._view.accounts.items()
             }
             weight = weights.get(account, 1.0)
-            share = total * weight / max(sum(weights.values()), weight)
-            self._parts[account] = share / self._callers_of(account)
-        return self._parts[account]
+            whole = max(sum(weights.values()), weight)
+            self._shares[account] = total * weight / whole
+        return self._shares[account]
 
-    def _callers_of(self, account: str) -> int:
+    def callers_of(self, account: str) -> int:
         """Return how many callers of an account are waiting."""
         callers = {
             key.caller for key in self._queues if key.account == account
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -22,10 +22,15 @@
     _KEEPING, name="cardamomcroft-4", orders_callers=True
 )
 _BY_WORK = dataclasses.replace(
-    _BY_CALLER, name=CURRENT, requeue_s=5000.0, shortest_first=True
+    _BY_CALLER,
+    name="cardamomcroft-5",
+    requeue_s=5000.0,
+    shortest_first=True,
 )
+_BY_PART = dataclasses.replace(_BY_WORK, name=CURRENT, fair_tries=4)
 
 VERSIONS = (
+    _BY_PART,
     _BY_WORK,
     _BY_CALLER,
     _KEEPING,
