--- a/cardamomcroft/bench/bounds.py
+++ b/cardamomcroft/bench/bounds.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import pathlib
 import statistics
 import typing
 
@@ -35,6 +36,18 @@
         )
 
 
+def known_red(file: pathlib.Path) -> frozenset[tuple[str, str]]:
+    """Return (workload, bound) of the lines ``RED policy | … | …``."""
+    if not file.exists():
+        return frozenset()
+    rows = [
+        [field.strip() for field in line.split("|")]
+        for line in file.read_text(encoding="utf-8").splitlines()
+        if line.startswith("RED policy")
+    ]
+    return frozenset((row[1], row[2]) for row in rows)
+
+
 def check(results: list[Result]) -> list[Shortfall]:
     """Return every bound that falls short."""
     by_key: dict[tuple[str, str], list[Result]] = collections.defaultdict(list)
