Keep the result of a member that was given up too early

Change: a finished task is forgotten only when the log has its finish; a renewer records the finish of a member that the log took for lost. The check excuses a second run only when nobody had an answer of the worker between the end and the next start. Ruled out: the owner's stop (it asks for the result, but came too late).

--- a/cardamomcroft/bench/checks.py
+++ b/cardamomcroft/bench/checks.py
@@ -37,7 +37,8 @@
     """Count jobs that finished whole once more than needed.
 
     A job has to run again when the result of a member cannot be had: its
-    worker crashed, or could not be reached when the next attempt began.
+    worker crashed, could not be reached when the next attempt began, or
+    had answered nobody since the member ended.
     """
     runs_by_job = collections.defaultdict(
         lambda: collections.defaultdict(list)
@@ -74,4 +75,5 @@
 ) -> bool:
     worker = standin.by_id[run.worker_id]
     was_lost = run.lost_at is not None and run.lost_at <= at
-    return not was_lost and not worker.was_unreachable(at)
+    is_gone = was_lost or worker.was_unreachable(at)
+    return not is_gone and worker.has_told(run.ended_at, at)
--- a/cardamomcroft/standin/workers.py
+++ b/cardamomcroft/standin/workers.py
@@ -77,6 +77,7 @@
         self.last_work_at = datetime.timedelta()
         self.lapsed = 0
         self.outages: list[Outage] = []
+        self.told_at: list[datetime.timedelta] = []
         self._tasks: dict[messages.TaskId, _Task] = {}
         self._stopped: set[messages.TaskId] = set()
         self._renewed: frozenset[messages.TaskId] = frozenset()
@@ -141,6 +142,12 @@
             for outage in self.outages
         )
 
+    def has_told(
+        self, since: datetime.timedelta, until: datetime.timedelta
+    ) -> bool:
+        """Tell whether anyone got an answer about tasks in a time."""
+        return any(since <= at <= until for at in self.told_at)
+
     def lose(self) -> None:
         """Drop everything, as a crash of the machine does."""
         self.refresh()
@@ -328,6 +335,8 @@
             return expression.Error(
                 verdict.may_have_run(verdict.Reason.TIMEOUT, "no answer")
             )
+        if operation in ("renew", "stop") and result.is_ok():
+            worker.told_at.append(self._clock.monotonic())
         return result
 
     async def reserve(self, worker_id, command):
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -137,9 +137,25 @@
             if task in report_by_task or inventory.is_whole
             if (end := task_end(task, report_by_task.get(task)))
         )
-        self._record(worker_id, ends)
+        self._record(worker_id, ends + self._late_finishes(inventory, ends))
         self._forget[worker_id] = self._settled(inventory)
 
+    def _late_finishes(
+        self,
+        inventory: messages.Inventory,
+        known: tuple[records.TaskEnd, ...],
+    ) -> tuple[records.TaskEnd, ...]:
+        """Return results of members that were given up too early."""
+        jobs = self._overlay.state().jobs
+        told = {end.task for end in known}
+        return tuple(
+            records.TaskEnd(report.task, records.EndKind.FINISHED)
+            for report in inventory.tasks
+            if report.phase is messages.TaskPhase.FINISHED
+            and report.task not in told
+            and is_missed(jobs.get(report.task.job_id), report.task)
+        )
+
     def _settled(
         self, inventory: messages.Inventory
     ) -> tuple[messages.TaskId, ...]:
@@ -149,7 +165,7 @@
             for report in inventory.tasks
             if report.phase
             in (messages.TaskPhase.FINISHED, messages.TaskPhase.FAILED)
-            and is_settled(jobs.get(report.task.job_id), report.task)
+            and is_settled(jobs.get(report.task.job_id), report)
         )
 
     def _note_silence(
@@ -206,10 +222,20 @@
     return None
 
 
-def is_settled(job: models.Job | None, task: messages.TaskId) -> bool:
-    """Tell whether the log needs nothing more from a task's worker."""
+def is_missed(job: models.Job | None, task: messages.TaskId) -> bool:
+    """Tell whether the log took a member for lost that has finished."""
+    if job is None or job.phase.is_final or job.attempt != task.attempt:
+        return False
+    return task.member in job.ended and task.member not in job.finished
+
+
+def is_settled(job: models.Job | None, report: messages.TaskReport) -> bool:
+    """Tell whether the log needs nothing more of a task that ended."""
     if job is None or job.phase.is_final:
         return True
-    return job.attempt > task.attempt or (
-        job.attempt == task.attempt and task.member in job.ended
-    )
+    task = report.task
+    if job.attempt != task.attempt:
+        return job.attempt > task.attempt
+    if report.phase is messages.TaskPhase.FINISHED:
+        return task.member in job.finished
+    return task.member in job.ended
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -318,3 +318,31 @@
         jobs = self.cluster.node().replica.state.jobs
         self.assertEqual([job_id], list(jobs))
         self.assertEqual(1, len(self.cluster.runs(job_id)))
+
+
+class LateResultTest(harness.ClusterCase):
+    """Hear of a result after its member was given up."""
+
+    async def test_result_behind_a_silent_worker_is_not_thrown_away(self):
+        await self.cluster.ready()
+        job_id = await self.cluster.submit(
+            members=4, accelerators=8, run_s=3.0
+        )
+        await self.cluster.until(
+            lambda: self.cluster.job(job_id).phase is models.Phase.RUNNING
+        )
+        worker = self.cluster.workers.by_id["w2"]
+        worker.faults.refused["renew"] = 1000
+        worker.faults.refused["stop"] = 1000
+        await self.cluster.until(
+            lambda: self.cluster.job(job_id).phase is models.Phase.ENDING
+        )
+        worker.faults.refused["renew"] = 0
+        await self.cluster.advance(5)
+        worker.faults.refused["stop"] = 0
+        await self.cluster.until(
+            lambda: self.cluster.job(job_id).phase.is_final
+        )
+        job = self.cluster.job(job_id)
+        self.assert_injected("renew_refused")
+        self.assertEqual((models.Phase.COMPLETED, 1), (job.phase, job.starts))
