Leave the last idle cells to urgent work

Cause: batch work took every idle unit, so urgent quotes had to reclaim (2 s of checkpoint) where quota found a free cell. Change: batch work leaves 2% of the fleet's units idle; callers are counted once a round.

--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -29,6 +29,7 @@
     keeps_plans: bool = False  # reclaimed cells wait for their job
     orders_callers: bool = False  # callers before classes
     requeue_s: float = 0.0  # that a reclaimed unit counts as lost
+    headroom: float = 0.0  # part of the fleet that batch leaves idle
     fair_tries: int = 0  # jobs that may reclaim beyond fair parts
     shortest_first: bool = False  # among those within their fair part
     class_weights: tuple[float, float, float] = (8.0, 3.0, 1.0)  # by urgency
@@ -178,6 +179,8 @@
 
     def _borrow(self, job: base.WaitingJob) -> bool:
         """Start on idle cells that no reservation needs in time."""
+        if not self._leaves_headroom(job):
+            return False
         run_time = self.view.run_times.run_time(
             job.account, job.spec, job.checkpoint_s
         )
@@ -186,6 +189,15 @@
             self._start(job, placements)
         return bool(placements)
 
+    def _leaves_headroom(self, job: base.WaitingJob) -> bool:
+        """Keep batch work off the last idle units, for urgent work."""
+        if job.spec.urgency is not documents.Urgency.BATCH:
+            return True
+        units = job.spec.members * max(1, job.spec.accelerators)
+        idle = sum(mask.bit_count() for mask in self.ledger.idle.values())
+        total = sum(mask.bit_count() for mask in self.ledger.full.values())
+        return idle - units >= self.options.headroom * total
+
     def _lend(self) -> None:
         reserved_accounts = set()
         for _ in range(self.options.borrowed_tries):
--- a/cardamomcroft/policy/order.py
+++ b/cardamomcroft/policy/order.py
@@ -77,11 +77,13 @@
         self._queues: dict[FlowKey, collections.deque[base.WaitingJob]] = (
             collections.defaultdict(collections.deque)
         )
+        self._callers: dict[str, set[str]] = collections.defaultdict(set)
         self._shares: dict[str, float] = {}
         self._passed: collections.Counter[FlowKey] = collections.Counter()
         for job in view.waiting:
             key = FlowKey(job.account, job.spec.urgency, job.caller)
             self._queues[key].append(job)
+            self._callers[job.account].add(job.caller)
 
     def accounts(self) -> list[str]:
         """Return the accounts with waiting jobs, longest urgent wait first.
@@ -215,11 +217,8 @@
         return self._shares[account]
 
     def callers_of(self, account: str) -> int:
-        """Return how many callers of an account are waiting."""
-        callers = {
-            key.caller for key in self._queues if key.account == account
-        }
-        return max(1, len(callers))
+        """Return how many callers of an account wait in this round."""
+        return max(1, len(self._callers[account]))
 
     def _caller_total(self, key: FlowKey) -> float:
         """Return a caller's weighted units over all classes."""
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -27,9 +27,11 @@
     requeue_s=5000.0,
     shortest_first=True,
 )
-_BY_PART = dataclasses.replace(_BY_WORK, name=CURRENT, fair_tries=4)
+_BY_PART = dataclasses.replace(_BY_WORK, name="cardamomcroft-6", fair_tries=4)
+_WITH_HEADROOM = dataclasses.replace(_BY_PART, name=CURRENT, headroom=0.02)
 
 VERSIONS = (
+    _WITH_HEADROOM,
     _BY_PART,
     _BY_WORK,
     _BY_CALLER,
