--- /dev/null
+++ b/bench/fault_processes.py
@@ -0,0 +1,134 @@
+"""Start the stand-ins and daemons as processes."""
+
+import asyncio
+import os
+import pathlib
+import sys
+
+import yaml
+
+from cardamomcroft.bench import local
+from cardamomcroft.settings import directory
+from cardamomcroft.settings import documents
+from cardamomcroft.settings import parsing
+
+INSTANCES = 7
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples" / "guild"
+
+
+class Processes:
+    """Start processes and end exactly those."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Choose addresses and write every settings file."""
+        self._folder = folder
+        flat = local.free_addresses(3 + 2 * INSTANCES)
+        self.log_at, self.list_at, self.workers_at = flat[:3]
+        rest = flat[3:]
+        self.addresses = list(zip(rest[::2], rest[1::2], strict=True))
+        self.by_path = self._declarations()
+        self.daemons: dict[int, asyncio.subprocess.Process] = {}
+        self._standins: list[asyncio.subprocess.Process] = []
+        self._write_settings()
+
+    def _declarations(self) -> dict[str, documents.Document]:
+        by_path = directory.load(EXAMPLES).ok
+        located = {}
+        for path, document in by_path.items():
+            plain = parsing.CONVERTER.unstructure(document)
+            if path.startswith("fleet/"):
+                for rack in plain["racks"].values():
+                    for worker_id, worker in rack["workers"].items():
+                        worker["address"] = (
+                            f"http://{self.workers_at}/{worker_id}"
+                        )
+            located[path] = parsing.parse_document(path, plain).ok
+        return located
+
+    def _write_settings(self) -> None:
+        for number, (http_at, peer_at) in enumerate(self.addresses):
+            plain = {
+                "instance_id": f"entry-{number}",
+                "data_centre": "dahab",
+                "region": "red-sea",
+                "http_listen": http_at,
+                "peer_listen": peer_at,
+                "platform": {
+                    "log": f"http://{self.log_at}",
+                    "instances": f"http://{self.list_at}",
+                },
+                "peers": {
+                    f"entry-{other}": self.addresses[other][1]
+                    for other in range(INSTANCES)
+                },
+                "operators": {
+                    "root": {
+                        "token_sha256": local.operator_principal().token_sha256
+                    }
+                },
+                "logging": {"level": "info"},
+            }
+            file = self._folder / f"entry-{number}.yaml"
+            file.write_text(yaml.safe_dump(plain), encoding="utf-8")
+
+    async def _spawn(
+        self, name: str, *arguments: str
+    ) -> asyncio.subprocess.Process:
+        output = os.open(
+            self._folder / f"{name}.log",
+            os.O_WRONLY | os.O_CREAT | os.O_APPEND,
+        )
+        try:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *arguments,
+                stdout=output,
+                stderr=output,
+            )
+        finally:
+            os.close(output)
+
+    async def start_standins(self) -> None:
+        """Start the log, the list and the workers."""
+        for name, extra in (
+            ("log", ()),
+            ("instances", ("--lag-s", "5")),
+            ("workers", (str(EXAMPLES),)),
+        ):
+            address = {
+                "log": self.log_at,
+                "instances": self.list_at,
+                "workers": self.workers_at,
+            }[name]
+            process = await self._spawn(
+                name,
+                "cardamomcroft.cli.main",
+                "standin",
+                name,
+                *extra,
+                "--listen",
+                address,
+            )
+            self._standins.append(process)
+
+    async def start_daemon(self, number: int) -> None:
+        """Start an instance."""
+        self.daemons[number] = await self._spawn(
+            f"entry-{number}",
+            "cardamomcroft.daemon.main",
+            "--settings",
+            str(self._folder / f"entry-{number}.yaml"),
+        )
+
+    def url(self, number: int) -> str:
+        """Return an instance's HTTP address."""
+        return f"http://{self.addresses[number][0]}"
+
+    async def end(self) -> None:
+        """End what was started, by its own id."""
+        processes = [*self.daemons.values(), *self._standins]
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+        await asyncio.gather(*(process.wait() for process in processes))
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import dataclasses
-import itertools
 import json
 import os
 import pathlib
@@ -16,28 +15,21 @@
 
 import aiohttp
 import cyclopts
-import yaml
+import fault_checks
+import fault_processes
 
 from cardamomcroft.bench import local
 from cardamomcroft.cli import running
-from cardamomcroft.settings import directory
-from cardamomcroft.settings import documents
-from cardamomcroft.settings import parsing
 
-INSTANCES = 7
 LOAD_S = 32.0
+OWNER_LIMIT_S = 8.0
 SETTLE_S = 20.0
 JOB_PERIOD_S = 0.4
 REQUEST_PERIOD_S = 0.05
 READY_POLL_S = 0.3
 SETTINGS_PERIOD_S = 2.0
-LEAVING_LIMIT_S = 3.0
-IN_FORCE_LIMIT_S = 19.0
-TAKEOVER_LIMIT_S = 10.0
-PARTIAL_GRACE_S = 25.0
 CALLER = "dahab-boards-workshop-token"
 RACED_PATH = "teams/north-shops/accounts/blue-hole"
-EXAMPLES = pathlib.Path(__file__).parent.parent / "examples" / "guild"
 
 app = cyclopts.App(name="bench faults", help="Fail real processes.")
 
@@ -68,128 +60,12 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Processes:
-    """Start processes and end exactly those."""
-
-    def __init__(self, folder: pathlib.Path) -> None:
-        """Choose addresses and write every settings file."""
-        self._folder = folder
-        flat = local.free_addresses(3 + 2 * INSTANCES)
-        self.log_at, self.list_at, self.workers_at = flat[:3]
-        rest = flat[3:]
-        self.addresses = list(zip(rest[::2], rest[1::2], strict=True))
-        self.by_path = self._declarations()
-        self.daemons: dict[int, asyncio.subprocess.Process] = {}
-        self._standins: list[asyncio.subprocess.Process] = []
-        self._write_settings()
-
-    def _declarations(self) -> dict[str, documents.Document]:
-        by_path = directory.load(EXAMPLES).ok
-        located = {}
-        for path, document in by_path.items():
-            plain = parsing.CONVERTER.unstructure(document)
-            if path.startswith("fleet/"):
-                for rack in plain["racks"].values():
-                    for worker_id, worker in rack["workers"].items():
-                        worker["address"] = (
-                            f"http://{self.workers_at}/{worker_id}"
-                        )
-            located[path] = parsing.parse_document(path, plain).ok
-        return located
-
-    def _write_settings(self) -> None:
-        for number, (http_at, peer_at) in enumerate(self.addresses):
-            plain = {
-                "instance_id": f"entry-{number}",
-                "data_centre": "dahab",
-                "region": "red-sea",
-                "http_listen": http_at,
-                "peer_listen": peer_at,
-                "platform": {
-                    "log": f"http://{self.log_at}",
-                    "instances": f"http://{self.list_at}",
-                },
-                "peers": {
-                    f"entry-{other}": self.addresses[other][1]
-                    for other in range(INSTANCES)
-                },
-                "operators": {
-                    "root": {
-                        "token_sha256": local.operator_principal().token_sha256
-                    }
-                },
-                "logging": {"level": "info"},
-            }
-            file = self._folder / f"entry-{number}.yaml"
-            file.write_text(yaml.safe_dump(plain), encoding="utf-8")
-
-    async def _spawn(
-        self, name: str, *arguments: str
-    ) -> asyncio.subprocess.Process:
-        output = os.open(
-            self._folder / f"{name}.log",
-            os.O_WRONLY | os.O_CREAT | os.O_APPEND,
-        )
-        try:
-            return await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                *arguments,
-                stdout=output,
-                stderr=output,
-            )
-        finally:
-            os.close(output)
-
-    async def start_standins(self) -> None:
-        """Start the log, the list and the workers."""
-        for name, extra in (
-            ("log", ()),
-            ("instances", ("--lag-s", "5")),
-            ("workers", (str(EXAMPLES),)),
-        ):
-            address = {
-                "log": self.log_at,
-                "instances": self.list_at,
-                "workers": self.workers_at,
-            }[name]
-            process = await self._spawn(
-                name,
-                "cardamomcroft.cli.main",
-                "standin",
-                name,
-                *extra,
-                "--listen",
-                address,
-            )
-            self._standins.append(process)
-
-    async def start_daemon(self, number: int) -> None:
-        """Start an instance."""
-        self.daemons[number] = await self._spawn(
-            f"entry-{number}",
-            "cardamomcroft.daemon.main",
-            "--settings",
-            str(self._folder / f"entry-{number}.yaml"),
-        )
-
-    def url(self, number: int) -> str:
-        """Return an instance's HTTP address."""
-        return f"http://{self.addresses[number][0]}"
-
-    async def end(self) -> None:
-        """End what was started, by its own id."""
-        processes = [*self.daemons.values(), *self._standins]
-        for process in processes:
-            if process.returncode is None:
-                process.kill()
-        await asyncio.gather(*(process.wait() for process in processes))
-
-
 class Trial:
     """Send load, inject faults and check the promises."""
 
-    def __init__(self, processes: Processes, seed: int) -> None:
+    def __init__(
+        self, processes: fault_processes.Processes, seed: int
+    ) -> None:
         """Start with nothing told."""
         self._processes = processes
         self._random = random.Random(seed)
@@ -225,7 +101,7 @@
     async def _begin(self) -> None:
         await self._processes.start_standins()
         await self._until(self._standins_answer)
-        for number in range(INSTANCES):
+        for number in range(fault_processes.INSTANCES):
             await self._list(number)
             await self._processes.start_daemon(number)
         await self._until(self._all_ready)
@@ -276,11 +152,14 @@
 
     async def _all_ready(self) -> bool:
         await self._poll_ready()
-        return len(self._ready) == INSTANCES
+        return len(self._ready) == fault_processes.INSTANCES
 
     async def _poll_ready(self) -> None:
         await asyncio.gather(
-            *(self._poll_one(number) for number in range(INSTANCES))
+            *(
+                self._poll_one(number)
+                for number in range(fault_processes.INSTANCES)
+            )
         )
 
     async def _poll_one(self, number: int) -> None:
@@ -422,7 +301,7 @@
             return None
 
     async def _wait_in_force(self, revision: int) -> None:
-        until = boot_s() + IN_FORCE_LIMIT_S + 1
+        until = boot_s() + fault_checks.IN_FORCE_LIMIT_S + 1
         behind = set(self._ready)
         while behind and boot_s() < until:
             for number in list(behind):
@@ -455,6 +334,16 @@
         await asyncio.sleep(max(0.0, LOAD_S - (boot_s() - began)))
 
     async def _owner(self) -> int | None:
+        """Return the region's owner, waiting a while for one."""
+        until = boot_s() + OWNER_LIMIT_S
+        while boot_s() < until:
+            owner = await self._find_owner()
+            if owner is not None:
+                return owner
+            await asyncio.sleep(0.2)
+        return None
+
+    async def _find_owner(self) -> int | None:
         for number in sorted(self._ready):
             try:
                 async with self._session.get(
@@ -486,7 +375,7 @@
         await self._processes.start_daemon(owner)
 
     async def _time_start(self, job_id: str, since: float) -> None:
-        until = boot_s() + TAKEOVER_LIMIT_S + 2
+        until = boot_s() + fault_checks.TAKEOVER_LIMIT_S + 2
         while boot_s() < until:
             runs = await self._runs()
             started = [
@@ -498,7 +387,7 @@
                 self.tally.takeover_s.append(max(0.0, min(started) - since))
                 return
             await asyncio.sleep(0.2)
-        self.tally.takeover_s.append(TAKEOVER_LIMIT_S + 2)
+        self.tally.takeover_s.append(fault_checks.TAKEOVER_LIMIT_S + 2)
 
     async def _runs(self) -> dict:
         url = f"http://{self._processes.workers_at}/runs"
@@ -564,7 +453,7 @@
             worker_id, leaving=True, accepts_while_leaving=True
         )
         began = boot_s()
-        await asyncio.sleep(LEAVING_LIMIT_S + 2)
+        await asyncio.sleep(fault_checks.LEAVING_LIMIT_S + 2)
         last = (await self._runs())["last_work_s"][worker_id]
         self.tally.leaving_s.append(max(0.0, last - began))
         await self._worker_faults(worker_id, leaving=False)
@@ -610,15 +499,17 @@
         return {
             "accepted": len(tally.jobs),
             "run_once": sum(
-                _ran_once(runs_by_job[job_id], members)
+                fault_checks.ran_once(runs_by_job[job_id], members)
                 for job_id, members in tally.jobs.items()
             ),
             "lost": sum(
                 phases.get(job_id) != "completed" for job_id in tally.jobs
             ),
-            "doubled": sum(map(_doubled, runs_by_job.values())),
+            "doubled": sum(
+                map(fault_checks.doubled_runs, runs_by_job.values())
+            ),
             "partial_gangs": sum(
-                _partial(runs_by_job[job_id], members)
+                fault_checks.partial_gangs(runs_by_job[job_id], members)
                 for job_id, members in tally.jobs.items()
             ),
             "answered": tally.answered,
@@ -637,70 +528,9 @@
         }
 
 
-def _ran_once(runs: list[dict], members: int) -> bool:
-    """Tell whether exactly one attempt finished whole."""
-    by_attempt = collections.Counter(
-        run["attempt"] for run in runs if run["finished"]
-    )
-    return sum(count == members for count in by_attempt.values()) == 1
-
-
-def _doubled(runs: list[dict]) -> int:
-    """Count pairs of runs of one member that overlap in time."""
-    by_member = collections.defaultdict(list)
-    for run in runs:
-        by_member[run["member"]].append(run)
-    doubled = 0
-    for same in by_member.values():
-        same.sort(key=lambda run: run["started_s"])
-        for earlier, later in itertools.pairwise(same):
-            ended = earlier["ended_s"]
-            doubled += ended is None or ended > later["started_s"]
-    return doubled
-
-
-def _partial(runs: list[dict], members: int) -> int:
-    """Count attempts of which a part ran for long without the rest."""
-    by_attempt = collections.defaultdict(list)
-    for run in runs:
-        by_attempt[run["attempt"]].append(run)
-    count = 0
-    for same in by_attempt.values():
-        if len({run["member"] for run in same}) == members:
-            continue
-        count += any(
-            (run["ended_s"] or float("inf")) - run["started_s"]
-            > PARTIAL_GRACE_S
-            for run in same
-        )
-    return count
-
-
-def shortfalls(report: dict) -> list[str]:
-    """Return every bound that does not hold."""
-    wanted_zero = (
-        "lost",
-        "doubled",
-        "partial_gangs",
-        "cut_requests",
-        "crossed_answers",
-        "false_not_run",
-        "reverted_settings",
-    )
-    found = [name for name in wanted_zero if report[name]]
-    for name, limit in (
-        ("leaving_s", LEAVING_LIMIT_S),
-        ("settings_in_force_s", IN_FORCE_LIMIT_S),
-        ("takeover_s", TAKEOVER_LIMIT_S),
-    ):
-        if report[name] > limit:
-            found.append(name)
-    return found
-
-
 async def run_trial(seed: int, folder: pathlib.Path) -> dict:
     """Run one trial and end every process."""
-    processes = Processes(folder)
+    processes = fault_processes.Processes(folder)
     try:
         return await Trial(processes, seed).run()
     finally:
@@ -729,7 +559,7 @@
             for file in pathlib.Path(folder).iterdir():
                 (kept / file.name).write_bytes(file.read_bytes())
             print(f"logs in {kept}", file=sys.stderr)
-    short = shortfalls(report)
+    short = fault_checks.shortfalls(report)
     report["shortfalls"] = short
     if json_output:
         print(json.dumps(report))
--- a/cardamomcroft/bench/engine.py
+++ b/cardamomcroft/bench/engine.py
@@ -2,26 +2,24 @@
 
 import collections
 import dataclasses
-import datetime
 import heapq
 import itertools
 import random
 import time
 
 from cardamomcroft.bench import arrivals
+from cardamomcroft.bench import runs
 from cardamomcroft.bench import workload as workloads
 from cardamomcroft.log import records
 from cardamomcroft.policy import base
 from cardamomcroft.policy import cells
 from cardamomcroft.policy import estimates
 from cardamomcroft.policy import invariants
-from cardamomcroft.ports import base as ports
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import documents
 from cardamomcroft.state import models
 from cardamomcroft.workers import health as healths
 
-START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 HEADS = 64  # jobs of each queue that a policy is shown
 FAIL_AFTER_S = 1.0  # a failing worker fails a task after this time
 MAX_ATTEMPTS = 3
@@ -29,70 +27,6 @@
 REVIEW_S = 30.0  # time between decisions when nothing happens
 
 
-class EngineClock(ports.Clock):
-    """Show the engine's time to the parts that ask for it."""
-
-    def __init__(self) -> None:
-        """Start at zero."""
-        self.elapsed_s = 0.0
-
-    def now(self) -> datetime.datetime:
-        """Return the time reached."""
-        return START + datetime.timedelta(seconds=self.elapsed_s)
-
-    def monotonic(self) -> datetime.timedelta:
-        """Return the time advanced so far."""
-        return datetime.timedelta(seconds=self.elapsed_s)
-
-    async def sleep(self, duration: datetime.timedelta) -> None:
-        """Refuse: the engine has no coroutines."""
-        raise NotImplementedError
-
-
-@dataclasses.dataclass(slots=True)
-class JobRun:
-    """Follow one job through the bench."""
-
-    arrival: arrivals.Arrival
-    order: int
-    is_entitled: bool = False
-    attempt: int = 0
-    failures: int = 0
-    done_s: float = 0.0
-    started_s: float | None = None
-    first_start_s: float | None = None
-    ended_s: float | None = None
-    outcome: str = ""
-    placements: tuple[records.Placement, ...] = ()
-    is_stopping: bool = False
-    spans: list[tuple[float, float]] = dataclasses.field(default_factory=list)
-
-
-@dataclasses.dataclass(slots=True)
-class Costs:
-    """Count the work of the decisions."""
-
-    rounds: int = 0
-    cells: int = 0
-    jobs: int = 0
-    max_round_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
-    """Hold everything that a report needs."""
-
-    workload: workloads.Workload
-    runs: tuple[JobRun, ...]
-    capacity: int
-    fragmentation: float
-    work_lost_s: float
-    reclaim_s: tuple[float, ...]
-    costs: Costs
-    violations: dict[str, int]
-    end_s: float
-
-
 class Engine:
     """Apply a policy's decisions to fake workers, event by event."""
 
@@ -107,10 +41,10 @@
         self._workload = workload
         self._policy = policy
         self._check_every = check_every
-        self._clock = EngineClock()
+        self._clock = runs.EngineClock()
         self._health = healths.Health(self._clock)
         self._estimates = estimates.Estimates()
-        self._workers = make_workers(workload)
+        self._workers = runs.make_workers(workload)
         self._index = {
             worker.worker_id: number
             for number, worker in enumerate(self._workers)
@@ -131,12 +65,12 @@
             self._push(arrival.at_s, arrival)
         for fault in generator.faults(len(self._workers)):
             self._push(fault.at_s, fault)
-        self.jobs: dict[str, JobRun] = {}
-        self._queues: dict[tuple, dict[str, JobRun]] = collections.defaultdict(
-            dict
+        self.jobs: dict[str, runs.JobRun] = {}
+        self._queues: dict[tuple, dict[str, runs.JobRun]] = (
+            collections.defaultdict(dict)
         )
-        self._running: dict[str, JobRun] = {}
-        self._costs = Costs()
+        self._running: dict[str, runs.JobRun] = {}
+        self._costs = runs.Costs()
         self._plans: tuple[base.GangStart, ...] = ()
         self._violations: collections.Counter[str] = collections.Counter()
         self._work_lost_s = 0.0
@@ -151,7 +85,7 @@
     def _now_s(self) -> float:
         return self._clock.elapsed_s
 
-    def run(self) -> Outcome:
+    def run(self) -> runs.Outcome:
         """Run until every job has ended or the time is over."""
         limit_s = self._workload.hours * arrivals.HOUR_S * DRAIN_FACTOR
         next_review_s = 0.0
@@ -168,13 +102,13 @@
                 self._push(next_review_s, None)
         return self._finish()
 
-    def _finish(self) -> Outcome:
+    def _finish(self) -> runs.Outcome:
         for run in self.jobs.values():
             if not run.outcome:
                 self._violations["unfinished"] += 1
         capacity = sum(worker.accelerators for worker in self._workers)
         measured_s = max(self._measured_s, 1.0)
-        return Outcome(
+        return runs.Outcome(
             self._workload,
             tuple(self.jobs.values()),
             capacity,
@@ -231,13 +165,13 @@
                 self._arrive(event)
             case arrivals.Fault():
                 self._fail(event)
-            case _End():
+            case runs.End():
                 self._end(event)
-            case _Stopped():
+            case runs.Stopped():
                 self._stopped(event)
 
     def _arrive(self, arrival: arrivals.Arrival) -> None:
-        run = JobRun(arrival, len(self.jobs))
+        run = runs.JobRun(arrival, len(self.jobs))
         self.jobs[arrival.job_id] = run
         account = self._accounts[arrival.account]
         reason = self._policy.refusal(arrival.spec, account, self._workers)
@@ -266,16 +200,16 @@
         ]
         return invariants.entitled(account, holders, arrival.spec)
 
-    def _queues_of(self, account: str) -> list[dict[str, JobRun]]:
+    def _queues_of(self, account: str) -> list[dict[str, runs.JobRun]]:
         return [
             queue for key, queue in self._queues.items() if key[0] == account
         ]
 
-    def _key(self, run: JobRun) -> tuple:
+    def _key(self, run: runs.JobRun) -> tuple:
         arrival = run.arrival
         return (arrival.account, arrival.spec.urgency, arrival.caller)
 
-    def _enqueue(self, run: JobRun) -> None:
+    def _enqueue(self, run: runs.JobRun) -> None:
         queue = self._queues[self._key(run)]
         queue[run.arrival.job_id] = run
         if run.attempt:
@@ -283,7 +217,7 @@
             queue.clear()
             queue.update((run.arrival.job_id, run) for run in ordered)
 
-    def _dequeue(self, run: JobRun) -> None:
+    def _dequeue(self, run: runs.JobRun) -> None:
         key = self._key(run)
         self._queues[key].pop(run.arrival.job_id, None)
         if not self._queues[key]:
@@ -323,7 +257,7 @@
             run.outcome = "cancelled"
             run.ended_s = self._now_s
 
-    def _interrupt(self, run: JobRun, kept_s: float) -> None:
+    def _interrupt(self, run: runs.JobRun, kept_s: float) -> None:
         """End the current attempt and keep some of its work."""
         ran_s = max(0.0, self._now_s - run.started_s)
         run.spans.append((run.started_s, self._now_s))
@@ -336,7 +270,7 @@
         run.attempt += 1
         del self._running[run.arrival.job_id]
 
-    def _end(self, event: "_End") -> None:
+    def _end(self, event: runs.End) -> None:
         run = event.run
         if run.attempt != event.attempt or run.started_s is None:
             return
@@ -363,7 +297,7 @@
         )
         del self._running[run.arrival.job_id]
 
-    def _fail_attempt(self, run: JobRun, failed: list[str]) -> None:
+    def _fail_attempt(self, run: runs.JobRun, failed: list[str]) -> None:
         blamed = any(
             not self._health.is_suspect(worker_id) for worker_id in failed
         )
@@ -376,7 +310,7 @@
             self._enqueue(run)
 
     def _tell_health(
-        self, run: JobRun, worker_ids: set[str], kind: records.EndKind
+        self, run: runs.JobRun, worker_ids: set[str], kind: records.EndKind
     ) -> None:
         task = messages.TaskId(run.arrival.job_id, run.attempt, 0)
         for worker_id in worker_ids:
@@ -386,7 +320,7 @@
             record = records.Record("", "", self._clock.now(), 0, body)
             self._health.observe(record, models.Applied(0, True))
 
-    def _stopped(self, event: "_Stopped") -> None:
+    def _stopped(self, event: runs.Stopped) -> None:
         run = event.run
         if run.attempt != event.attempt or not run.is_stopping:
             return
@@ -420,15 +354,15 @@
                 }
             )
 
-    def _stop(self, run: JobRun) -> None:
+    def _stop(self, run: runs.JobRun) -> None:
         if run.is_stopping:
             return
         run.is_stopping = True
-        event = _Stopped(run, run.attempt, self._now_s)
+        event = runs.Stopped(run, run.attempt, self._now_s)
         self._push(self._now_s + self._workload.checkpoint_s, event)
 
     def _start(
-        self, run: JobRun, placements: tuple[records.Placement, ...]
+        self, run: runs.JobRun, placements: tuple[records.Placement, ...]
     ) -> None:
         self._dequeue(run)
         run.placements = placements
@@ -442,12 +376,12 @@
             for placement in placements
         )
         length_s = min(left_s, FAIL_AFTER_S) if is_failing else left_s
-        self._push(run.started_s + length_s, _End(run, run.attempt))
+        self._push(run.started_s + length_s, runs.End(run, run.attempt))
 
     def _view(self) -> base.View:
         now = self._clock.now()
         waiting = [
-            _waiting(run)
+            runs.waiting_job(run)
             for queue in self._queues.values()
             for run in itertools.islice(queue.values(), HEADS)
         ]
@@ -458,7 +392,9 @@
             else worker
             for number, worker in enumerate(self._workers)
         )
-        running = tuple(_running(run, now) for run in self._running.values())
+        running = tuple(
+            runs.running_gang(run, now) for run in self._running.values()
+        )
         return base.View(
             now,
             workers,
@@ -471,65 +407,3 @@
 
     def _is_usable(self, number: int, worker_id: str) -> bool:
         return number not in self._lost and self._health.is_usable(worker_id)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _End:
-    run: JobRun
-    attempt: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Stopped:
-    run: JobRun
-    attempt: int
-    asked_s: float
-
-
-def _waiting(run: JobRun) -> base.WaitingJob:
-    arrival = run.arrival
-    return base.WaitingJob(
-        arrival.job_id,
-        arrival.account,
-        arrival.caller,
-        arrival.spec,
-        START + datetime.timedelta(seconds=arrival.at_s),
-        run.order,
-        run.done_s,
-    )
-
-
-def _running(run: JobRun, now: datetime.datetime) -> base.RunningGang:
-    started_at = START + datetime.timedelta(seconds=run.started_s)
-    return base.RunningGang(
-        run.arrival.job_id,
-        run.arrival.account,
-        run.arrival.caller,
-        run.arrival.spec,
-        run.placements,
-        min(started_at, now),
-        run.is_stopping,
-    )
-
-
-def make_workers(
-    workload: workloads.Workload,
-) -> tuple[base.WorkerView, ...]:
-    """Return the workers of every pool."""
-    workers = []
-    for number, pool in enumerate(workload.pools):
-        for centre in range(pool.data_centres):
-            for rack in range(pool.racks):
-                for place in range(pool.workers):
-                    rack_id = f"p{number}r{rack}"
-                    workers.append(
-                        base.WorkerView(
-                            f"d{centre}{rack_id}w{place}",
-                            f"d{centre}",
-                            rack_id,
-                            pool.accelerators,
-                            pool.cores,
-                            pool.memory_gb,
-                        )
-                    )
-    return tuple(workers)
--- a/cardamomcroft/bench/policy.py
+++ b/cardamomcroft/bench/policy.py
@@ -11,6 +11,7 @@
 from cardamomcroft.bench import bounds
 from cardamomcroft.bench import engine
 from cardamomcroft.bench import report
+from cardamomcroft.bench import runs
 from cardamomcroft.bench import tables
 from cardamomcroft.bench import workload as workloads
 from cardamomcroft.cli import client
@@ -35,10 +36,8 @@
     return report.make(outcome, calm) | {"policy": policy, "seed": seed}
 
 
-def _run(
-    workload: workloads.Workload, policy: str, seed: int
-) -> engine.Outcome:
-    size = len(engine.make_workers(workload))
+def _run(workload: workloads.Workload, policy: str, seed: int) -> runs.Outcome:
+    size = len(runs.make_workers(workload))
     check_every = CHECK_EVERY_LARGE if size > LARGE_FLEET else CHECK_EVERY
     made = registry.by_name()[policy]
     return engine.Engine(workload, made, seed, check_every).run()
--- a/cardamomcroft/bench/report.py
+++ b/cardamomcroft/bench/report.py
@@ -7,14 +7,14 @@
 import numpy
 
 from cardamomcroft.bench import arrivals
-from cardamomcroft.bench import engine
+from cardamomcroft.bench import runs as job_runs
 from cardamomcroft.bench import workload as workloads
 from cardamomcroft.settings import documents
 
 SLOWDOWN_FLOOR_S = 10.0  # shorter runs count as this long
 LARGE_SHARE = 0.5  # callers that together ask for this share are large
 
-JobRuns = collections.abc.Sequence[engine.JobRun]
+JobRuns = collections.abc.Sequence[job_runs.JobRun]
 
 
 def spread(values: collections.abc.Sequence[float]) -> dict[str, float]:
@@ -31,19 +31,19 @@
     }
 
 
-def completion_s(run: engine.JobRun) -> float:
+def completion_s(run: job_runs.JobRun) -> float:
     """Return the time from arrival to the whole end."""
     return run.ended_s - run.arrival.at_s
 
 
-def slowdown(run: engine.JobRun) -> float:
+def slowdown(run: job_runs.JobRun) -> float:
     """Return the completion time over the run time."""
     return completion_s(run) / max(run.arrival.run_s, SLOWDOWN_FLOOR_S)
 
 
 def _grouped(
     runs: JobRuns,
-    measure: collections.abc.Callable[[engine.JobRun], float],
+    measure: collections.abc.Callable[[job_runs.JobRun], float],
 ) -> dict[str, typing.Any]:
     by_class = collections.defaultdict(list)
     by_account = collections.defaultdict(list)
@@ -97,7 +97,9 @@
     return by_account
 
 
-def others_kept(flooded: engine.Outcome, calm: engine.Outcome) -> float | None:
+def others_kept(
+    flooded: job_runs.Outcome, calm: job_runs.Outcome
+) -> float | None:
     """Return what other work kept in a flood, up to its fair share."""
     floods = flooded.workload.floods
     if not floods:
@@ -126,7 +128,7 @@
 
 def _of_others(
     runs: JobRuns, flooding: set[tuple[str, str]]
-) -> list[engine.JobRun]:
+) -> list[job_runs.JobRun]:
     return [
         run
         for run in runs
@@ -164,7 +166,7 @@
 
 
 def make(
-    outcome: engine.Outcome, calm: engine.Outcome | None
+    outcome: job_runs.Outcome, calm: job_runs.Outcome | None
 ) -> dict[str, typing.Any]:
     """Return the report of one run."""
     ordinary = [run for run in outcome.runs if not run.arrival.is_flood]
--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -6,7 +6,6 @@
 
 from cardamomcroft.policy import base
 from cardamomcroft.policy import borrowed
-from cardamomcroft.policy import cells
 from cardamomcroft.policy import fairness
 from cardamomcroft.policy import fifo
 from cardamomcroft.policy import granted
@@ -259,8 +258,3 @@
     ) -> str | None:
         """Say why the job could never run, or return None."""
         return fifo.fits_empty_fleet(spec, workers)
-
-
-def units_of(spec: documents.JobSpec, worker: base.WorkerView) -> int:
-    """Return the units that the whole gang takes on such workers."""
-    return spec.members * (cells.member_size(spec, worker) or 0)
--- a/tests/faults/machine.py
+++ b/tests/faults/machine.py
@@ -253,7 +253,7 @@
         self.cluster.workers.by_id[f"w{number + 1}"].cut(is_cut)
 
     @stateful.rule(
-        numbers=strategies.sets(worker_numbers, min_size=2),
+        number=instances,
         operation=strategies.sampled_from(
             ("reserve", "start", "stop", "renew", "execute")
         ),
@@ -262,14 +262,14 @@
         accelerators=strategies.sampled_from((4, 8)),
     )
     def submit_under_fault(
-        self, numbers, operation, is_lost, members, accelerators
+        self, number, operation, is_lost, members, accelerators
     ):
         """Submit while a command is refused or its answer is lost."""
-        for number in numbers:
-            faults = self.cluster.workers.by_id[f"w{number + 1}"].faults
+        for worker in self.cluster.workers.by_id.values():
+            faults = worker.faults
             counter = faults.lost_answers if is_lost else faults.refused
             counter[operation] += 1
-        self.submit(numbers.pop(), members, accelerators, 5.0)
+        self.submit(number, members, accelerators, 5.0)
         self.do(self.cluster.advance(0.3))
 
     @stateful.rule(number=worker_numbers)
