--- a/cardamomcroft/policy/fair.py
+++ b/cardamomcroft/policy/fair.py
@@ -29,6 +29,7 @@
     orders_callers: bool = False  # callers before classes
     requeue_s: float = 0.0  # that a reclaimed unit counts as lost
     headroom: float = 0.0  # part of the fleet that batch leaves idle
+    lends_within_share: bool = False  # without regard to the headroom
     fair_tries: int = 0  # jobs that may reclaim beyond fair parts
     shortest_first: bool = False  # among those within their fair part
     class_weights: tuple[float, float, float] = (8.0, 3.0, 1.0)  # by urgency
@@ -192,6 +193,10 @@
         """Keep batch work off the last idle units, for urgent work."""
         if job.spec.urgency is not documents.Urgency.BATCH:
             return True
+        if self.options.lends_within_share:
+            used = self.usage.by_account[job.account]
+            if used < self.flows.share_of(job.account):
+                return True
         units = job.spec.members * max(1, job.spec.accelerators)
         idle = sum(mask.bit_count() for mask in self.ledger.idle.values())
         total = sum(mask.bit_count() for mask in self.ledger.full.values())
--- a/cardamomcroft/policy/registry.py
+++ b/cardamomcroft/policy/registry.py
@@ -28,9 +28,15 @@
     shortest_first=True,
 )
 _BY_PART = dataclasses.replace(_BY_WORK, name="cardamomcroft-6", fair_tries=4)
-_WITH_HEADROOM = dataclasses.replace(_BY_PART, name=CURRENT, headroom=0.02)
+_WITH_HEADROOM = dataclasses.replace(
+    _BY_PART, name="cardamomcroft-7", headroom=0.02
+)
+_WITHIN_SHARE = dataclasses.replace(
+    _WITH_HEADROOM, name=CURRENT, lends_within_share=True
+)
 
 VERSIONS = (
+    _WITHIN_SHARE,
     _WITH_HEADROOM,
     _BY_PART,
     _BY_WORK,
