--- a/cardamomcroft/api/bodies.py
+++ b/cardamomcroft/api/bodies.py
@@ -88,6 +88,15 @@
     return expression.Ok(key)
 
 
+def verdict_of(job: models.Job) -> verdict.Verdict:
+    """Tell whether a job has run; one never tried and over has not."""
+    if job.phase is models.Phase.COMPLETED:
+        return verdict.Verdict.RAN
+    if job.phase.is_final and not job.attempt:
+        return verdict.Verdict.NOT_RUN
+    return verdict.Verdict.MAY_HAVE_RUN
+
+
 def job_to_plain(job: models.Job) -> dict:
     """Return what a caller may know of a job."""
     return {
@@ -97,6 +106,7 @@
         "key": job.key,
         "region": job.region,
         "phase": job.phase.value,
+        "verdict": verdict_of(job).value,
         "attempts": job.starts,
         "failures": job.failures,
         "detail": job.detail,
--- a/cardamomcroft/standin/service.py
+++ b/cardamomcroft/standin/service.py
@@ -128,6 +128,8 @@
         worker.faults.service_time = datetime.timedelta(
             seconds=plain["service_s"]
         )
+    if plain.get("lapse"):
+        worker.lapse()
     if plain.get("lose"):
         worker.lose()
 
--- a/cardamomcroft/standin/workers.py
+++ b/cardamomcroft/standin/workers.py
@@ -148,6 +148,14 @@
         """Tell whether anyone got an answer about tasks in a time."""
         return any(since <= at <= until for at in self.told_at)
 
+    def lapse(self) -> None:
+        """Let every lease lapse now, as after a long pause."""
+        self.refresh()
+        now = self._clock.monotonic()
+        for task in self._tasks.values():
+            task.until = now - datetime.timedelta(microseconds=1)
+        self.refresh()
+
     def lose(self) -> None:
         """Drop everything, as a crash of the machine does."""
         self.refresh()
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -1,6 +1,8 @@
 """Check that accepted jobs run whole, once, in turn."""
 
+from cardamomcroft.api import bodies
 from cardamomcroft.log import records
+from cardamomcroft.ports import verdict
 from cardamomcroft.settings import documents
 from cardamomcroft.standin import log
 from cardamomcroft.state import models
@@ -278,6 +280,40 @@
         self.assertEqual(1, len(self.cluster.runs(job_id)))
 
 
+class LapseTest(harness.ClusterCase):
+    """Let leases lapse while their holder is paused."""
+
+    async def test_lapsed_gang_ends_whole_and_runs_again_once(self):
+        await self.cluster.ready()
+        job_id = await self.cluster.submit(
+            members=3, accelerators=8, run_s=10.0
+        )
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        await self.cluster.advance(3)
+        victim = self.cluster.job(job_id).placements[1].worker_id
+        worker = self.cluster.workers.by_id[victim]
+        worker.lapse()
+        self.assertEqual(1, worker.lapsed)
+        await self.cluster.reach(job_id, models.Phase.COMPLETED)
+        job = self.cluster.job(job_id)
+        self.assertEqual((models.Phase.COMPLETED, 2), (job.phase, job.starts))
+        for run in self.cluster.runs(job_id):
+            self.assertIsNotNone(run.ended_at)
+
+    async def test_cancelled_before_any_attempt_is_not_run(self):
+        await self.cluster.ready()
+        blocker = await self.cluster.submit(
+            members=4, accelerators=8, run_s=60.0
+        )
+        await self.cluster.reach(blocker, models.Phase.RUNNING)
+        waiting = await self.cluster.submit(members=4, accelerators=8)
+        await self.cluster.confirm(records.JobCancelled(waiting, "me"))
+        await self.cluster.reach(waiting, models.Phase.CANCELLED)
+        found = bodies.verdict_of(self.cluster.job(waiting))
+        self.assertIs(verdict.Verdict.NOT_RUN, found)
+        self.assertEqual([], self.cluster.runs(waiting))
+
+
 class LateResultTest(harness.ClusterCase):
     """Hear of a result after its member was given up."""
 
