--- a/bench/fault_processes.py
+++ b/bench/fault_processes.py
@@ -1,9 +1,11 @@
 """Start the stand-ins and daemons as processes."""
 
 import asyncio
+import dataclasses
 import os
 import pathlib
 import sys
+import time
 
 import yaml
 
@@ -13,9 +15,18 @@
 from cardamomcroft.settings import parsing
 
 INSTANCES = 7
+SETTLED_AFTER_S = 15.0  # imports weigh on younger ones
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples" / "guild"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold a daemon's resident memory and mean share of a core."""
+
+    rss_bytes: int
+    core_share: float
+
+
 class Processes:
     """Start processes and end exactly those."""
 
@@ -28,6 +39,7 @@
         self.addresses = list(zip(rest[::2], rest[1::2], strict=True))
         self.by_path = self._declarations()
         self.daemons: dict[int, asyncio.subprocess.Process] = {}
+        self._started_s: dict[int, float] = {}
         self._standins: list[asyncio.subprocess.Process] = []
         self._write_settings()
 
@@ -114,6 +126,7 @@
 
     async def start_daemon(self, number: int) -> None:
         """Start an instance."""
+        self._started_s[number] = time.monotonic()
         self.daemons[number] = await self._spawn(
             f"entry-{number}",
             "cardamomcroft.daemon.main",
@@ -121,6 +134,24 @@
             str(self._folder / f"entry-{number}.yaml"),
         )
 
+    def usage(self) -> tuple[Usage, ...]:
+        """Return what each daemon that is past its start has used."""
+        found = []
+        for number, process in self.daemons.items():
+            if process.returncode is not None:
+                continue
+            ran_s = time.monotonic() - self._started_s[number]
+            if ran_s < SETTLED_AFTER_S:
+                continue
+            folder = pathlib.Path(f"/proc/{process.pid}")
+            fields = (folder / "stat").read_text().rpartition(")")[2].split()
+            ticks = int(fields[11]) + int(fields[12])  # user and system
+            pages = int((folder / "statm").read_text().split()[1])
+            cpu_s = ticks / os.sysconf("SC_CLK_TCK")
+            rss_bytes = pages * os.sysconf("SC_PAGE_SIZE")
+            found.append(Usage(rss_bytes, cpu_s / ran_s))
+        return tuple(found)
+
     def url(self, number: int) -> str:
         """Return an instance's HTTP address."""
         return f"http://{self.addresses[number][0]}"
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -74,6 +74,7 @@
         self._ready: set[int] = set()
         self._revision = -1
         self._is_over = False
+        self._usage: tuple[fault_processes.Usage, ...] = ()
         self._stopping: frozenset[int] = frozenset()
 
     async def run(self) -> dict:
@@ -94,6 +95,7 @@
                 )
             ]
             await self._inject()
+            self._usage = self._processes.usage()
             self._is_over = True
             await asyncio.gather(*load)
             return await self._finish()
@@ -434,7 +436,8 @@
         await self._log_faults(lost_answers=3)
 
     def _any_worker(self) -> str:
-        fleet = self._processes.by_path["fleet/safaga"]
+        # Requests go to the data centre of the daemons first.
+        fleet = self._processes.by_path["fleet/dahab"]
         return self._random.choice(list(fleet.racks["r1"].workers))
 
     async def _worker_faults(self, worker_id: str, **faults) -> None:
@@ -524,6 +527,10 @@
             ],
             "settings_changes": len(tally.in_force_s),
             "takeover_s": max(tally.takeover_s, default=0.0),
+            "daemon_rss_bytes": max(one.rss_bytes for one in self._usage),
+            "daemon_core_share": round(
+                max(one.core_share for one in self._usage), 4
+            ),
             "faults": dict(tally.faults),
         }
 
