Leave a dead worker alone for longer each time

Cause: a test that loses a rack found a job queued for ever: a miss on a dead worker waited the whole lapse time to release a hold that was never granted, and by then the worker counted as usable again. Change: a hold refused as not run needs no release; a worker that does not answer is avoided twice as long each time, up to a minute, until a gang starts on it. Ruled out: the policy (it had two whole workers to choose).

--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -104,6 +104,8 @@
             )
             result = await self._workers.reserve(placement.worker_id, command)
             if result.is_error():
+                if result.error.verdict is verdict.Verdict.NOT_RUN:
+                    self._touched.pop()  # nothing is held there
                 return self._missed(member, result.error.detail, False)
         return True
 
--- a/cardamomcroft/jobs/launcher.py
+++ b/cardamomcroft/jobs/launcher.py
@@ -101,6 +101,8 @@
 
     def _record_start(self, launch: launches.Launch, token: int) -> None:
         self._attempts.pop(launch.job.job_id, None)
+        for placement in launch.placements:
+            self._parts.health.note_reachable(placement.worker_id)
         body = records.GangStarted(
             launch.job.job_id, launch.attempt, token, launch.placements
         )
--- a/cardamomcroft/workers/health.py
+++ b/cardamomcroft/workers/health.py
@@ -12,7 +12,8 @@
 WORKERS_OF_BAD_JOB = 2  # distinct workers on which a job failed
 QUARANTINE_START = datetime.timedelta(seconds=30)
 QUARANTINE_LIMIT = datetime.timedelta(minutes=10)
-UNREACHABLE_AVOIDANCE = datetime.timedelta(seconds=5)
+AVOIDANCE_START = datetime.timedelta(seconds=5)
+AVOIDANCE_LIMIT = datetime.timedelta(minutes=1)
 JOBS_REMEMBERED = 2000
 
 
@@ -22,6 +23,7 @@
     quarantines: int = 0
     until: datetime.timedelta = datetime.timedelta()
     unreachable_until: datetime.timedelta = datetime.timedelta()
+    misses: int = 0
 
 
 class Health:
@@ -85,9 +87,18 @@
         return len(telling) >= SUSPECT_JOBS
 
     def note_unreachable(self, worker_id: str) -> None:
-        """Avoid a worker that did not answer."""
-        until = self._clock.monotonic() + UNREACHABLE_AVOIDANCE
-        self._by_worker[worker_id].unreachable_until = until
+        """Avoid a worker that did not answer, longer each time."""
+        evidence = self._by_worker[worker_id]
+        length = min(AVOIDANCE_START * 2**evidence.misses, AVOIDANCE_LIMIT)
+        evidence.misses = min(evidence.misses + 1, 10)
+        evidence.unreachable_until = self._clock.monotonic() + length
+
+    def note_reachable(self, worker_id: str) -> None:
+        """Forget the times that a worker did not answer."""
+        evidence = self._by_worker.get(worker_id)
+        if evidence is not None:
+            evidence.misses = 0
+            evidence.unreachable_until = datetime.timedelta()
 
     def is_usable(self, worker_id: str) -> bool:
         """Tell whether new work may be placed on a worker."""
