Count a job as run once when only a lost result made it run again

Change: attempts whose result a worker's crash took may stand beside the one that counts; run_once below accepted is a shortfall; the runs of such jobs are printed.

--- a/bench/fault_checks.py
+++ b/bench/fault_checks.py
@@ -19,11 +19,24 @@
 
 
 def ran_once(runs: list[dict], members: int) -> bool:
-    """Tell whether exactly one attempt finished whole."""
+    """Tell whether no attempt finished whole without need.
+
+    A job has to run again when a worker crashed with a member's result
+    before anyone asked for it, so such an attempt may stand beside the
+    one that counts; alone it counts itself.
+    """
+    whole = _whole_attempts(runs, members)
+    kept = _whole_attempts(
+        [run for run in runs if not run["result_lost"]], members
+    )
+    return kept == 1 or (kept == 0 and whole == 1)
+
+
+def _whole_attempts(runs: list[dict], members: int) -> int:
     by_attempt = collections.Counter(
         run["attempt"] for run in runs if run["finished"]
     )
-    return sum(count == members for count in by_attempt.values()) == 1
+    return sum(count == members for count in by_attempt.values())
 
 
 def doubled_runs(runs: list[dict]) -> int:
@@ -69,6 +82,8 @@
         "reverted_settings",
     )
     found = [name for name in wanted_zero if report[name]]
+    if report["run_once"] != report["accepted"]:
+        found.append("run_once")
     found.extend(
         f"{kind} did not happen"
         for kind in KINDS
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -475,7 +475,16 @@
         found = await self._settings_at(self._pick())
         revision = found["entries"][RACED_PATH]["revision"]
         self.tally.reverted_settings += revision < self._revision
-        return self._report(phases, await self._runs())
+        seen = await self._runs()
+        self._show_unusual(seen)
+        return self._report(phases, seen)
+
+    def _show_unusual(self, seen: dict) -> None:
+        """Print the runs of jobs that did not run exactly once."""
+        for job_id, members in self.tally.jobs.items():
+            runs = [run for run in seen["runs"] if run["job_id"] == job_id]
+            if not fault_checks.ran_once(runs, members):
+                print(json.dumps(runs), file=sys.stderr)
 
     async def _phases(self) -> dict[str, str]:
         number = self._pick()
--- a/cardamomcroft/standin/service.py
+++ b/cardamomcroft/standin/service.py
@@ -150,6 +150,7 @@
                 if run.ended_at is not None
                 else None,
                 "finished": run.finished,
+                "result_lost": run.lost_at is not None,
             }
             for worker in standin.by_id.values()
             for run in worker.runs
