Fold the overlay for late results only when there are any

Cause: each renewal of each worker folded the pending records anew to look for results given up too early, though reports of finished tasks are rare. Change: the finished reports are picked first; without any, no fold. Measured: tests of late results, takeover and outages pass unchanged.

--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -146,14 +146,20 @@
         known: tuple[records.TaskEnd, ...],
     ) -> tuple[records.TaskEnd, ...]:
         """Return results of members that were given up too early."""
-        jobs = self._overlay.state().jobs
         told = {end.task for end in known}
-        return tuple(
-            records.TaskEnd(report.task, records.EndKind.FINISHED)
+        finished = [
+            report.task
             for report in inventory.tasks
             if report.phase is messages.TaskPhase.FINISHED
             and report.task not in told
-            and is_missed(jobs.get(report.task.job_id), report.task)
+        ]
+        if not finished:
+            return ()  # as nearly always; folding the overlay costs
+        jobs = self._overlay.state().jobs
+        return tuple(
+            records.TaskEnd(task, records.EndKind.FINISHED)
+            for task in finished
+            if is_missed(jobs.get(task.job_id), task)
         )
 
     def _settled(
