--- /dev/null
+++ b/cardamomcroft/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the product."""
--- /dev/null
+++ b/cardamomcroft/platform/main.py
@@ -0,0 +1,164 @@
+"""Run one instance on the users' platform."""
+
+import asyncio
+import datetime
+import random
+import signal
+import sys
+import uuid
+
+import aiohttp
+from aiohttp import web
+
+from cardamomcroft.platform import configuration
+from cardamomcroft.platform import ingress as ingresses
+from cardamomcroft.platform import settings as platform_settings
+from cardamomcroft.platform import store as platform_store
+from cardamomcroft.platform import workers
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import node as nodes
+from cardamomcroft.scheduling import scheduler as schedulers
+
+KEEP_ALIVE_S = 30.0  # polls reuse their connections
+CLIENT_IDLE_S = 60.0
+# A worker that crashed is free after a lease; a takeover takes about 2 s.
+LEASE = datetime.timedelta(seconds=6)
+# Outlasts the outages of the store that the users name.
+MAX_GRANT_AGE = datetime.timedelta(seconds=10)
+STOP_MARGIN_S = 1.5  # before the platform kills the process
+WRONG_USE = 2
+
+
+class Process:
+    """Own one instance's sockets and tasks."""
+
+    def __init__(self, settings: platform_settings.Settings) -> None:
+        """Take checked settings."""
+        self._settings = settings
+        self._clock = clocks.SystemClock()
+        self._log = events.Events(self._clock, settings.instance)
+        self._leaving = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        settings = self._settings
+        self._log.emit("started", data_centre=settings.data_centre)
+        self._trap_signals()
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=KEEP_ALIVE_S
+        )
+        async with aiohttp.ClientSession(
+            connector=connector,
+            skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+        ) as session:
+            await self._serve(session)
+        self._log.emit("stopped")
+        self._log.flush()
+
+    def _trap_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
+        loop.add_signal_handler(signal.SIGINT, self._leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Check the settings again; addresses hold until a restart."""
+        try:
+            changed = platform_settings.load() != self._settings
+            self._log.emit("settings_reloaded", changed=changed)
+        except platform_settings.SettingsError as error:
+            self._log.emit("settings_invalid", error=str(error))
+
+    async def _serve(self, session: aiohttp.ClientSession) -> None:
+        settings, clock, log = self._settings, self._clock, self._log
+        store = platform_store.HttpStore(settings.store_address, session)
+        link = workers.HttpWorkerLink(session, settings.advice_address)
+        terms = schedulers.Terms(
+            min(LEASE, settings.max_lease),
+            MAX_GRANT_AGE,
+            settings.stop_bound,
+            0,
+        )
+        node = nodes.Node(
+            f"{settings.instance} {uuid.uuid4().hex[:8]}",
+            store,
+            link,
+            clock,
+            log,
+            workers.decode_listing,
+            terms,
+            random.Random(),
+        )
+        view = ingresses.ConfigurationView(
+            store,
+            clock,
+            log,
+            configuration.decode,
+            configuration.CONFIG_KEY,
+            settings.config_bound,
+        )
+        view.on_change = lambda config: setattr(node, "configuration", config)
+        ingress = ingresses.Ingress(node, store, view, clock, log)
+        runners = [
+            await _listen(ingress.handle_ready, settings.ready_address),
+            await _listen(ingress.handle, settings.ingress_address),
+        ]
+        tasks = [
+            asyncio.ensure_future(view.run()),
+            asyncio.ensure_future(node.run()),
+        ]
+        await self._wait_leaving(tasks)
+        await self._leave(ingress, node)
+        for task in tasks:
+            task.cancel()
+        for runner in runners:
+            await runner.cleanup()
+
+    async def _wait_leaving(self, tasks: list[asyncio.Task]) -> None:
+        leaving = asyncio.ensure_future(self._leaving.wait())
+        await asyncio.wait(
+            [leaving, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+            if task.done() and not task.cancelled() and task.exception():
+                raise task.exception()
+
+    async def _leave(
+        self, ingress: ingresses.Ingress, node: nodes.Node
+    ) -> None:
+        self._log.emit("leaving", in_flight=ingress.in_flight)
+        ingress.is_leaving = True
+        try:
+            await node.stop()
+        except TimeoutError:
+            self._log.emit("handover_failed", reason="store unavailable")
+        limit_s = self._settings.grace.total_seconds() - STOP_MARGIN_S
+        await ingresses.settle_calls(ingress, self._clock, limit_s)
+
+
+async def _listen(handler, address: str) -> web.ServerRunner:
+    host, _, port = address.rpartition(":")
+    server = web.Server(handler, keepalive_timeout=CLIENT_IDLE_S)
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+    return runner
+
+
+def main() -> None:
+    """Start from the platform's settings file."""
+    try:
+        settings = platform_settings.load()
+    except platform_settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(WRONG_USE)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: platform_settings.Settings) -> None:
+    await Process(settings).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/cardamomcroft/platform/settings.py
@@ -0,0 +1,88 @@
+"""Read the settings file that the platform writes for a process."""
+
+import dataclasses
+import datetime
+import os
+import pathlib
+
+import yaml
+
+PATH_VARIABLE = "CARDAMOMCROFT_CONFIG"
+_MS = datetime.timedelta(milliseconds=1)
+_S = datetime.timedelta(seconds=1)
+
+
+class SettingsError(Exception):
+    """Report a settings file that cannot be used, with path and reason."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Hold what a process needs to know at its start."""
+
+    instance: str
+    data_centre: str
+    ingress_address: str  # HOST:PORT for clients
+    ready_address: str  # HOST:PORT for the readiness probe
+    store_address: str
+    advice_address: str | None
+    config_bound: datetime.timedelta  # until a configuration is in force
+    max_lease: datetime.timedelta
+    stop_bound: datetime.timedelta  # a worker takes to stop a run
+    grace: datetime.timedelta  # from SIGTERM to SIGKILL
+    drain: datetime.timedelta
+    heartbeat: datetime.timedelta  # of the workers' entries
+    remote_factor: float  # slowdown away from the data or across racks
+    checkpoint: datetime.timedelta
+    restore: datetime.timedelta
+    reclaim: datetime.timedelta  # until guaranteed work has begun
+    gang_timeout: datetime.timedelta
+    retention: datetime.timedelta  # of finished jobs' states
+
+
+def decode(plain: dict, path: str) -> Settings:
+    """Read the settings; raise SettingsError with the field at fault."""
+    try:
+        bounds = plain["Bounds"]
+        listen = plain["ListenAddrs"]
+        return Settings(
+            plain["NodeName"],
+            plain["Zone"],
+            listen["FrontendAddr"],
+            listen["Ready"],
+            plain["platform"]["Address"],
+            plain.get("Advice") or None,
+            bounds["ConfigApplyMs"] * _MS,
+            bounds["MaxHoldMs"] * _MS,
+            bounds["StopTimeoutMs"] * _MS,
+            bounds["GraceS"] * _S,
+            bounds["DrainMs"] * _MS,
+            plain["HeartbeatMs"] * _MS,
+            float(bounds["RemoteFactor"]),
+            bounds["CheckpointS"] * _S,
+            bounds["RestoreMs"] * _MS,
+            bounds.get("ReclaimMs", 2700) * _MS,
+            bounds["GangTimeoutMs"] * _MS,
+            bounds["status_s"] * _S,
+        )
+    except KeyError as error:
+        raise SettingsError(f"{path}: {error.args[0]} is missing") from None
+    except TypeError as error:
+        raise SettingsError(f"{path}: {error}") from None
+
+
+def load(path: str | None = None) -> Settings:
+    """Read the file at the path, or at the one the platform names."""
+    path = path or os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsError(f"{PATH_VARIABLE} names no settings file")
+    try:
+        text = pathlib.Path(path).read_text()
+        plain = yaml.load(text, getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except yaml.YAMLError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    if not isinstance(plain, dict):
+        raise SettingsError(f"{path}: not a mapping")
+    return decode(plain, path)
--- /dev/null
+++ b/cardamomcroft/platform/store.py
@@ -0,0 +1,199 @@
+"""Reach the platform's store over HTTP."""
+
+import base64
+import collections.abc
+import datetime
+import json
+import struct
+import urllib.parse
+
+import aiohttp
+
+from cardamomcroft.ports import store
+
+CONNECT_TIMEOUT_S = 0.4  # two tries fit into a second
+TOPICS = {
+    store.Stream.JOBS: "keyed.jobs",
+    store.Stream.SERVERS: "keyed.servers",
+    store.Stream.OPERATOR: "keyed.op",
+}
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+# Connection errors before anything was sent: the store did nothing.
+_NOT_SENT = (aiohttp.ClientConnectorError,)
+_FAILED = (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError)
+
+
+def encode_entries(
+    entries: collections.abc.Sequence[store.Entry],
+) -> bytes:
+    """Return the body of an append: length, key length, key, value."""
+    parts = []
+    for entry in entries:
+        key = entry.key.encode()
+        record = bytes([len(key)]) + key + (entry.value or b"")
+        parts.append(_LENGTH.pack(len(record)) + record)
+    return b"".join(parts)
+
+
+def _record(offset: int, raw: bytes) -> store.Record:
+    split = 1 + raw[0]
+    key = raw[1:split].decode(errors="replace")
+    return store.Record(offset, key, raw[split:] or None)
+
+
+def decode_page(offset: int, body: bytes) -> store.Page:
+    """Read the end, the first retained offset and the records."""
+    end_offset, first_offset = _OFFSETS.unpack_from(body)
+    records = []
+    position = _OFFSETS.size
+    number = max(offset, first_offset)
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        raw = body[position : position + length]
+        if raw:
+            records.append(_record(number, raw))
+        position += length
+        number += 1
+    # Reading goes on behind the last record returned: a long backlog comes
+    # in several pages.
+    return store.Page(tuple(records), number if records else end_offset)
+
+
+class HttpStore(store.Store):
+    """Use the store's HTTP interface."""
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        """Take the store's HOST:PORT."""
+        self._base = f"http://{address}"
+        self._session = session
+        self.calls = 0
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout: datetime.timedelta,
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        limit = aiohttp.ClientTimeout(
+            total=timeout.total_seconds(), sock_connect=CONNECT_TIMEOUT_S
+        )
+        async with self._session.request(
+            method, self._base + path, data=body, timeout=limit
+        ) as response:
+            return response.status, await response.read()
+
+    async def append(
+        self, stream, entries, timeout, expected_end=None, writer=None
+    ) -> store.Appended:
+        """Append all entries or none."""
+        query: dict[str, object] = {"Topic": TOPICS[stream], "part": 0}
+        if expected_end is not None:
+            query["Timestamp"] = expected_end  # an offset, not a time
+        if writer is not None:
+            query["Producer"] = writer.name
+            query["epoch"] = writer.epoch
+            query["Sequence"] = writer.sequence
+        path = "/log-append?" + urllib.parse.urlencode(query)
+        try:
+            status, raw = await self._call(
+                "POST", path, timeout, encode_entries(entries)
+            )
+            return _appended(status, raw)
+        except _NOT_SENT as error:
+            return store.Appended(
+                store.AppendStatus.NOT_RUN, detail=repr(error)
+            )
+        except _FAILED as error:
+            return store.Appended(
+                store.AppendStatus.MAY_HAVE_RUN, detail=repr(error)
+            )
+
+    async def read(
+        self, stream, offset, wait, timeout
+    ) -> store.Page | store.ReadFailure:
+        """Return the records from the offset on."""
+        wait_ms = round(wait.total_seconds() * 1000)
+        path = (
+            f"/log-read?Topic={TOPICS[stream]}&part=0&From={offset}"
+            f"&WaitMs={wait_ms}"
+        )
+        try:
+            status, raw = await self._call("GET", path, timeout + wait)
+            if status == 200:
+                return decode_page(offset, raw)
+        except _FAILED as error:
+            return store.ReadFailure(
+                store.ReadStatus.UNAVAILABLE, repr(error)
+            )
+        if status == 410:
+            return store.ReadFailure(store.ReadStatus.EXPIRED)
+        return store.ReadFailure(
+            store.ReadStatus.UNAVAILABLE, f"status {status}"
+        )
+
+    async def newest(
+        self, stream, timeout
+    ) -> store.Page | store.ReadFailure:
+        """Return the newest record of each key."""
+        records: list[store.Record] = []
+        first_end: int | None = None
+        after = ""
+        while True:
+            query = {"Topic": TOPICS[stream], "part": 0}
+            if after:
+                query["After"] = after
+            path = "/log-newest?" + urllib.parse.urlencode(query)
+            try:
+                status, raw = await self._call("GET", path, timeout)
+                if status != 200:
+                    return store.ReadFailure(
+                        store.ReadStatus.UNAVAILABLE, f"status {status}"
+                    )
+                plain = json.loads(raw)
+                page = [_newest_record(item) for item in plain["items"]]
+            except _FAILED as error:
+                return store.ReadFailure(
+                    store.ReadStatus.UNAVAILABLE, repr(error)
+                )
+            records.extend(page)
+            if first_end is None:
+                first_end = plain["EndOffset"]
+            if not plain["HasMore"] or not page:
+                return store.Page(tuple(records), first_end)
+            after = page[-1].key
+
+
+def _newest_record(item: dict) -> store.Record:
+    value = base64.b64decode(item["Value"])
+    return store.Record(item["Offset"], item["Key"], value or None)
+
+
+def _appended(status: int, raw: bytes) -> store.Appended:
+    if status == 200:
+        plain = json.loads(raw)
+        return store.Appended(
+            store.AppendStatus.APPENDED, plain["Offset"], plain["EndOffset"]
+        )
+    if status == 412:
+        plain = json.loads(raw)
+        return store.Appended(
+            store.AppendStatus.CONFLICT, end_offset=plain["EndOffset"]
+        )
+    if status == 409:
+        plain = json.loads(raw)
+        if plain["Reason"] == "fenced":
+            return store.Appended(store.AppendStatus.FENCED)
+        numbers = [v for v in plain.values() if isinstance(v, int)]
+        return store.Appended(
+            store.AppendStatus.OUT_OF_SEQUENCE,
+            expected_sequence=numbers[0] if numbers else -1,
+            detail=raw.decode(errors="replace"),
+        )
+    # 429 and 503 say that nothing was done; so do the other refusals.
+    return store.Appended(
+        store.AppendStatus.NOT_RUN, detail=f"status {status}"
+    )
--- /dev/null
+++ b/cardamomcroft/platform/workers.py
@@ -0,0 +1,248 @@
+"""Send orders to workers in the platform's words and decode its lists."""
+
+import datetime
+import json
+
+import aiohttp
+
+from cardamomcroft.ports import fleet
+from cardamomcroft.ports import store
+
+CONNECT_TIMEOUT_S = 0.5  # several cross-zone round trips
+ADVICE_TIMEOUT_S = 2.0
+_FAILED = (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError)
+_ENDS = {
+    "done": fleet.End.DONE,
+    "failed": fleet.End.FAILED,
+    "stopped": fleet.End.STOPPED,
+    "lapsed": fleet.End.LAPSED,
+    "broken": fleet.End.GANG_BROKEN,
+    "alone": fleet.End.GANG_INCOMPLETE,
+}
+_REFUSALS = {
+    "fence": fleet.OrderStatus.STALE_TOKEN,
+    "old": fleet.OrderStatus.STALE_RUN,
+    "late": fleet.OrderStatus.EXPIRED,
+    "room": fleet.OrderStatus.NO_ROOM,
+    "ticket": fleet.OrderStatus.NO_TICKET,
+}
+_STATUSES = {
+    200: fleet.OrderStatus.DONE,
+    400: fleet.OrderStatus.INVALID,
+    421: fleet.OrderStatus.OTHER_INCARNATION,
+    429: fleet.OrderStatus.UNHEALTHY,
+    503: fleet.OrderStatus.UNHEALTHY,
+}
+
+
+class HttpWorkerLink(fleet.WorkerLink):
+    """Use the workers' HTTP interface."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, advice_address: str | None
+    ) -> None:
+        """Take the address of the service that gives placement advice."""
+        self._session = session
+        self._advice_address = advice_address
+
+    async def _post(
+        self,
+        address: fleet.Address,
+        path: str,
+        body: dict,
+        timeout: datetime.timedelta,
+    ) -> tuple[fleet.OrderResult, dict]:
+        limit = aiohttp.ClientTimeout(
+            total=timeout.total_seconds(), sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.post(
+                f"http://{address.host_port}{path}",
+                data=json.dumps(body, separators=(",", ":")),
+                timeout=limit,
+                headers={
+                    "Content-Type": "application/json",
+                    "X-Expected-Instance": address.worker_id,
+                },
+            ) as response:
+                raw = await response.read()
+                plain = json.loads(raw) if raw else {}
+                return _result(response.status, plain), plain
+        except aiohttp.ClientConnectorError as error:
+            status = fleet.OrderStatus.NOT_RUN
+            return fleet.OrderResult(status, detail=repr(error)), {}
+        except _FAILED as error:
+            status = fleet.OrderStatus.MAY_HAVE_RUN
+            return fleet.OrderResult(status, detail=repr(error)), {}
+
+    async def start(self, address, order, timeout) -> fleet.OrderResult:
+        """Start a task."""
+        body = {
+            "Task": order.task,
+            "RunId": order.run,
+            "Spec": order.payload,
+            "DeadlineMs": order.deadline_ms,
+            "FencingToken": order.token,
+        }
+        if order.checkpoint:
+            body["Checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["Ticket"] = order.ticket
+        result, _ = await self._post(address, "/run-start", body, timeout)
+        return result
+
+    async def stop(
+        self, address, task, run, token, timeout
+    ) -> fleet.OrderResult:
+        """Stop a run."""
+        body = {"Task": task, "RunId": run, "FencingToken": token}
+        result, _ = await self._post(address, "/run-stop", body, timeout)
+        return result
+
+    async def pace(
+        self, address, task, run, percent, token, timeout
+    ) -> fleet.OrderResult:
+        """Let a run work at a share of its speed."""
+        body = {
+            "Task": task,
+            "RunId": run,
+            "Percent": percent,
+            "FencingToken": token,
+        }
+        result, _ = await self._post(address, "/pace", body, timeout)
+        return result
+
+    async def hold(
+        self, address, order, timeout
+    ) -> fleet.Inventory | fleet.OrderResult:
+        """Extend the lease and return the inventory."""
+        wait_ms = round(order.wait.total_seconds() * 1000)
+        body = {
+            "FencingToken": order.token,
+            "LastSeen": order.last_seen,
+        }
+        if order.deadline_ms is not None:
+            body["DeadlineMs"] = order.deadline_ms
+        if wait_ms:
+            body["WaitMs"] = wait_ms
+        result, plain = await self._post(
+            address, "/hold", body, timeout + order.wait
+        )
+        if result.status is not fleet.OrderStatus.DONE:
+            return result
+        try:
+            return decode_inventory(plain)
+        except (ValueError, KeyError, TypeError, IndexError) as error:
+            status = fleet.OrderStatus.MAY_HAVE_RUN
+            return fleet.OrderResult(status, detail=repr(error))
+
+    async def advise(self, step, worker_ids) -> fleet.Advice | None:
+        """Ask which workers a step may run on."""
+        if self._advice_address is None:
+            return None
+        body = {"Step": step, "Workers": list(worker_ids)}
+        address = fleet.Address("", self._advice_address)
+        try:
+            async with self._session.post(
+                f"http://{address.host_port}/advise",
+                data=json.dumps(body),
+                headers={"Content-Type": "application/json"},
+                timeout=aiohttp.ClientTimeout(total=ADVICE_TIMEOUT_S),
+            ) as response:
+                if response.status != 200:
+                    return None
+                plain = json.loads(await response.read())
+                return fleet.Advice(
+                    tuple(fleet.Ticket(*row) for row in plain["Allowed"]),
+                    datetime.timedelta(milliseconds=plain["ValidMs"]),
+                )
+        except (*_FAILED, TypeError):
+            return None
+
+
+def _result(status: int, plain: dict) -> fleet.OrderResult:
+    clock_ms = plain.get("ClockMs")
+    if status == 409:
+        reason = str(plain.get("Reason"))
+        refusal = _REFUSALS.get(reason, fleet.OrderStatus.INVALID)
+        return fleet.OrderResult(refusal, clock_ms, reason)
+    known = _STATUSES.get(status, fleet.OrderStatus.MAY_HAVE_RUN)
+    return fleet.OrderResult(known, clock_ms, f"status {status}")
+
+
+def decode_inventory(plain: dict) -> fleet.Inventory:
+    """Read a worker's lists of runs at work and of ends."""
+    return fleet.Inventory(
+        int(plain["ClockMs"]),
+        int(plain.get("born", 0)),
+        tuple(
+            fleet.RunningTask(
+                row[0],
+                row[1],
+                row[2] or "",
+                row[3],
+                row[4] if len(row) > 4 else 0.0,
+            )
+            for row in plain["Running"]
+        ),
+        tuple(
+            fleet.FinishedTask(
+                row[0],
+                row[1],
+                row[2],
+                _ENDS.get(row[3], fleet.End.UNKNOWN),
+                row[4] or "",
+            )
+            for row in plain["Finished"]
+        ),
+    )
+
+
+def _is_count(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def decode_listing(record: store.Record) -> fleet.Listing | None:
+    """Read a worker's entry; None if it is damaged or names no worker."""
+    if record.value is None:
+        return None
+    try:
+        plain = json.loads(record.value)
+        capacity = plain["Capacity"]
+        counts = (
+            capacity.get("Cpu", 0),
+            capacity.get("MemMb", 0),
+            capacity.get("Gpu", 0),
+            plain["ClockMs"],
+            plain.get("born", 0),
+        )
+        texts = (
+            plain["Service"],
+            plain["Address"],
+            plain["Zone"],
+            *plain["Labels"],
+        )
+        state = fleet.ServerState(plain["State"])
+        remaining_ms = plain.get("RemainingMs")
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+    if not all(_is_count(value) and value >= 0 for value in counts):
+        return None
+    if not all(isinstance(text, str) and text for text in texts):
+        return None
+    return fleet.Listing(
+        fleet.Address(record.key, plain["Address"]),
+        plain["Service"],
+        state,
+        plain["Zone"],
+        counts[4],
+        counts[3],
+        frozenset(plain["Labels"]),
+        plain["Labels"][-1] if plain["Labels"] else "",  # kind, then rack
+        counts[0],
+        counts[1],
+        counts[2],
+        datetime.timedelta(milliseconds=remaining_ms)
+        if _is_count(remaining_ms)
+        else None,
+    )
--- a/cardamomcroft/ports/__init__.py
+++ b/cardamomcroft/ports/__init__.py
@@ -1,9 +1,14 @@
-"""Meet the platform, the workers, the clock and the metrics."""
+"""Meet the platform, the workers, the clock and the metrics.
 
-from cardamomcroft.ports import base
-from cardamomcroft.ports import clock
-from cardamomcroft.ports import messages
-from cardamomcroft.ports import metrics
-from cardamomcroft.ports import verdict
+Submodules are imported by name; the daemon needs few of them.
+"""
 
-__all__ = ["base", "clock", "messages", "metrics", "verdict"]
+__all__ = [
+    "base",
+    "clock",
+    "fleet",
+    "messages",
+    "metrics",
+    "store",
+    "verdict",
+]
--- /dev/null
+++ b/cardamomcroft/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which accepted jobs run where, and recover what others decided."""
--- /dev/null
+++ b/cardamomcroft/scheduling/configuration.py
@@ -0,0 +1,60 @@
+"""Hold the operator's configuration that is in force."""
+
+import dataclasses
+import functools
+
+from cardamomcroft.scheduling import models
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Map a host and path prefix to a queue."""
+
+    host: str
+    prefix: str
+    queue: models.Queue
+    is_public: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Account:
+    """Describe a client account and what it is guaranteed."""
+
+    name: str
+    priority: int
+    guaranteed_accelerators: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """Hold one version of routes, accounts and their keys."""
+
+    version: int
+    routes: tuple[Route, ...]
+    accounts_by_key: dict[str, Account]
+    max_body_bytes: int
+
+    @functools.cached_property
+    def routes_by_host(self) -> dict[str, list[Route]]:
+        """Return each host's routes, longest prefix first."""
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        return by_host
+
+    @functools.cached_property
+    def accounts_by_name(self) -> dict[str, Account]:
+        """Return the accounts by name."""
+        return {
+            account.name: account
+            for account in self.accounts_by_key.values()
+        }
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/cardamomcroft/scheduling/directory.py
@@ -0,0 +1,104 @@
+"""Follow the workers' entries in the platform's store."""
+
+import asyncio
+import collections.abc
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import fleet
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import events
+
+READ_TIMEOUT = datetime.timedelta(seconds=1)
+WAIT = datetime.timedelta(seconds=1)
+RETRY_PAUSE = datetime.timedelta(milliseconds=150)
+# Entries that lapsed with the store are back two seconds after it (letter).
+RETURN_GRACE = datetime.timedelta(seconds=2.2)
+
+Decoder = collections.abc.Callable[[store.Record], fleet.Listing | None]
+
+
+class Directory:
+    """Keep the listings of all workers."""
+
+    def __init__(
+        self,
+        source: store.Store,
+        clock: base.Clock,
+        log: events.Events,
+        decode: Decoder,
+    ) -> None:
+        """Take the decoder of the platform's entries."""
+        self._store = source
+        self._clock = clock
+        self._log = log
+        self._decode = decode
+        self._offset: int | None = None
+        self.listings_by_id: dict[str, fleet.Listing] = {}
+        # The earliest time at which a missing entry means a worker gone.
+        self.settled_at = clock.monotonic()
+        self.is_loaded = False
+        self.on_change: collections.abc.Callable[[], None] | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if not await self.update():
+                self.settled_at = self._clock.monotonic() + RETURN_GRACE
+                self._offset = None
+                await self._clock.sleep(RETRY_PAUSE)
+
+    async def update(self) -> bool:
+        """Read once; tell whether the store answered."""
+        if self._offset is None:
+            return await self._load()
+        page = await self._store.read(
+            store.Stream.SERVERS, self._offset, WAIT, READ_TIMEOUT
+        )
+        if isinstance(page, store.ReadFailure):
+            return False
+        self._offset = page.end_offset
+        for record in page.records:
+            self._note(record)
+        if page.records and self.on_change:
+            self.on_change()
+        # Heartbeats come in small pieces; reading them together is cheaper.
+        await asyncio.sleep(0.05)
+        return True
+
+    async def _load(self) -> bool:
+        page = await self._store.newest(store.Stream.SERVERS, READ_TIMEOUT)
+        if isinstance(page, store.ReadFailure):
+            return False
+        self.listings_by_id = {}
+        for record in page.records:
+            self._note(record)
+        self._offset = page.end_offset
+        self.is_loaded = True
+        if self.on_change:
+            self.on_change()
+        return True
+
+    def _note(self, record: store.Record) -> None:
+        if record.value is None:
+            if self.listings_by_id.pop(record.key, None):
+                self._log.emit("worker_unlisted", worker_id=record.key)
+            return
+        listing = self._decode(record)
+        if listing is None:
+            # Damaged entries name no worker; a good one before them holds.
+            return
+        known = self.listings_by_id.get(record.key)
+        if (
+            known is None
+            or known.state is not listing.state
+            or known.born_ms != listing.born_ms
+        ):
+            self._log.emit(
+                "worker_listed",
+                worker_id=record.key,
+                state=listing.state.value,
+                born_ms=listing.born_ms,
+                offset=record.offset,
+            )
+        self.listings_by_id[record.key] = listing
--- /dev/null
+++ b/cardamomcroft/scheduling/journal.py
@@ -0,0 +1,142 @@
+"""Write the scheduler's records in batches, fenced by its epoch."""
+
+import asyncio
+import collections.abc
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import ledger
+
+WRITER = "scheduler"
+# Four renewals fit into the silence after which others take over.
+RENEWAL = datetime.timedelta(milliseconds=400)
+APPEND_TIMEOUT = datetime.timedelta(milliseconds=900)
+RETRY_PAUSE = datetime.timedelta(milliseconds=120)
+
+
+class Journal:
+    """Append staged records in order; report the loss of the claim."""
+
+    def __init__(
+        self,
+        target: store.Store,
+        clock: base.Clock,
+        claim: codec.Claim,
+        log: events.Events,
+    ) -> None:
+        """Continue after the claim, which was the epoch's first append."""
+        self._store = target
+        self._clock = clock
+        self._log = log
+        self.claim = claim
+        self._sequence = 0
+        self._staged: dict[str, bytes | None] = {}
+        self._waiters: list[asyncio.Future] = []
+        self._wake = asyncio.Event()
+        self.is_lost = False
+        self._is_released = False
+        self.proven_at = clock.monotonic()
+        self.describe_load: collections.abc.Callable[[], dict] = dict
+        self.on_lost: collections.abc.Callable[[], None] | None = None
+
+    def stage(self, key: str, value: bytes | None) -> None:
+        """Add a record to the next batch, replacing one of its key."""
+        self._staged.pop(key, None)
+        self._staged[key] = value
+
+    async def commit(self) -> bool:
+        """Wait until all that is staged is durable; False if fenced off."""
+        if self.is_lost:
+            return False
+        future = asyncio.get_running_loop().create_future()
+        self._waiters.append(future)
+        self._wake.set()
+        return await future
+
+    async def run(self) -> None:
+        """Append until the claim is lost."""
+        renewal_s = RENEWAL.total_seconds()
+        while not self.is_lost:
+            try:
+                await asyncio.wait_for(self._wake.wait(), renewal_s)
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            await self._flush()
+
+    async def _flush(self) -> None:
+        entries = [
+            store.Entry(key, value) for key, value in self._staged.items()
+        ]
+        self._staged = {}
+        waiters, self._waiters = self._waiters, []
+        self._renew_claim(entries)
+        self._sequence += 1
+        done = await self._append_until_known(entries)
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(done)
+        if not done:
+            self.lose("fenced")
+
+    def _renew_claim(self, entries: list[store.Entry]) -> None:
+        claim = codec.Claim(
+            "" if self._is_released else self.claim.holder,
+            self.claim.epoch,
+            self.claim.term,
+            self.describe_load(),
+        )
+        if not entries or claim != self.claim:
+            self.claim = claim
+            entries.append(
+                store.Entry(ledger.CLAIM_KEY, codec.encode_claim(claim))
+            )
+
+    async def _append_until_known(self, entries: list[store.Entry]) -> bool:
+        writer = store.Writer(WRITER, self.claim.epoch, self._sequence)
+        # A repeat may get the answer of the first try, given before a fence.
+        first_sent_at = self._clock.monotonic()
+        while True:
+            result = await self._store.append(
+                store.Stream.JOBS, entries, APPEND_TIMEOUT, writer=writer
+            )
+            if result.status is store.AppendStatus.APPENDED:
+                self.proven_at = first_sent_at
+                return True
+            if result.status is store.AppendStatus.OUT_OF_SEQUENCE:
+                return result.expected_sequence == self._sequence + 1
+            if result.status is store.AppendStatus.FENCED:
+                return False
+            self._log.emit(
+                "append_retried",
+                sequence=self._sequence,
+                status=result.status.value,
+                detail=result.detail,
+            )
+            if self.is_lost:
+                return False
+            await self._clock.sleep(RETRY_PAUSE)
+
+    async def release(self) -> None:
+        """Give the claim up so that others need not wait."""
+        self._is_released = True
+        await self.commit()
+        self.lose("released")
+
+    def lose(self, reason: str) -> None:
+        """Stop writing and fail everybody who waits."""
+        if self.is_lost:
+            return
+        self.is_lost = True
+        self._wake.set()
+        self._log.emit(
+            "scheduler_lost", epoch=self.claim.epoch, reason=reason
+        )
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(False)
+        if self.on_lost:
+            self.on_lost()
--- /dev/null
+++ b/cardamomcroft/scheduling/ledger.py
@@ -0,0 +1,117 @@
+"""Fold the stream of jobs into what every instance believes."""
+
+import datetime
+import enum
+
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import models
+
+CLAIM_KEY = "claim"
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+
+
+class Kind(enum.Enum):
+    """Prefix the keys of a job's or worker's records.
+
+    A submission, a cancellation and progress have different writers, so
+    each has a key of its own that no late append of another can overwrite.
+    """
+
+    SUBMISSION = "s/"
+    CANCELLATION = "c/"
+    PROGRESS = "p/"
+    ASSIGNMENT = "w/"
+
+    def key(self, name: str) -> str:
+        """Return the key of a job or worker."""
+        return self.value + name
+
+
+class Ledger:
+    """Hold the newest record of each key, decoded."""
+
+    def __init__(self) -> None:
+        """Start empty, before the first record."""
+        self.end_offset = 0
+        self.jobs_by_id: dict[str, models.Job] = {}
+        self.cancelled_ids: set[str] = set()
+        self.progress_by_id: dict[str, codec.Progress] = {}
+        self.assignments_by_worker: dict[str, codec.Assignment] = {}
+        self.claim: codec.Claim | None = None
+        self.holder_seen_at: datetime.timedelta | None = None
+
+    def apply(
+        self, page: store.Page, now: datetime.timedelta
+    ) -> list[tuple[Kind, str]]:
+        """Fold a page and return what submissions and cancels it brought."""
+        news: list[tuple[Kind, str]] = []
+        for record in page.records:
+            if record.key == CLAIM_KEY:
+                self._fold_claim(record, now)
+                continue
+            kind, name = Kind(record.key[:2]), record.key[2:]
+            if kind in (Kind.PROGRESS, Kind.ASSIGNMENT):
+                self.holder_seen_at = now
+            if self._fold(kind, name, record.value):
+                news.append((kind, name))
+        self.end_offset = max(self.end_offset, page.end_offset)
+        return news
+
+    def _fold_claim(
+        self, record: store.Record, now: datetime.timedelta
+    ) -> None:
+        if record.value is None:
+            return
+        claim = codec.decode_claim(record.value)
+        if self.claim is None or claim.epoch >= self.claim.epoch:
+            self.claim = claim
+            self.holder_seen_at = now
+
+    def _fold(self, kind: Kind, name: str, value: bytes | None) -> bool:
+        if kind is Kind.SUBMISSION:
+            if value is None:
+                self._forget(name)
+                return False
+            if name in self.jobs_by_id:
+                return False
+            self.jobs_by_id[name] = codec.decode_job(name, value)
+            return True
+        if kind is Kind.CANCELLATION:
+            is_new = value is not None and name not in self.cancelled_ids
+            if is_new:
+                self.cancelled_ids.add(name)
+            return is_new
+        if kind is Kind.PROGRESS:
+            if value is not None:
+                self.progress_by_id[name] = codec.decode_progress(value)
+            return False
+        if value is None:
+            self.assignments_by_worker.pop(name, None)
+        else:
+            assignment = codec.decode_assignment(value)
+            self.assignments_by_worker[name] = assignment
+        return False
+
+    def _forget(self, job_id: str) -> None:
+        self.jobs_by_id.pop(job_id, None)
+        self.progress_by_id.pop(job_id, None)
+        self.cancelled_ids.discard(job_id)
+
+    def state(self, job_id: str) -> str | None:
+        """Return a job's state; None if it is not known."""
+        if job_id not in self.jobs_by_id:
+            return None
+        progress = self.progress_by_id.get(job_id)
+        if progress and progress.state in FINAL_STATES:
+            return progress.state
+        if job_id in self.cancelled_ids:
+            return "cancelled"
+        return progress.state if progress else "queued"
+
+    def pending(self, queue: str) -> int:
+        """Count a queue's jobs of which no task has started."""
+        return sum(
+            job.queue.name == queue and self.state(job_id) == "queued"
+            for job_id, job in self.jobs_by_id.items()
+        )
--- /dev/null
+++ b/cardamomcroft/scheduling/node.py
@@ -0,0 +1,140 @@
+"""Run one instance's part: follow, claim and schedule."""
+
+import asyncio
+import dataclasses
+import datetime
+import random
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import fleet
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import candidate as candidates
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import configuration
+from cardamomcroft.scheduling import directory as directories
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import journal as journals
+from cardamomcroft.scheduling import replica as replicas
+from cardamomcroft.scheduling import scheduler as schedulers
+
+FOLLOW_PAUSE = datetime.timedelta(milliseconds=350)  # followers' lag
+RETRY_PAUSE = datetime.timedelta(milliseconds=150)
+HOLDER_WAIT = datetime.timedelta(seconds=1)
+HOLDER_PAUSE = datetime.timedelta(milliseconds=10)
+STOP_LIMIT_S = 1.0  # a store without an answer must not hold a stop up
+RUNS_A_TERM = 10_000  # run numbers rise from one scheduler to the next
+_ZERO = datetime.timedelta()
+
+
+class Node:
+    """Hold the roles of one instance."""
+
+    def __init__(
+        self,
+        holder: str,
+        target: store.Store,
+        link: fleet.WorkerLink,
+        clock: base.Clock,
+        log: events.Events,
+        decode_listing: directories.Decoder,
+        terms: schedulers.Terms,
+        rng: random.Random,
+    ) -> None:
+        """Assemble the roles."""
+        self._store = target
+        self._link = link
+        self._clock = clock
+        self._log = log
+        self._decode_listing = decode_listing
+        self._terms = terms
+        self.replica = replicas.Replica(target, clock, log)
+        self.replica.on_news = self._note_news
+        self._candidate = candidates.Candidate(
+            holder, target, self.replica, clock, log, rng
+        )
+        self.scheduler: schedulers.Scheduler | None = None
+        self._scheduling: asyncio.Task | None = None
+        self._used_epochs: set[int] = set()
+        self._is_stopping = False
+        self.configuration: configuration.Configuration | None = None
+
+    def _note_news(self, news) -> None:
+        if self.scheduler:
+            self.scheduler.note_news(news)
+
+    def _accounts(self) -> dict[str, int]:
+        if self.configuration is None:
+            return {}
+        accounts = self.configuration.accounts_by_name
+        return {
+            name: account.guaranteed_accelerators
+            for name, account in accounts.items()
+        }
+
+    async def run(self) -> None:
+        """Follow the stream and take the role when it is vacant."""
+        while not self._is_stopping:
+            is_holder = self.scheduler is not None
+            wait = HOLDER_WAIT if is_holder else _ZERO
+            answered = await self.replica.update(wait)
+            self._check_claim()
+            if self._is_stopping:
+                return
+            if not answered:
+                await self._clock.sleep(RETRY_PAUSE)
+            elif self.scheduler is not None:
+                await self._clock.sleep(HOLDER_PAUSE)
+            elif self._candidate.is_vacant():
+                await self._candidate.claim()
+            else:
+                await self._clock.sleep(FOLLOW_PAUSE)
+
+    def _check_claim(self) -> None:
+        claim = self._candidate.held_claim()
+        if self.scheduler is not None:
+            if claim is None:
+                self.scheduler.journal.lose("superseded")
+            return
+        if claim is not None and claim.epoch not in self._used_epochs:
+            self._used_epochs.add(claim.epoch)
+            self._begin(claim)
+
+    def _begin(self, claim: codec.Claim) -> None:
+        journal = journals.Journal(self._store, self._clock, claim, self._log)
+        directory = directories.Directory(
+            self._store, self._clock, self._log, self._decode_listing
+        )
+        terms = dataclasses.replace(
+            self._terms, run_base=(claim.term - 1) * RUNS_A_TERM
+        )
+        self.scheduler = schedulers.Scheduler(
+            self.replica.ledger,
+            journal,
+            directory,
+            self._link,
+            self._clock,
+            self._log,
+            terms,
+            self._accounts,
+        )
+        self._scheduling = asyncio.ensure_future(self._schedule())
+
+    async def _schedule(self) -> None:
+        scheduler = self.scheduler
+        try:
+            await scheduler.run()
+        except Exception as error:
+            self._log.emit("scheduler_crashed", error=repr(error))
+            scheduler.journal.lose("crashed")
+            raise
+        finally:
+            self.scheduler = None
+
+    async def stop(self) -> None:
+        """Hand the role over and stop following."""
+        self._is_stopping = True
+        if self.scheduler is not None:
+            await asyncio.wait_for(
+                self.scheduler.journal.release(), STOP_LIMIT_S
+            )
+
--- /dev/null
+++ b/cardamomcroft/scheduling/ordering.py
@@ -0,0 +1,59 @@
+"""Order waiting work: by guarantee, priority and deadline."""
+
+import collections.abc
+import datetime
+
+from cardamomcroft.scheduling import runs
+
+# A job ended after three times its objective is worth nothing (brief).
+LAST_USE = 3
+
+
+def guaranteed_accounts(
+    jobs: collections.abc.Iterable[runs.JobState],
+    accelerators_by_account: dict[str, int],
+) -> frozenset[str]:
+    """Return the accounts whose urgent jobs all fit their guarantee."""
+    wanted: dict[str, int] = {}
+    for state in jobs:
+        if state.job.queue.priority == 0 and not state.final_state:
+            account = state.job.account
+            total = sum(
+                step.demand.accelerators * step.width
+                for step in state.job.steps
+            )
+            wanted[account] = wanted.get(account, 0) + total
+    return frozenset(
+        account
+        for account, total in wanted.items()
+        if total <= accelerators_by_account.get(account, 0)
+    )
+
+
+def deadline(state: runs.JobState) -> datetime.timedelta:
+    """Return until when the job is worth most."""
+    return state.accepted_at + state.job.objective
+
+
+def is_useless(state: runs.JobState, now: datetime.timedelta) -> bool:
+    """Tell whether the job ends too late to be of use."""
+    if state.job.is_lasting or state.job.timetable:
+        return False
+    return now > state.accepted_at + state.job.objective * LAST_USE
+
+
+def sort_key(
+    state: runs.JobState,
+    now: datetime.timedelta,
+    guaranteed: frozenset[str],
+) -> tuple:
+    """Return a key that sorts the most urgent job first."""
+    queue = state.job.queue
+    is_guaranteed = queue.priority == 0 and state.job.account in guaranteed
+    return (
+        not is_guaranteed,
+        not state.job.is_lasting,
+        queue.priority,
+        is_useless(state, now),
+        deadline(state),
+    )
--- /dev/null
+++ b/cardamomcroft/scheduling/orders.py
@@ -0,0 +1,203 @@
+"""Send orders to workers and settle those without an answer."""
+
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import runs
+
+ORDER_TIMEOUT = datetime.timedelta(milliseconds=700)  # 30 round trips
+STOP_PAUSE = datetime.timedelta(milliseconds=250)
+# A start without an answer may still appear in the next list.
+UNCERTAIN_WAIT = datetime.timedelta(milliseconds=400)
+STOP_MARGIN = datetime.timedelta(milliseconds=150)
+REFUSED_PAUSE = datetime.timedelta(milliseconds=300)
+UNHEALTHY_PAUSE = datetime.timedelta(seconds=1)
+
+Status = fleet.OrderStatus
+# The worker certainly does not run what it refused.
+_REFUSED = frozenset(
+    {
+        Status.STALE_RUN,
+        Status.EXPIRED,
+        Status.NO_ROOM,
+        Status.NO_TICKET,
+        Status.UNHEALTHY,
+        Status.OTHER_INCARNATION,
+        Status.INVALID,
+        Status.NOT_RUN,
+    }
+)
+
+
+class Orders:
+    """Start and stop runs."""
+
+    def __init__(
+        self,
+        scheduler,
+        link: fleet.WorkerLink,
+        clock: base.Clock,
+        log: events.Events,
+        terms,
+    ) -> None:
+        """Take the scheduler whose beliefs the answers change."""
+        self._scheduler = scheduler
+        self._link = link
+        self._clock = clock
+        self._log = log
+        self._terms = terms
+
+    async def start_all(
+        self, worker: runs.Worker, assigned: list[runs.Run]
+    ) -> None:
+        """Start runs on one worker, one after another."""
+        self._scheduler.ensure_watched(worker)
+        for run in assigned:
+            if run.phase is runs.Phase.ASSIGNED:
+                await self._start(worker, run)
+
+    async def _start(self, worker: runs.Worker, run: runs.Run) -> None:
+        if run.step.job.is_cancelled or run.step.job.final_state:
+            self._scheduler.detach(run)
+            return
+        now = self._clock.monotonic()
+        run.phase = runs.Phase.STARTING
+        ticket, _ = run.step.tickets_by_worker.get(
+            worker.worker_id, ("", None)
+        )
+        order = fleet.StartOrder(
+            run.name,
+            run.number,
+            run.step.job.job.payload,
+            worker.lease_until(now, self._terms.lease),
+            self._scheduler.token,
+            run.checkpoint,
+            ticket,
+        )
+        result = await self._link.start(worker.address, order, ORDER_TIMEOUT)
+        self._settle_start(worker, run, result)
+
+    def _settle_start(
+        self, worker: runs.Worker, run: runs.Run, result: fleet.OrderResult
+    ) -> None:
+        now = self._clock.monotonic()
+        self._log.emit(
+            "start_ordered",
+            task=run.name,
+            run=run.number,
+            worker_id=worker.worker_id,
+            outcome=result.status.value,
+            epoch=self._scheduler.journal.claim.epoch,
+        )
+        if result.clock_ms is not None:
+            worker.note_clock(result.clock_ms, now)
+        if run.phase is runs.Phase.STOPPING:
+            return
+        if result.status is Status.DONE:
+            if run.phase is runs.Phase.STARTING:
+                run.phase = runs.Phase.AT_WORK
+            run.began_at = run.progressed_at = now
+            run.settled_at = now
+        elif result.status is Status.STALE_TOKEN:
+            self._scheduler.journal.lose("worker has a newer token")
+        elif result.status in _REFUSED:
+            self._refused(worker, run, result)
+        elif run.phase is runs.Phase.STARTING:
+            run.phase = runs.Phase.UNCERTAIN
+            run.began_at = now
+
+    def _refused(
+        self, worker: runs.Worker, run: runs.Run, result: fleet.OrderResult
+    ) -> None:
+        now = self._clock.monotonic()
+        if result.status is Status.UNHEALTHY:
+            worker.avoid_until = now + UNHEALTHY_PAUSE
+        elif result.status is Status.NO_TICKET:
+            run.step.tickets_by_worker.pop(worker.worker_id, None)
+        elif result.status is not Status.STALE_RUN:
+            worker.avoid_until = now + REFUSED_PAUSE
+        run.checkpoint = ""
+        self._scheduler.detach(run)
+        if run.step.model.is_gang:
+            self.stop_gang(run.step, "member refused")
+
+    def stop_gang(self, step: runs.StepState, reason: str) -> None:
+        """Stop all members of a gang that cannot run whole."""
+        for run in list(step.runs_by_index.values()):
+            if run.phase is not runs.Phase.STOPPING:
+                self.stop(run, reason)
+
+    def stop(self, run: runs.Run, reason: str) -> None:
+        """Stop a run until the worker has confirmed it."""
+        if run.phase is runs.Phase.STOPPING:
+            return
+        if run.phase is runs.Phase.ASSIGNED:
+            run.stop_reason = reason
+            self._scheduler.detach(run)
+            run.phase = runs.Phase.STOPPING
+            return
+        run.phase = runs.Phase.STOPPING
+        run.stop_reason = reason
+        run.settled_at = None
+        self._scheduler.spawn(self._stop(run))
+
+    async def _stop(self, run: runs.Run) -> None:
+        while True:
+            worker = self._scheduler.workers_by_id.get(run.worker_id)
+            if worker is None or run.name not in worker.runs_by_task:
+                return
+            result = await self._link.stop(
+                worker.address,
+                run.name,
+                run.number,
+                self._scheduler.token,
+                ORDER_TIMEOUT,
+            )
+            if result.status is Status.DONE:
+                break
+            if result.status is Status.STALE_TOKEN:
+                self._scheduler.journal.lose("worker has a newer token")
+                return
+            await self._clock.sleep(STOP_PAUSE)
+        self._log.emit(
+            "stop_ordered",
+            task=run.name,
+            run=run.number,
+            worker_id=run.worker_id,
+            reason=run.stop_reason,
+        )
+        now = self._clock.monotonic()
+        run.settled_at = now + self._terms.stop_bound + STOP_MARGIN
+        self._scheduler.ensure_watched(worker)
+
+    async def stop_stray(
+        self, worker: runs.Worker, task: str, number: int
+    ) -> None:
+        """Stop a run that nobody accounts for; it is listed until then."""
+        result = await self._link.stop(
+            worker.address, task, number, self._scheduler.token, ORDER_TIMEOUT
+        )
+        self._log.emit(
+            "stray_stopped",
+            task=task,
+            run=number,
+            worker_id=worker.worker_id,
+            outcome=result.status.value,
+        )
+
+    def check_uncertain(self) -> None:
+        """Stop starts that got no answer and are not listed."""
+        now = self._clock.monotonic()
+        for worker in self._scheduler.workers_by_id.values():
+            for run in list(worker.runs_by_task.values()):
+                if (
+                    run.phase is runs.Phase.UNCERTAIN
+                    and now - run.began_at > UNCERTAIN_WAIT
+                ):
+                    if run.step.model.is_gang:
+                        self.stop_gang(run.step, "start unanswered")
+                    else:
+                        self.stop(run, "start unanswered")
+
--- /dev/null
+++ b/cardamomcroft/scheduling/planning.py
@@ -0,0 +1,245 @@
+"""Plan a round: what starts where, and what makes room for it."""
+
+import dataclasses
+import datetime
+
+from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import ordering
+from cardamomcroft.scheduling import placing
+from cardamomcroft.scheduling import preempting
+from cardamomcroft.scheduling import runs
+
+_ZERO = datetime.timedelta()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Ask for a task to be started on a worker."""
+
+    step: runs.StepState
+    index: int
+    worker_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """Ask for a run to be stopped, with the job that needs the room."""
+
+    run: runs.Run
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Hold what a round decided."""
+
+    starts: list[Start] = dataclasses.field(default_factory=list)
+    stops: list[Stop] = dataclasses.field(default_factory=list)
+    advice_wanted: list[runs.StepState] = dataclasses.field(
+        default_factory=list
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """Hold the inputs of a round."""
+
+    jobs: list[runs.JobState]
+    workers_by_id: dict[str, runs.Worker]
+    now: datetime.timedelta  # monotonic
+    wall: datetime.datetime
+    accelerators_by_account: dict[str, int]
+
+
+class Planner:
+    """Decide one round."""
+
+    def __init__(self, situation: Situation) -> None:
+        """Take the inputs."""
+        self._situation = situation
+        self._plan = Plan()
+        self._board = placing.Board(
+            [
+                room
+                for worker in situation.workers_by_id.values()
+                if (room := room_of(worker, situation.now))
+            ]
+        )
+        self._guaranteed = ordering.guaranteed_accounts(
+            situation.jobs, situation.accelerators_by_account
+        )
+        self._hopeless: set[tuple] = set()
+        self._preemption = preempting.Preemption(
+            situation.workers_by_id, situation.now
+        )
+
+    def plan(self) -> Plan:
+        """Return the decisions."""
+        now = self._situation.now
+        ordered = sorted(
+            (job for job in self._situation.jobs if not job.final_state),
+            key=lambda job: ordering.sort_key(job, now, self._guaranteed),
+        )
+        for job in ordered:
+            if not job.is_cancelled:
+                for step in ready_steps(job, now, self._situation.wall):
+                    self._plan_step(step)
+        return self._plan
+
+    def _plan_step(self, step: runs.StepState) -> None:
+        model = step.model
+        signature = (
+            model.demand,
+            model.required_label,
+            model.data_rack,
+            step.job.job.queue.service,
+            model.is_gang and model.width,
+            model.spread_limit and step.number,
+        )
+        advised = self._advised(step)
+        if advised is None:
+            return
+        plain = not advised
+        if plain and signature in self._hopeless:
+            self._make_room(step)
+            return
+        rooms = self._rooms(step, advised)
+        if model.is_gang:
+            placed = self._place_gang(step, rooms)
+        else:
+            placed = self._place_tasks(step, rooms)
+        if not placed:
+            if plain:
+                self._hopeless.add(signature)
+            self._make_room(step)
+
+    def _advised(self, step: runs.StepState) -> frozenset[str] | None:
+        """Return the workers advised; empty for any, None while unknown."""
+        if step.job.job.queue.advice is None:
+            return frozenset()
+        now = self._situation.now
+        valid = frozenset(
+            worker_id
+            for worker_id, (_, until) in step.tickets_by_worker.items()
+            if until > now
+        )
+        if not valid:
+            self._plan.advice_wanted.append(step)
+            return None
+        return valid
+
+    def _rooms(
+        self, step: runs.StepState, advised: frozenset[str]
+    ) -> list[placing.Room]:
+        model = step.model
+        rooms = self._board.eligible(
+            model, step.job.job.queue.service, advised or None
+        )
+        if not model.data_rack:
+            return rooms
+        near = [room for room in rooms if room.rack == model.data_rack]
+        if near and not self._is_pressed(step):
+            return near
+        return rooms
+
+    def _is_pressed(self, step: runs.StepState) -> bool:
+        """Tell whether waiting costs more than a slower place."""
+        waited = self._situation.now - step.job.accepted_at
+        return waited > step.model.estimate
+
+    def _place_gang(
+        self, step: runs.StepState, rooms: list[placing.Room]
+    ) -> bool:
+        if len(step.waiting) < step.model.width:
+            return True  # an earlier run is still ending
+        taken = self._board.place_gang(
+            step.model, rooms, self._is_pressed(step)
+        )
+        for index, room in enumerate(taken):
+            self._start(step, index, room)
+        return bool(taken)
+
+    def _place_tasks(
+        self, step: runs.StepState, rooms: list[placing.Room]
+    ) -> bool:
+        waiting = sorted(step.waiting)
+        held: dict[str, int] = {}
+        for run in step.runs_by_index.values():
+            held[run.worker_id] = held.get(run.worker_id, 0) + 1
+        taken = self._board.place(step.model, len(waiting), rooms, held)
+        for index, room in zip(waiting, taken, strict=False):
+            self._start(step, index, room)
+        return len(taken) == len(waiting)
+
+    def _start(
+        self, step: runs.StepState, index: int, room: placing.Room
+    ) -> None:
+        self._plan.starts.append(Start(step, index, room.worker_id))
+        self._preemption.note_start(
+            room.worker_id, placing.demand_of(step.model)
+        )
+
+    def _make_room(self, step: runs.StepState) -> None:
+        queue = step.job.job.queue
+        if queue.priority != 0 or step.model.is_filling:
+            return
+        planned = sum(start.step is step for start in self._plan.starts)
+        count = len(step.waiting) - planned
+        if count <= 0:
+            return
+        is_guaranteed = step.job.job.account in self._guaranteed
+        victims = self._preemption.victims(step, count, is_guaranteed)
+        self._plan.stops.extend(
+            Stop(run, f"preempted by {step.job.job.job_id}")
+            for run in victims
+        )
+
+
+def room_of(
+    worker: runs.Worker, now: datetime.timedelta
+) -> placing.Room | None:
+    """Return a worker's room; None while it gets no new work."""
+    listing = worker.listing
+    if listing is None or not is_usable(worker, now):
+        return None
+    capacity = models.Demand(
+        listing.milli_cores, listing.memory_mb, listing.accelerators
+    )
+    return placing.Room(
+        worker.worker_id,
+        capacity.minus(worker.used()),
+        listing.rack,
+        listing.labels,
+        listing.service,
+        worker.strikes,
+    )
+
+
+def is_usable(worker: runs.Worker, now: datetime.timedelta) -> bool:
+    """Tell whether a worker gets new work."""
+    return (
+        worker.listing is not None
+        and worker.listing.state.value == "ready"
+        and worker.has_inventory
+        and worker.unreachable_since is None
+        and worker.avoid_until <= now
+    )
+
+
+def ready_steps(
+    job: runs.JobState, now: datetime.timedelta, wall: datetime.datetime
+) -> list[runs.StepState]:
+    """Return the steps whose turn has come and that have tasks waiting."""
+    ready = []
+    timetable = job.job.timetable
+    for (occurrence, _), step in job.steps_by_key.items():
+        if not step.waiting or step.retry_at > now:
+            continue
+        if timetable and timetable.due(occurrence) > wall:
+            continue
+        if all(
+            job.steps_by_key[occurrence, number].is_done
+            for number in step.model.after
+        ):
+            ready.append(step)
+    return ready
--- /dev/null
+++ b/cardamomcroft/scheduling/replica.py
@@ -0,0 +1,106 @@
+"""Follow the stream of jobs and tell how fresh the copy is."""
+
+import collections.abc
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import ledger
+
+READ_TIMEOUT = datetime.timedelta(seconds=1)  # 240 ms at a slow store
+_ZERO = datetime.timedelta()
+
+News = list[tuple[ledger.Kind, str]]
+
+
+class Replica:
+    """Keep a ledger up to date from the store."""
+
+    def __init__(
+        self, source: store.Store, clock: base.Clock, log: events.Events
+    ) -> None:
+        """Start without a ledger."""
+        self._store = source
+        self._clock = clock
+        self._log = log
+        self.ledger = ledger.Ledger()
+        self.is_loaded = False
+        self.fresh_at: datetime.timedelta | None = None
+        self.is_reachable = True
+        self.on_news: collections.abc.Callable[[News], None] | None = None
+
+    @property
+    def age(self) -> datetime.timedelta | None:
+        """Return for how long the copy may have been out of date."""
+        if self.fresh_at is None:
+            return None
+        return self._clock.monotonic() - self.fresh_at
+
+    async def update(self, wait: datetime.timedelta = _ZERO) -> bool:
+        """Read once; tell whether the store answered."""
+        if not self.is_loaded:
+            return await self._load()
+        sent_at = self._clock.monotonic()
+        page = await self._store.read(
+            store.Stream.JOBS, self.ledger.end_offset, wait, READ_TIMEOUT
+        )
+        if isinstance(page, store.ReadFailure):
+            if page.status is store.ReadStatus.EXPIRED:
+                return await self._load()
+            self._note_reachable(False, page.detail)
+            return False
+        self._note_reachable(True)
+        now = self._clock.monotonic()
+        # An empty answer to a long poll was given when the wait was over.
+        waited = not page.records and now - sent_at >= wait
+        self.fresh_at = sent_at + wait if waited else sent_at
+        self._apply(page, now)
+        return True
+
+    def _apply(self, page: store.Page, now: datetime.timedelta) -> None:
+        news = self.ledger.apply(page, now)
+        if news and self.on_news:
+            self.on_news(news)
+
+    async def _load(self) -> bool:
+        sent_at = self._clock.monotonic()
+        page = await self._store.newest(store.Stream.JOBS, READ_TIMEOUT)
+        if isinstance(page, store.ReadFailure):
+            self._note_reachable(False, page.detail)
+            return False
+        self._note_reachable(True)
+        previous = self.ledger
+        self.ledger = ledger.Ledger()
+        ordered = sorted(page.records, key=lambda record: record.offset)
+        news = self.ledger.apply(
+            store.Page(tuple(ordered), page.end_offset),
+            self._clock.monotonic(),
+        )
+        if previous.claim == self.ledger.claim and previous.holder_seen_at:
+            self.ledger.holder_seen_at = previous.holder_seen_at
+        self.is_loaded = True
+        self.fresh_at = sent_at
+        self._log.emit(
+            "jobs_loaded",
+            records=len(ordered),
+            end_offset=page.end_offset,
+        )
+        known = previous.jobs_by_id.keys(), previous.cancelled_ids
+        fresh = [
+            (kind, name)
+            for kind, name in news
+            if name not in known[kind is ledger.Kind.CANCELLATION]
+        ]
+        if fresh and self.on_news:
+            self.on_news(fresh)
+        return True
+
+    def _note_reachable(self, is_reachable: bool, detail: str = "") -> None:
+        if is_reachable == self.is_reachable:
+            return
+        self.is_reachable = is_reachable
+        if is_reachable:
+            self._log.emit("store_regained")
+        else:
+            self._log.emit("store_lost", detail=detail)
--- /dev/null
+++ b/cardamomcroft/scheduling/runs.py
@@ -0,0 +1,231 @@
+"""Hold the scheduler's beliefs about jobs, runs and workers."""
+
+import dataclasses
+import datetime
+import enum
+
+from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import models
+
+CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
+_MS = datetime.timedelta(milliseconds=1)
+_ZERO = datetime.timedelta()
+
+
+class Phase(enum.Enum):
+    """Tell how far a run has come."""
+
+    ASSIGNED = "assigned"  # recorded or about to be, not sent yet
+    STARTING = "starting"
+    UNCERTAIN = "uncertain"  # the start order got no answer
+    INHERITED = "inherited"  # an earlier scheduler may have started it
+    AT_WORK = "at_work"
+    STOPPING = "stopping"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """Track one run of one task on a worker."""
+
+    key: models.TaskKey
+    number: int
+    worker_id: str
+    step: "StepState"
+    phase: Phase
+    began_at: datetime.timedelta
+    # From then on a list without the run means that it is not there.
+    settled_at: datetime.timedelta | None = None
+    checkpoint: str = ""
+    percent: float = 0.0
+    progressed_at: datetime.timedelta = _ZERO
+    gauge: float = 0.0
+    pace: int = 100
+    stop_reason: str = ""
+
+    @property
+    def name(self) -> str:
+        """Return the task's name towards workers."""
+        return str(self.key)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class StepState:
+    """Track the tasks of one step of one occurrence."""
+
+    job: "JobState"
+    occurrence: int
+    number: int
+    model: models.Step
+    waiting: set[int]
+    done: set[int] = dataclasses.field(default_factory=set)
+    runs_by_index: dict[int, Run] = dataclasses.field(default_factory=dict)
+    failures_by_index: dict[int, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    checkpoints_by_index: dict[int, str] = dataclasses.field(
+        default_factory=dict
+    )
+    runs_started: int = 0
+    retry_at: datetime.timedelta = _ZERO
+    tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    is_asking: bool = False
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every task has ended well."""
+        return len(self.done) == self.model.width
+
+    def key(self, index: int) -> models.TaskKey:
+        """Return the key of a task."""
+        return models.TaskKey(
+            self.job.job.job_id, self.occurrence, self.number, index
+        )
+
+    def progress(self) -> codec.StepProgress:
+        """Return what lasts."""
+        return codec.StepProgress(
+            frozenset(self.done),
+            dict(self.failures_by_index),
+            dict(self.checkpoints_by_index),
+        )
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class JobState:
+    """Track an accepted job until it ends."""
+
+    job: models.Job
+    accepted_at: datetime.timedelta
+    steps_by_key: dict[tuple[int, int], StepState]
+    has_begun: bool = False
+    final_state: str = ""
+    is_cancelled: bool = False
+
+    @property
+    def runs(self) -> list[Run]:
+        """Return everything that may run."""
+        return [
+            run
+            for step in self.steps_by_key.values()
+            for run in step.runs_by_index.values()
+        ]
+
+    def progress(self, ended_at: float) -> codec.Progress:
+        """Return what lasts."""
+        state = "running" if self.has_begun else "queued"
+        steps = {
+            key: step.progress()
+            for key, step in self.steps_by_key.items()
+            if step.done or step.failures_by_index or step.checkpoints_by_index
+        }
+        return codec.Progress(self.final_state or state, steps, ended_at)
+
+
+def make_job_state(
+    job: models.Job,
+    progress: codec.Progress | None,
+    accepted_at: datetime.timedelta,
+) -> JobState:
+    """Return a job's state with every unfinished task waiting."""
+    state = JobState(job, accepted_at, {})
+    state.has_begun = progress is not None and progress.state == "running"
+    for occurrence in range(job.occurrences):
+        for number, model in enumerate(job.steps):
+            known = codec.StepProgress()
+            if progress:
+                known = progress.steps_by_key.get((occurrence, number), known)
+            state.steps_by_key[occurrence, number] = StepState(
+                state,
+                occurrence,
+                number,
+                model,
+                set(range(model.width)) - known.done,
+                set(known.done),
+                {},
+                dict(known.failures_by_index),
+                dict(known.checkpoints_by_index),
+            )
+    return state
+
+
+class Worker:
+    """Track a worker, its lease and what it may run."""
+
+    def __init__(self, address: fleet.Address, born_ms: int) -> None:
+        """Start without knowing its clock."""
+        self.address = address
+        self.born_ms = born_ms
+        self.listing: fleet.Listing | None = None
+        self.unlisted_at: datetime.timedelta | None = None
+        self.runs_by_task: dict[str, Run] = {}
+        self.has_inventory = True
+        self.seen = 0  # ends processed
+        self.durable = 0  # ends whose effect is durable
+        self.told = 0  # ends that the worker may forget
+        self.lease_ms = 0  # the latest deadline sent, on its clock
+        self.lapses_at: datetime.timedelta | None = None
+        self.unreachable_since: datetime.timedelta | None = None
+        self.avoid_until = _ZERO
+        self.strikes = 0
+        self.is_recorded = False
+        self.is_watched = False
+        self._clock_ms = 0
+        self._clock_at: datetime.timedelta | None = None
+
+    @property
+    def worker_id(self) -> str:
+        """Return its id."""
+        return self.address.worker_id
+
+    def note_clock(self, clock_ms: int, now: datetime.timedelta) -> None:
+        """Remember a reading of its clock."""
+        if clock_ms >= self.clock_floor(now):
+            self._clock_ms, self._clock_at = clock_ms, now
+
+    def reset_clock(self) -> None:
+        """Forget the clock of an earlier incarnation."""
+        self._clock_ms, self._clock_at = 0, None
+
+    def clock_floor(self, now: datetime.timedelta) -> float:
+        """Return a time that its clock has certainly reached."""
+        if self._clock_at is None:
+            return 0
+        return self._clock_ms + (now - self._clock_at) / _MS * CLOCK_RATE
+
+    def lease_until(
+        self, now: datetime.timedelta, lease: datetime.timedelta
+    ) -> int:
+        """Return a deadline on its clock and remember having sent it."""
+        deadline = round(self.clock_floor(now) + lease / _MS)
+        self.lease_ms = max(self.lease_ms, deadline)
+        return self.lease_ms
+
+    def has_lapsed(self, now: datetime.timedelta) -> bool:
+        """Tell whether every lease that was granted has run out."""
+        if self.lapses_at is not None and now < self.lapses_at:
+            return False
+        if self._clock_at is None:
+            return self.lapses_at is not None
+        return self.clock_floor(now) > self.lease_ms
+
+    def used(self) -> models.Demand:
+        """Return what the runs need; filling tasks take leftover cores."""
+        cores = memory = accelerators = 0
+        for run in self.runs_by_task.values():
+            step = run.step.model
+            if not step.is_filling:
+                cores += step.demand.milli_cores
+            memory += step.demand.memory_mb
+            accelerators += step.demand.accelerators
+        return models.Demand(cores, memory, accelerators)
+
+    def assignment(self) -> codec.Assignment:
+        """Return what lasts."""
+        return codec.Assignment(
+            self.address.host_port,
+            self.born_ms,
+            {name: run.number for name, run in self.runs_by_task.items()},
+        )
--- /dev/null
+++ b/cardamomcroft/scheduling/watching.py
@@ -0,0 +1,303 @@
+"""Keep workers' leases and take in what they list."""
+
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import runs
+
+LONG_POLL = datetime.timedelta(seconds=2)  # the longest the workers allow
+HOLD_TIMEOUT = datetime.timedelta(milliseconds=700)
+RETRY_PAUSE = datetime.timedelta(milliseconds=200)
+DURABLE_PAUSE = datetime.timedelta(milliseconds=30)
+AVOID_FIRST = datetime.timedelta(seconds=1)
+_ZERO = datetime.timedelta()
+
+
+class Watch:
+    """Poll every worker that has runs or ends to take note of."""
+
+    def __init__(
+        self,
+        scheduler,
+        link: fleet.WorkerLink,
+        clock: base.Clock,
+        log: events.Events,
+        terms,
+    ) -> None:
+        """Take the scheduler whose beliefs the lists change."""
+        self._scheduler = scheduler
+        self._link = link
+        self._clock = clock
+        self._log = log
+        self._terms = terms
+
+    def ensure(self, worker: runs.Worker) -> None:
+        """Start polling unless it goes on already."""
+        if not worker.is_watched:
+            worker.is_watched = True
+            self._scheduler.spawn(self._poll(worker))
+
+    def note_listing(
+        self,
+        worker: runs.Worker,
+        listing: fleet.Listing,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take in a worker's entry in the directory."""
+        if listing.born_ms < worker.born_ms:
+            return
+        if listing.born_ms > worker.born_ms:
+            self._note_rebirth(worker, listing.born_ms)
+        worker.address = listing.address
+        worker.listing = listing
+        worker.note_clock(listing.clock_ms, now)
+
+    def _note_rebirth(self, worker: runs.Worker, born_ms: int) -> None:
+        """Drop what an earlier incarnation ran."""
+        self._log.emit(
+            "worker_reborn",
+            worker_id=worker.worker_id,
+            born_ms=born_ms,
+            runs=len(worker.runs_by_task),
+        )
+        fresh = runs.Worker(worker.address, born_ms)
+        worker.born_ms = born_ms
+        for name in ("seen", "durable", "told", "lease_ms", "lapses_at"):
+            setattr(worker, name, getattr(fresh, name))
+        worker.reset_clock()
+        worker.has_inventory = True
+        worker.unreachable_since = None
+        self._lose_runs(worker, "worker reborn")
+
+    def _lose_runs(self, worker: runs.Worker, reason: str) -> None:
+        for run in list(worker.runs_by_task.values()):
+            self._log.emit(
+                "run_lost",
+                task=run.name,
+                run=run.number,
+                worker_id=worker.worker_id,
+                reason=reason,
+            )
+            self._scheduler.detach(run)
+            self._break_gang(run, reason)
+        if worker.is_recorded:
+            self._scheduler.stage_assignment(worker)
+
+    def _break_gang(self, run: runs.Run, reason: str) -> None:
+        step = run.step
+        if step.model.is_gang and not step.is_done:
+            self._scheduler.stop_gang(step, reason)
+
+    async def _poll(self, worker: runs.Worker) -> None:
+        try:
+            while self._is_needed(worker):
+                await self._hold(worker)
+        finally:
+            worker.is_watched = False
+
+    def _is_needed(self, worker: runs.Worker) -> bool:
+        if self._scheduler.workers_by_id.get(worker.worker_id) is not worker:
+            return False
+        return (
+            bool(worker.runs_by_task)
+            or worker.told < worker.seen
+            or not worker.has_inventory
+        )
+
+    def _wait(self, worker: runs.Worker) -> datetime.timedelta:
+        """Return how long the worker may wait for an end."""
+        phases = {run.phase for run in worker.runs_by_task.values()}
+        hurried = {
+            runs.Phase.UNCERTAIN,
+            runs.Phase.INHERITED,
+            runs.Phase.STOPPING,
+        }
+        if (
+            not worker.has_inventory
+            or worker.unreachable_since is not None
+            or worker.told < worker.seen
+            or not worker.runs_by_task
+            or phases & hurried
+        ):
+            return _ZERO
+        return LONG_POLL
+
+    async def _hold(self, worker: runs.Worker) -> None:
+        now = self._clock.monotonic()
+        wait = self._wait(worker)
+        deadline_ms = None
+        proof_age = now - self._scheduler.journal.proven_at
+        if worker.runs_by_task and proof_age < self._terms.max_grant_age:
+            deadline_ms = worker.lease_until(now, self._terms.lease)
+        told = worker.durable
+        order = fleet.HoldOrder(
+            self._scheduler.token, told, deadline_ms, wait
+        )
+        result = await self._link.hold(worker.address, order, HOLD_TIMEOUT)
+        if isinstance(result, fleet.OrderResult):
+            await self._note_unanswered(worker, result)
+            return
+        if result.born_ms < worker.born_ms:
+            return
+        if result.born_ms > worker.born_ms:
+            if worker.born_ms:
+                self._note_rebirth(worker, result.born_ms)
+                return
+            worker.born_ms = result.born_ms
+        worker.told = max(worker.told, told)
+        self._note_inventory(worker, result, now)
+        if worker.durable < worker.seen:
+            await self._wait_durable(worker)
+        elif wait == _ZERO:
+            await self._clock.sleep(DURABLE_PAUSE * 2)
+
+    async def _note_unanswered(
+        self, worker: runs.Worker, result: fleet.OrderResult
+    ) -> None:
+        now = self._clock.monotonic()
+        if result.status is fleet.OrderStatus.STALE_TOKEN:
+            self._scheduler.journal.lose("worker has a newer token")
+            return
+        if worker.unreachable_since is None:
+            worker.unreachable_since = now
+            self._log.emit(
+                "worker_lost",
+                worker_id=worker.worker_id,
+                status=result.status.value,
+                detail=result.detail,
+                runs=len(worker.runs_by_task),
+            )
+        if result.status is fleet.OrderStatus.OTHER_INCARNATION:
+            self._note_rebirth(worker, worker.born_ms)
+        await self._clock.sleep(RETRY_PAUSE)
+
+    async def _wait_durable(self, worker: runs.Worker) -> None:
+        target = worker.seen
+        if await self._scheduler.journal.commit():
+            worker.durable = max(worker.durable, target)
+
+    def _note_inventory(
+        self,
+        worker: runs.Worker,
+        inventory: fleet.Inventory,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        now = self._clock.monotonic()
+        worker.note_clock(inventory.clock_ms, now)
+        worker.lapses_at = None
+        if worker.unreachable_since is not None:
+            worker.unreachable_since = None
+            self._log.emit("worker_regained", worker_id=worker.worker_id)
+        if not worker.has_inventory:
+            worker.has_inventory = True
+            self._scheduler.wake()
+        for finished in inventory.finished:
+            if finished.number > worker.seen:
+                self._note_end(worker, finished)
+                worker.seen = finished.number
+        listed = set()
+        for running in inventory.running:
+            listed.add((running.task, running.run))
+            self._note_running(worker, running, now)
+        for run in list(worker.runs_by_task.values()):
+            if (run.name, run.number) in listed:
+                continue
+            if run.settled_at is not None and sent_at >= run.settled_at:
+                self._note_absent(worker, run)
+
+    def _note_running(
+        self,
+        worker: runs.Worker,
+        running: fleet.RunningTask,
+        now: datetime.timedelta,
+    ) -> None:
+        run = worker.runs_by_task.get(running.task)
+        if run is None or run.number != running.run:
+            self._scheduler.stop_stray(worker, running.task, running.run)
+            return
+        if run.phase in (runs.Phase.UNCERTAIN, runs.Phase.INHERITED):
+            self._log.emit(
+                "run_adopted",
+                task=run.name,
+                run=run.number,
+                worker_id=worker.worker_id,
+                phase=run.phase.value,
+            )
+            run.phase = runs.Phase.AT_WORK
+            run.settled_at = now
+        if running.checkpoint:
+            run.checkpoint = running.checkpoint
+        if running.percent != run.percent:
+            run.percent = running.percent
+            run.progressed_at = now
+        run.gauge = running.gauge
+
+    def _note_absent(self, worker: runs.Worker, run: runs.Run) -> None:
+        self._log.emit(
+            "run_absent",
+            task=run.name,
+            run=run.number,
+            worker_id=worker.worker_id,
+            phase=run.phase.value,
+        )
+        self._scheduler.detach(run)
+        self._break_gang(run, "member absent")
+
+    def _note_end(
+        self, worker: runs.Worker, finished: fleet.FinishedTask
+    ) -> None:
+        found = self._scheduler.find(finished.task)
+        self._log.emit(
+            "run_ended",
+            task=finished.task,
+            run=finished.run,
+            worker_id=worker.worker_id,
+            end=finished.end.value,
+            is_known=found is not None,
+        )
+        run = worker.runs_by_task.get(finished.task)
+        is_current = run is not None and run.number == finished.run
+        if is_current and finished.checkpoint:
+            run.checkpoint = finished.checkpoint
+        if found is not None:
+            self._count_end(worker, finished, *found)
+        if is_current:
+            self._scheduler.detach(run)
+            if finished.end is not fleet.End.DONE:
+                self._break_gang(run, finished.end.value)
+
+    def _count_end(
+        self,
+        worker: runs.Worker,
+        finished: fleet.FinishedTask,
+        step: runs.StepState,
+        index: int,
+    ) -> None:
+        if finished.end is fleet.End.DONE:
+            worker.strikes = 0
+            if not step.model.is_lasting:
+                self._scheduler.note_done(step, index)
+        elif finished.end is fleet.End.FAILED:
+            self._scheduler.note_strike(worker)
+            if index not in step.done:
+                self._scheduler.note_failed(step, index, finished.run)
+
+    def check_lapses(self) -> None:
+        """Give up the runs of workers whose leases have run out."""
+        now = self._clock.monotonic()
+        for worker in list(self._scheduler.workers_by_id.values()):
+            if worker.unreachable_since is None:
+                continue
+            if not worker.has_lapsed(now):
+                continue
+            worker.has_inventory = True
+            if worker.runs_by_task:
+                self._lose_runs(worker, "lease lapsed")
+            if worker.avoid_until <= now:
+                # Nobody polls it; the next start is the probe.
+                worker.strikes += 1
+                pause = AVOID_FIRST * min(2**worker.strikes, 8)
+                worker.avoid_until = now + pause
+                worker.unreachable_since = None
