--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -391,6 +391,10 @@
             if worker is not None:
                 self.spawn(self._orders.start_all(worker, assigned))
 
+    def stop_gang(self, step: runs.StepState, reason: str) -> None:
+        """Stop all members of a gang that cannot run whole."""
+        self._orders.stop_gang(step, reason)
+
     def stop_stray(
         self, worker: runs.Worker, task: str, number: int
     ) -> None:
@@ -420,8 +424,9 @@
             run_step.waiting.discard(number)
             run_step.checkpoints_by_index.pop(number, None)
         job = run_step.job
-        if all(step.is_done for step in job.steps_by_key.values()):
-            job.final_state = job.final_state or "completed"
+        is_whole = all(step.is_done for step in job.steps_by_key.values())
+        if is_whole and not job.final_state:
+            job.final_state = "completed"
             self.spawn(self._confirm_end(job))
         self.stage_progress(job)
         self.wake()
--- a/cardamomcroft/scheduling/watching.py
+++ b/cardamomcroft/scheduling/watching.py
@@ -288,6 +288,8 @@
         """Give up the runs of workers whose leases have run out."""
         now = self._clock.monotonic()
         for worker in list(self._scheduler.workers_by_id.values()):
+            if self._is_needed(worker):
+                self.ensure(worker)
             if worker.unreachable_since is None:
                 continue
             if not worker.has_lapsed(now):
