Renew leases while ends wait for the store, and let cut workers lapse

Cause: a poll waited for its ends to be durable, so in an outage of the store it stopped renewing and the other runs of that worker lapsed; and probes of an unreachable worker carried a deadline, so that its runs never counted as lapsed.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -129,10 +129,7 @@
     ) -> None:
         self._log.emit("leaving", in_flight=ingress.in_flight)
         ingress.is_leaving = True
-        try:
-            await node.stop()
-        except TimeoutError:
-            self._log.emit("handover_failed", reason="store unavailable")
+        await node.stop()
         limit_s = self._settings.grace.total_seconds() - STOP_MARGIN_S
         await ingresses.settle_calls(ingress, self._clock, limit_s)
 
--- a/cardamomcroft/scheduling/directory.py
+++ b/cardamomcroft/scheduling/directory.py
@@ -1,6 +1,5 @@
 """Follow the workers' entries in the platform's store."""
 
-import asyncio
 import collections.abc
 import datetime
 
@@ -12,6 +11,8 @@
 READ_TIMEOUT = datetime.timedelta(seconds=1)
 WAIT = datetime.timedelta(seconds=1)
 RETRY_PAUSE = datetime.timedelta(milliseconds=150)
+# Heartbeats come in small pieces; reading them together is cheaper.
+GATHER_PAUSE = datetime.timedelta(milliseconds=50)
 # Entries that lapsed with the store are back two seconds after it (letter).
 RETURN_GRACE = datetime.timedelta(seconds=2.2)
 
@@ -62,8 +63,7 @@
             self._note(record)
         if page.records and self.on_change:
             self.on_change()
-        # Heartbeats come in small pieces; reading them together is cheaper.
-        await asyncio.sleep(0.05)
+        await self._clock.sleep(GATHER_PAUSE)
         return True
 
     async def _load(self) -> bool:
--- a/cardamomcroft/scheduling/journal.py
+++ b/cardamomcroft/scheduling/journal.py
@@ -5,6 +5,7 @@
 import datetime
 
 from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import events
@@ -58,12 +59,8 @@
 
     async def run(self) -> None:
         """Append until the claim is lost."""
-        renewal_s = RENEWAL.total_seconds()
         while not self.is_lost:
-            try:
-                await asyncio.wait_for(self._wake.wait(), renewal_s)
-            except TimeoutError:
-                pass
+            await clocks.within(self._clock, RENEWAL, self._wake.wait())
             self._wake.clear()
             await self._flush()
 
@@ -99,32 +96,38 @@
         writer = store.Writer(WRITER, self.claim.epoch, self._sequence)
         # A repeat may get the answer of the first try, given before a fence.
         first_sent_at = self._clock.monotonic()
+        tries = 0
         while True:
             result = await self._store.append(
                 store.Stream.JOBS, entries, APPEND_TIMEOUT, writer=writer
             )
             if result.status is store.AppendStatus.APPENDED:
+                if tries:
+                    self._log.emit("append_answered", tries=tries + 1)
                 self.proven_at = first_sent_at
                 return True
             if result.status is store.AppendStatus.OUT_OF_SEQUENCE:
                 return result.expected_sequence == self._sequence + 1
             if result.status is store.AppendStatus.FENCED:
                 return False
-            self._log.emit(
-                "append_retried",
-                sequence=self._sequence,
-                status=result.status.value,
-                detail=result.detail,
-            )
+            tries += 1
+            if tries == 1:
+                self._log.emit(
+                    "append_unanswered",
+                    sequence=self._sequence,
+                    status=result.status.value,
+                    detail=result.detail,
+                )
             if self.is_lost:
                 return False
             await self._clock.sleep(RETRY_PAUSE)
 
-    async def release(self) -> None:
+    async def release(self) -> bool:
         """Give the claim up so that others need not wait."""
         self._is_released = True
-        await self.commit()
+        done = await self.commit()
         self.lose("released")
+        return done
 
     def lose(self, reason: str) -> None:
         """Stop writing and fail everybody who waits."""
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -6,6 +6,7 @@
 import random
 
 from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import candidate as candidates
@@ -21,7 +22,8 @@
 RETRY_PAUSE = datetime.timedelta(milliseconds=150)
 HOLDER_WAIT = datetime.timedelta(seconds=1)
 HOLDER_PAUSE = datetime.timedelta(milliseconds=10)
-STOP_LIMIT_S = 1.0  # a store without an answer must not hold a stop up
+# A store without an answer must not hold a stop up.
+STOP_LIMIT = datetime.timedelta(seconds=1)
 RUNS_A_TERM = 10_000  # run numbers rise from one scheduler to the next
 _ZERO = datetime.timedelta()
 
@@ -131,10 +133,11 @@
             self.scheduler = None
 
     async def stop(self) -> None:
-        """Hand the role over and stop following."""
+        """Hand the role over, if the store answers, and stop following."""
         self._is_stopping = True
-        if self.scheduler is not None:
-            await asyncio.wait_for(
-                self.scheduler.journal.release(), STOP_LIMIT_S
-            )
+        if self.scheduler is None:
+            return
+        released = self.scheduler.journal.release()
+        if not await clocks.within(self._clock, STOP_LIMIT, released):
+            self._log.emit("handover_failed", reason="store unavailable")
 
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 import datetime
 
 from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import directory as directories
@@ -18,8 +19,10 @@
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import watching
 
-ROUND_PAUSE_S = 0.02  # gathers events of one moment into one round
-TICK_S = 0.1  # due times, lapses and orders without answers
+# Gathers the events of one moment into one round.
+ROUND_PAUSE = datetime.timedelta(milliseconds=20)
+# Due times, lapses and orders without answers.
+TICK = datetime.timedelta(milliseconds=100)
 # Others claim after a silence of Candidate.SILENCE since the last record;
 # an order that leaves within this time of one precedes any such claim.
 PROOF_AGE = datetime.timedelta(seconds=1.0)
@@ -102,11 +105,9 @@
         try:
             while not self.journal.is_lost:
                 self._round()
-                try:
-                    await asyncio.wait_for(self._wake.wait(), TICK_S)
-                    await asyncio.sleep(ROUND_PAUSE_S)
-                except TimeoutError:
-                    pass
+                await clocks.within(self._clock, TICK, self._wake.wait())
+                if self._wake.is_set():
+                    await self._clock.sleep(ROUND_PAUSE)
                 self._wake.clear()
         finally:
             for task in list(self._tasks):
--- a/cardamomcroft/scheduling/watching.py
+++ b/cardamomcroft/scheduling/watching.py
@@ -3,6 +3,7 @@
 import datetime
 
 from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import runs
@@ -10,7 +11,8 @@
 LONG_POLL = datetime.timedelta(seconds=2)  # the longest the workers allow
 HOLD_TIMEOUT = datetime.timedelta(milliseconds=700)
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
-DURABLE_PAUSE = datetime.timedelta(milliseconds=30)
+SETTLE_PAUSE = datetime.timedelta(milliseconds=60)
+DURABLE_WAIT = datetime.timedelta(milliseconds=400)
 AVOID_FIRST = datetime.timedelta(seconds=1)
 _ZERO = datetime.timedelta()
 
@@ -124,12 +126,26 @@
             return _ZERO
         return LONG_POLL
 
+    def _may_grant(
+        self, worker: runs.Worker, now: datetime.timedelta
+    ) -> bool:
+        """Tell whether to extend the lease.
+
+        An unanswered call may have extended it, so a worker out of reach is
+        only asked for its inventory: otherwise its runs would never lapse.
+        """
+        proof_age = now - self._scheduler.journal.proven_at
+        return (
+            bool(worker.runs_by_task)
+            and worker.unreachable_since is None
+            and proof_age < self._terms.max_grant_age
+        )
+
     async def _hold(self, worker: runs.Worker) -> None:
         now = self._clock.monotonic()
         wait = self._wait(worker)
         deadline_ms = None
-        proof_age = now - self._scheduler.journal.proven_at
-        if worker.runs_by_task and proof_age < self._terms.max_grant_age:
+        if self._may_grant(worker, now):
             deadline_ms = worker.lease_until(now, self._terms.lease)
         told = worker.durable
         order = fleet.HoldOrder(
@@ -151,7 +167,7 @@
         if worker.durable < worker.seen:
             await self._wait_durable(worker)
         elif wait == _ZERO:
-            await self._clock.sleep(DURABLE_PAUSE * 2)
+            await self._clock.sleep(SETTLE_PAUSE)
 
     async def _note_unanswered(
         self, worker: runs.Worker, result: fleet.OrderResult
@@ -174,8 +190,10 @@
         await self._clock.sleep(RETRY_PAUSE)
 
     async def _wait_durable(self, worker: runs.Worker) -> None:
+        """Wait a little; an outage of the store must not delay the lease."""
         target = worker.seen
-        if await self._scheduler.journal.commit():
+        commit = self._scheduler.journal.commit()
+        if await clocks.within(self._clock, DURABLE_WAIT, commit):
             worker.durable = max(worker.durable, target)
 
     def _note_inventory(
--- /dev/null
+++ b/cardamomcroft/standin/fleet.py
@@ -0,0 +1,291 @@
+"""Stand in for workers that run tasks under leases, with their faults."""
+
+import collections
+import dataclasses
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import models
+
+POLL = datetime.timedelta(milliseconds=20)
+ROUND_TRIP = datetime.timedelta(milliseconds=2)
+GANG_TIMEOUT = datetime.timedelta(seconds=3)
+_MS = datetime.timedelta(milliseconds=1)
+
+Status = fleet.OrderStatus
+
+
+@dataclasses.dataclass(slots=True)
+class FakeRun:
+    """Hold a run at work."""
+
+    number: int
+    began_at: datetime.timedelta
+    demand: models.Demand
+    width: int  # members of its gang; 0 for a task of its own
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Interval:
+    """Record one run from its start to its end."""
+
+    task: str
+    run: int
+    worker_id: str
+    began_at: datetime.timedelta
+    ended_at: datetime.timedelta | None
+    end: fleet.End | None
+
+
+class FakeWorker:
+    """Run tasks for a fixed time each."""
+
+    def __init__(self, world: "FakeFleet", listing: fleet.Listing) -> None:
+        """Start with nothing running."""
+        self._world = world
+        self.listing = listing
+        self.runs_by_task: dict[str, FakeRun] = {}
+        self.finished: list[fleet.FinishedTask] = []
+        self.highest_by_task: dict[str, int] = {}
+        self.token = 0
+        self.lease_ms = 0
+        self.ends = 0
+        self.is_cut = False
+        self.lose_start_answers = 0
+        self.fails_everything = False
+        self.born_at = world.clock.monotonic()
+
+    def clock_ms(self) -> int:
+        """Return the worker's steady clock."""
+        return round((self._world.clock.monotonic() - self.born_at) / _MS)
+
+    def end(self, task: str, end: fleet.End) -> None:
+        """End a run and list it."""
+        run = self.runs_by_task.pop(task)
+        self.highest_by_task[task] = run.number
+        self.ends += 1
+        self.finished.append(
+            fleet.FinishedTask(self.ends, task, run.number, end, "")
+        )
+        now = self._world.clock.monotonic()
+        self._world.intervals.append(
+            Interval(
+                task,
+                run.number,
+                self.listing.address.worker_id,
+                run.began_at,
+                now,
+                end,
+            )
+        )
+
+    def advance(self) -> None:
+        """End what is done, failed or without a lease."""
+        now = self._world.clock.monotonic()
+        if self.runs_by_task and self.clock_ms() > self.lease_ms:
+            for task in list(self.runs_by_task):
+                self.end(task, fleet.End.LAPSED)
+        for task, run in list(self.runs_by_task.items()):
+            if run.width:
+                self._advance_member(task, run, now)
+            elif now - run.began_at >= self._world.duration:
+                self.end(task, self._end())
+
+    def _end(self) -> fleet.End:
+        return fleet.End.FAILED if self.fails_everything else fleet.End.DONE
+
+    def _advance_member(
+        self, task: str, run: FakeRun, now: datetime.timedelta
+    ) -> None:
+        group = task.rpartition(".")[0]
+        present_at = self._world.gang_present_at(group, run.number, run.width)
+        if present_at is not None:
+            if now - present_at >= self._world.duration:
+                self.end(task, fleet.End.DONE)
+        elif now - run.began_at >= GANG_TIMEOUT:
+            self.end(task, fleet.End.GANG_INCOMPLETE)
+
+    def free(self) -> models.Demand:
+        """Return the room left."""
+        room = models.Demand(
+            self.listing.milli_cores,
+            self.listing.memory_mb,
+            self.listing.accelerators,
+        )
+        for run in self.runs_by_task.values():
+            room = room.minus(run.demand)
+        return room
+
+
+class FakeFleet(fleet.WorkerLink):
+    """Hold all workers and reach them."""
+
+    def __init__(
+        self, clock: base.Clock, duration: datetime.timedelta
+    ) -> None:
+        """Take how long every task works."""
+        self.clock = clock
+        self.duration = duration
+        self.workers_by_id: dict[str, FakeWorker] = {}
+        self.steps_by_job: dict[str, tuple[models.Step, ...]] = {}
+        self.intervals: list[Interval] = []
+        self.injected: collections.Counter[str] = collections.Counter()
+        self._gangs: dict[tuple[str, int], datetime.timedelta] = {}
+
+    def add(self, worker_id: str, accelerators: int = 8) -> fleet.Listing:
+        """Add a worker and return its entry for the directory."""
+        listing = fleet.Listing(
+            fleet.Address(worker_id, f"{worker_id}:80"),
+            "svc",
+            fleet.ServerState.READY,
+            "dc",
+            1,
+            0,
+            frozenset({"a", "r1"}),
+            "r1",
+            64_000,
+            131_072,
+            accelerators,
+            None,
+        )
+        self.workers_by_id[worker_id] = FakeWorker(self, listing)
+        return listing
+
+    def gang_present_at(
+        self, group: str, number: int, width: int
+    ) -> datetime.timedelta | None:
+        """Return when all members of a gang's run were there."""
+        key = (group, number)
+        if key not in self._gangs:
+            present = sum(
+                task.rpartition(".")[0] == group and run.number == number
+                for worker in self.workers_by_id.values()
+                for task, run in worker.runs_by_task.items()
+            )
+            if present < width:
+                return None
+            self._gangs[key] = self.clock.monotonic()
+        return self._gangs[key]
+
+    def advance(self) -> None:
+        """Let every worker notice the time."""
+        for worker in self.workers_by_id.values():
+            worker.advance()
+
+    def running(self) -> list[tuple[str, str]]:
+        """Return pairs of task and worker at work."""
+        self.advance()
+        return [
+            (task, worker_id)
+            for worker_id, worker in self.workers_by_id.items()
+            for task in worker.runs_by_task
+        ]
+
+    async def _reach(self, address: fleet.Address) -> FakeWorker | None:
+        await self.clock.sleep(ROUND_TRIP)
+        worker = self.workers_by_id.get(address.worker_id)
+        if worker is None or worker.is_cut:
+            self.injected["unreachable"] += 1
+            return None
+        worker.advance()
+        return worker
+
+    async def _silent(self, timeout: datetime.timedelta) -> fleet.OrderResult:
+        await self.clock.sleep(timeout)
+        return fleet.OrderResult(Status.MAY_HAVE_RUN)
+
+    async def start(self, address, order, timeout) -> fleet.OrderResult:
+        """Start a task."""
+        worker = await self._reach(address)
+        if worker is None:
+            return await self._silent(timeout)
+        result = self._start(worker, order)
+        if worker.lose_start_answers:
+            worker.lose_start_answers -= 1
+            self.injected["start_answer_lost"] += 1
+            return await self._silent(timeout)
+        return result
+
+    def _start(
+        self, worker: FakeWorker, order: fleet.StartOrder
+    ) -> fleet.OrderResult:
+        clock_ms = worker.clock_ms()
+        if order.token < worker.token:
+            return fleet.OrderResult(Status.STALE_TOKEN, clock_ms)
+        worker.token = order.token
+        worker.lease_ms = max(worker.lease_ms, order.deadline_ms)
+        if order.deadline_ms < clock_ms:
+            return fleet.OrderResult(Status.EXPIRED, clock_ms)
+        if order.run <= worker.highest_by_task.get(order.task, 0):
+            return fleet.OrderResult(Status.STALE_RUN, clock_ms)
+        job_id, _, step_number, _ = order.task.rsplit(".", 3)
+        step = self.steps_by_job[job_id][int(step_number)]
+        if not step.demand.fits(worker.free()):
+            return fleet.OrderResult(Status.NO_ROOM, clock_ms)
+        width = step.width if step.is_gang else 0
+        worker.runs_by_task[order.task] = FakeRun(
+            order.run, self.clock.monotonic(), step.demand, width
+        )
+        return fleet.OrderResult(Status.DONE, clock_ms)
+
+    async def stop(
+        self, address, task, run, token, timeout
+    ) -> fleet.OrderResult:
+        """Stop a run."""
+        worker = await self._reach(address)
+        if worker is None:
+            return await self._silent(timeout)
+        if token < worker.token:
+            return fleet.OrderResult(Status.STALE_TOKEN, worker.clock_ms())
+        worker.token = token
+        highest = worker.highest_by_task.get(task, 0)
+        worker.highest_by_task[task] = max(highest, run)
+        known = worker.runs_by_task.get(task)
+        if known is not None and known.number <= run:
+            worker.end(task, fleet.End.STOPPED)
+        return fleet.OrderResult(Status.DONE, worker.clock_ms())
+
+    async def pace(
+        self, address, task, run, percent, token, timeout
+    ) -> fleet.OrderResult:
+        """Accept any pace."""
+        worker = await self._reach(address)
+        if worker is None:
+            return await self._silent(timeout)
+        return fleet.OrderResult(Status.DONE, worker.clock_ms())
+
+    async def hold(
+        self, address, order, timeout
+    ) -> fleet.Inventory | fleet.OrderResult:
+        """Extend the lease and return the inventory."""
+        worker = await self._reach(address)
+        if worker is None:
+            return await self._silent(timeout)
+        if order.token < worker.token:
+            return fleet.OrderResult(Status.STALE_TOKEN, worker.clock_ms())
+        worker.token = order.token
+        if order.deadline_ms is not None:
+            worker.lease_ms = max(worker.lease_ms, order.deadline_ms)
+        worker.finished = [
+            end for end in worker.finished if end.number > order.last_seen
+        ]
+        until = self.clock.monotonic() + order.wait
+        while not worker.finished and self.clock.monotonic() < until:
+            await self.clock.sleep(POLL)
+            worker.advance()
+        if worker.is_cut:
+            return await self._silent(timeout)
+        return fleet.Inventory(
+            worker.clock_ms(),
+            worker.listing.born_ms,
+            tuple(
+                fleet.RunningTask(task, run.number, "", 50, 0.0)
+                for task, run in worker.runs_by_task.items()
+            ),
+            tuple(worker.finished),
+        )
+
+    async def advise(self, step, worker_ids) -> fleet.Advice | None:
+        """Give no advice."""
+        return None
--- /dev/null
+++ b/cardamomcroft/standin/store.py
@@ -0,0 +1,150 @@
+"""Stand in for the platform's store, with its faults."""
+
+import dataclasses
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import store
+
+POLL = datetime.timedelta(milliseconds=20)
+ROUND_TRIP = datetime.timedelta(milliseconds=5)
+
+_Status = store.AppendStatus
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Say what goes wrong; tests change it while it runs."""
+
+    is_down: bool = False
+    refused_clients: set[str] = dataclasses.field(default_factory=set)
+    lose_answers: int = 0  # appends done and not answered
+    drop_appends: int = 0  # appends neither done nor answered
+    delay: datetime.timedelta = ROUND_TRIP
+
+
+class StoreService:
+    """Hold the streams that all clients share."""
+
+    def __init__(self, clock: base.Clock) -> None:
+        """Start empty."""
+        self.clock = clock
+        self.faults = Faults()
+        self.injected: dict[str, int] = {}
+        self.records_by_stream: dict[store.Stream, list[store.Record]] = {
+            stream: [] for stream in store.Stream
+        }
+        self._writers: dict[tuple[store.Stream, str], store.Writer] = {}
+        self._answers: dict[tuple, store.Appended] = {}
+
+    def client(self, name: str) -> "StoreClient":
+        """Return the store as one instance sees it."""
+        return StoreClient(self, name)
+
+    def is_cut(self, name: str) -> bool:
+        """Tell whether a client gets no service, and count it."""
+        if self.faults.is_down or name in self.faults.refused_clients:
+            self.count("refused")
+            return True
+        return False
+
+    def count(self, fault: str) -> None:
+        """Count an injected fault."""
+        self.injected[fault] = self.injected.get(fault, 0) + 1
+
+    def put(self, stream: store.Stream, key: str, value) -> None:
+        """Append as the operator or a worker does."""
+        records = self.records_by_stream[stream]
+        records.append(store.Record(len(records), key, value))
+
+    def append(self, stream, entries, expected_end, writer) -> store.Appended:
+        """Apply an append under its conditions."""
+        records = self.records_by_stream[stream]
+        if expected_end is not None and expected_end != len(records):
+            return store.Appended(_Status.CONFLICT, end_offset=len(records))
+        if writer is not None:
+            refusal = self._check_writer(stream, writer)
+            if refusal is not None:
+                return refusal
+        first = len(records)
+        for entry in entries:
+            self.put(stream, entry.key, entry.value)
+        answer = store.Appended(_Status.APPENDED, first, len(records))
+        if writer is not None:
+            self._writers[stream, writer.name] = writer
+            key = (stream, writer.name, writer.epoch, writer.sequence)
+            self._answers[key] = answer
+        return answer
+
+    def _check_writer(
+        self, stream: store.Stream, writer: store.Writer
+    ) -> store.Appended | None:
+        last = self._writers.get((stream, writer.name))
+        if last is None or writer.epoch > last.epoch:
+            return None
+        if writer.epoch < last.epoch:
+            return store.Appended(_Status.FENCED)
+        if writer.sequence == last.sequence + 1:
+            return None
+        key = (stream, writer.name, writer.epoch, writer.sequence)
+        return self._answers.get(key) or store.Appended(
+            _Status.OUT_OF_SEQUENCE, expected_sequence=last.sequence + 1
+        )
+
+
+class StoreClient(store.Store):
+    """Use the service as one instance."""
+
+    def __init__(self, service: StoreService, name: str) -> None:
+        """Take the name by which faults find this client."""
+        self._service = service
+        self._name = name
+
+    async def append(
+        self, stream, entries, timeout, expected_end=None, writer=None
+    ) -> store.Appended:
+        """Append all entries or none."""
+        service = self._service
+        await service.clock.sleep(service.faults.delay)
+        if service.is_cut(self._name):
+            return store.Appended(_Status.NOT_RUN, detail="refused")
+        if service.faults.drop_appends:
+            service.faults.drop_appends -= 1
+            service.count("dropped")
+            await service.clock.sleep(timeout)
+            return store.Appended(_Status.MAY_HAVE_RUN, detail="dropped")
+        answer = service.append(stream, entries, expected_end, writer)
+        if service.faults.lose_answers:
+            service.faults.lose_answers -= 1
+            service.count("answer_lost")
+            await service.clock.sleep(timeout)
+            return store.Appended(_Status.MAY_HAVE_RUN, detail="lost")
+        return answer
+
+    async def read(
+        self, stream, offset, wait, timeout
+    ) -> store.Page | store.ReadFailure:
+        """Return the records from the offset on."""
+        service = self._service
+        await service.clock.sleep(service.faults.delay)
+        until = service.clock.monotonic() + wait
+        while True:
+            if service.is_cut(self._name):
+                return store.ReadFailure(store.ReadStatus.UNAVAILABLE)
+            records = service.records_by_stream[stream]
+            if len(records) > offset or service.clock.monotonic() >= until:
+                return store.Page(tuple(records[offset:]), len(records))
+            await service.clock.sleep(POLL)
+
+    async def newest(
+        self, stream, timeout
+    ) -> store.Page | store.ReadFailure:
+        """Return the newest record of each key."""
+        service = self._service
+        await service.clock.sleep(service.faults.delay)
+        if service.is_cut(self._name):
+            return store.ReadFailure(store.ReadStatus.UNAVAILABLE)
+        records = service.records_by_stream[stream]
+        newest = {record.key: record for record in records}
+        kept = tuple(r for r in newest.values() if r.value is not None)
+        return store.Page(kept, len(records))
