Preempt only when urgent work has waited 0.9 s; put useless work last

Ruled out: restarts of lost runs; the log shows 313 stops of 666 runs. Change: wait 0.9 s before preempting; jobs past three times their objective queue behind all others.

--- a/cardamomcroft/scheduling/ordering.py
+++ b/cardamomcroft/scheduling/ordering.py
@@ -53,7 +53,7 @@
     return (
         not is_guaranteed,
         not state.job.is_lasting,
-        queue.priority,
         is_useless(state, now),
+        queue.priority,
         deadline(state),
     )
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -9,7 +9,9 @@
 from cardamomcroft.scheduling import preempting
 from cardamomcroft.scheduling import runs
 
-_ZERO = datetime.timedelta()
+# Runs end all the time; within this wait most urgent jobs find room without
+# throwing work away, and a third of the bound for guaranteed work is left.
+PREEMPTION_WAIT = datetime.timedelta(milliseconds=900)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,6 +189,8 @@
         count = len(step.waiting) - planned
         if count <= 0:
             return
+        if self._situation.now - step.job.accepted_at < PREEMPTION_WAIT:
+            return
         is_guaranteed = step.job.job.account in self._guaranteed
         victims = self._preemption.victims(step, count, is_guaranteed)
         self._plan.stops.extend(
