Keep freed room for the work it is freed for, a rack for a rack-local gang

Ruled out: too few victims; the log shows the same worker preempted up to nine times for one task. Change: reservations between rounds; victims for a gang are chosen for all members, within a rack if it is rack-local and fits one.

--- a/cardamomcroft/scheduling/placing.py
+++ b/cardamomcroft/scheduling/placing.py
@@ -24,6 +24,17 @@
     return dataclasses.replace(step.demand, milli_cores=0)
 
 
+def places(step: models.Step, room: models.Demand) -> int:
+    """Count the tasks of a step that fit into the room."""
+    demand = demand_of(step)
+    pairs = (
+        (room.milli_cores, demand.milli_cores),
+        (room.memory_mb, demand.memory_mb),
+        (room.accelerators, demand.accelerators),
+    )
+    return min((have // need for have, need in pairs if need), default=1)
+
+
 class Board:
     """Hold the rooms of one decision round and take from them."""
 
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -3,10 +3,12 @@
 import dataclasses
 import datetime
 
+from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import ordering
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import preempting
+from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 
 # Runs end all the time; within this wait most urgent jobs find room without
@@ -51,6 +53,7 @@
     now: datetime.timedelta  # monotonic
     wall: datetime.datetime
     accelerators_by_account: dict[str, int]
+    reservations: reservations.Reservations
 
 
 class Planner:
@@ -71,13 +74,29 @@
             situation.jobs, situation.accelerators_by_account
         )
         self._hopeless: set[tuple] = set()
+        self._reserved = situation.reservations
+        self._rooms_by_id = {
+            room.worker_id: room for room in self._board.rooms
+        }
         self._preemption = preempting.Preemption(
-            situation.workers_by_id, situation.now
+            situation.workers_by_id,
+            {
+                worker.worker_id: free
+                for worker in situation.workers_by_id.values()
+                if (free := room_soon(worker, situation.now))
+            },
+            situation.now,
+            self._guaranteed,
         )
 
     def plan(self) -> Plan:
         """Return the decisions."""
         now = self._situation.now
+        self._reserved.drop_useless(now)
+        for step in self._reserved.steps():
+            self._use_reservations(step)
+        for entry in self._reserved.all():
+            self._take(entry.worker_id, entry.demand())
         ordered = sorted(
             (job for job in self._situation.jobs if not job.final_state),
             key=lambda job: ordering.sort_key(job, now, self._guaranteed),
@@ -88,8 +107,42 @@
                     self._plan_step(step)
         return self._plan
 
+    def _take(self, worker_id: str, demand: models.Demand) -> None:
+        self._preemption.take(worker_id, demand)
+        room = self._rooms_by_id.get(worker_id)
+        if room is not None:
+            room.free = room.free.minus(demand)
+
+    def _use_reservations(self, step: runs.StepState) -> None:
+        """Start on kept room what fits by now; a gang only as a whole."""
+        entries = list(self._reserved.of(step))
+        ready = [
+            entry
+            for entry in entries
+            if (room := self._rooms_by_id.get(entry.worker_id))
+            and entry.demand().fits(room.free)
+        ]
+        if step.model.is_gang and (
+            len(ready) < len(entries)
+            or len(step.waiting) < step.model.width
+            or self._reserved.count(step) != step.model.width
+        ):
+            return
+        waiting = sorted(step.waiting)
+        for entry in ready:
+            count = min(entry.count, len(waiting))
+            room = self._rooms_by_id[entry.worker_id]
+            demand = placing.demand_of(step.model)
+            for index in waiting[:count]:
+                room.free = room.free.minus(demand)
+                self._start(step, index, room)
+            waiting = waiting[count:]
+            self._reserved.use(entry, entry.count)
+
     def _plan_step(self, step: runs.StepState) -> None:
         model = step.model
+        if self._unplanned(step) <= 0:
+            return
         signature = (
             model.demand,
             model.required_label,
@@ -155,7 +208,7 @@
         if len(step.waiting) < step.model.width:
             return True  # an earlier run is still ending
         taken = self._board.place_gang(
-            step.model, rooms, self._is_pressed(step)
+            step.model, rooms, self._may_span_racks(step)
         )
         for index, room in enumerate(taken):
             self._start(step, index, room)
@@ -164,7 +217,7 @@
     def _place_tasks(
         self, step: runs.StepState, rooms: list[placing.Room]
     ) -> bool:
-        waiting = sorted(step.waiting)
+        waiting = self._unplanned_indexes(step)
         held: dict[str, int] = {}
         for run in step.runs_by_index.values():
             held[run.worker_id] = held.get(run.worker_id, 0) + 1
@@ -173,30 +226,83 @@
             self._start(step, index, room)
         return len(taken) == len(waiting)
 
+    def _unplanned(self, step: runs.StepState) -> int:
+        """Count the waiting tasks that have neither a start nor room."""
+        planned = sum(start.step is step for start in self._plan.starts)
+        return len(step.waiting) - planned - self._reserved.count(step)
+
+    def _unplanned_indexes(self, step: runs.StepState) -> list[int]:
+        planned = {
+            start.index for start in self._plan.starts if start.step is step
+        }
+        waiting = sorted(step.waiting - planned)
+        return waiting[: len(waiting) - self._reserved.count(step)]
+
+    def _may_span_racks(self, step: runs.StepState) -> bool:
+        """Tell whether a gang is better spread than kept waiting."""
+        return self._is_pressed(step) or not self._fits_a_rack(step)
+
+    def _fits_a_rack(self, step: runs.StepState) -> bool:
+        model = step.model
+        places: dict[str, int] = {}
+        for worker in self._situation.workers_by_id.values():
+            if worker.listing is not None:
+                rack = worker.listing.rack
+                count = placing.places(model, capacity_of(worker.listing))
+                places[rack] = places.get(rack, 0) + count
+        return any(count >= model.width for count in places.values())
+
     def _start(
         self, step: runs.StepState, index: int, room: placing.Room
     ) -> None:
         self._plan.starts.append(Start(step, index, room.worker_id))
-        self._preemption.note_start(
-            room.worker_id, placing.demand_of(step.model)
-        )
+        self._preemption.take(room.worker_id, placing.demand_of(step.model))
 
     def _make_room(self, step: runs.StepState) -> None:
         queue = step.job.job.queue
         if queue.priority != 0 or step.model.is_filling:
             return
-        planned = sum(start.step is step for start in self._plan.starts)
-        count = len(step.waiting) - planned
-        if count <= 0:
+        now = self._situation.now
+        if now - step.job.accepted_at < PREEMPTION_WAIT:
             return
-        if self._situation.now - step.job.accepted_at < PREEMPTION_WAIT:
+        count = self._unplanned(step)
+        if step.model.is_gang and count < step.model.width:
             return
-        is_guaranteed = step.job.job.account in self._guaranteed
-        victims = self._preemption.victims(step, count, is_guaranteed)
-        self._plan.stops.extend(
-            Stop(run, f"preempted by {step.job.job.job_id}")
-            for run in victims
+        choices = self._preemption.choose(
+            step, count, self._may_span_racks(step)
         )
+        if not choices:
+            return
+        self._reserved.add(step, [c.worker_id for c in choices], now)
+        for choice in choices:
+            room = self._rooms_by_id.get(choice.worker_id)
+            if room is not None:
+                demand = placing.demand_of(step.model)
+                room.free = room.free.minus(demand)
+            self._plan.stops.extend(
+                Stop(run, f"preempted by {step.job.job.job_id}")
+                for run in choice.victims
+            )
+
+
+def capacity_of(listing: fleet.Listing) -> models.Demand:
+    """Return what an empty worker offers."""
+    return models.Demand(
+        listing.milli_cores, listing.memory_mb, listing.accelerators
+    )
+
+
+def room_soon(
+    worker: runs.Worker, now: datetime.timedelta
+) -> models.Demand | None:
+    """Return the room once the runs being stopped are gone."""
+    if not is_usable(worker, now):
+        return None
+    free = capacity_of(worker.listing).minus(worker.used())
+    for run in worker.runs_by_task.values():
+        if run.phase is runs.Phase.STOPPING:
+            free = free.plus(placing.demand_of(run.step.model))
+    return free
 
 
 def room_of(
@@ -206,12 +312,9 @@
     listing = worker.listing
     if listing is None or not is_usable(worker, now):
         return None
-    capacity = models.Demand(
-        listing.milli_cores, listing.memory_mb, listing.accelerators
-    )
     return placing.Room(
         worker.worker_id,
-        capacity.minus(worker.used()),
+        capacity_of(listing).minus(worker.used()),
         listing.rack,
         listing.labels,
         listing.service,
--- a/cardamomcroft/scheduling/preempting.py
+++ b/cardamomcroft/scheduling/preempting.py
@@ -17,9 +17,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """Hold victims on one worker and the work that they lose."""
+    """Hold a place for one task and what has to stop for it."""
 
-    cost: float  # core-seconds
+    cost: float  # core-seconds thrown away
     worker_id: str
     victims: tuple[runs.Run, ...]
 
@@ -28,101 +28,150 @@
     """Find victims in one round, counting what is being freed already."""
 
     def __init__(
-        self, workers_by_id: dict[str, runs.Worker], now: datetime.timedelta
+        self,
+        workers_by_id: dict[str, runs.Worker],
+        free_by_worker: dict[str, models.Demand],
+        now: datetime.timedelta,
+        guaranteed: frozenset[str],
     ) -> None:
-        """Take the workers."""
+        """Take the room that will be free without any further stop."""
         self._workers_by_id = workers_by_id
+        self._free_by_worker = free_by_worker
         self._now = now
-        self._free_by_worker: dict[str, models.Demand] = {}
-        self._is_prepared = False
-        self._started: list[tuple[str, models.Demand]] = []
+        self._guaranteed = guaranteed
         self._chosen: set[runs.Run] = set()
 
-    def note_start(self, worker_id: str, demand: models.Demand) -> None:
+    def take(self, worker_id: str, demand: models.Demand) -> None:
         """Count room that the round has given away."""
-        if self._is_prepared:
-            self._give(worker_id, models.Demand().minus(demand))
-        else:
-            self._started.append((worker_id, demand))
-
-    def _prepare(self) -> None:
-        if self._is_prepared:
-            return
-        self._is_prepared = True
-        for worker in self._workers_by_id.values():
-            free = _free_soon(worker, self._now)
-            if free is not None:
-                self._free_by_worker[worker.worker_id] = free
-        for worker_id, demand in self._started:
-            self._give(worker_id, models.Demand().minus(demand))
-
-    def _give(self, worker_id: str, demand: models.Demand) -> None:
         free = self._free_by_worker.get(worker_id)
         if free is not None:
-            self._free_by_worker[worker_id] = free.plus(demand)
+            self._free_by_worker[worker_id] = free.minus(demand)
+
+    def choose(
+        self, step: runs.StepState, count: int, may_span_racks: bool
+    ) -> list[Choice]:
+        """Return places for the tasks; for a gang, for all or none."""
+        usable = [
+            worker_id
+            for worker_id in self._free_by_worker
+            if _may_run(step, self._workers_by_id[worker_id])
+        ]
+        if step.model.is_rack_local and not may_span_racks:
+            plans = [
+                self._choose_within(step, count, group)
+                for group in self._by_rack(usable)
+            ]
+        else:
+            plans = [self._choose_within(step, count, usable)]
+        plans = [plan for plan in plans if plan]
+        if not plans:
+            return []
+        best = min(plans, key=lambda plan: (-len(plan), _cost(plan)))
+        if step.model.is_gang and len(best) < count:
+            return []
+        self._commit(step, best)
+        return best
+
+    def _by_rack(self, worker_ids: list[str]) -> list[list[str]]:
+        by_rack: dict[str, list[str]] = {}
+        for worker_id in worker_ids:
+            rack = self._workers_by_id[worker_id].listing.rack
+            by_rack.setdefault(rack, []).append(worker_id)
+        return list(by_rack.values())
+
+    def _commit(self, step: runs.StepState, plan: list[Choice]) -> None:
+        demand = placing.demand_of(step.model)
+        for choice in plan:
+            self.take(choice.worker_id, demand)
+            for run in choice.victims:
+                self._chosen.add(run)
+                freed = placing.demand_of(run.step.model)
+                self.take(run.worker_id, models.Demand().minus(freed))
 
-    def victims(
-        self, step: runs.StepState, count: int, is_guaranteed: bool
-    ) -> list[runs.Run]:
-        """Return the runs to stop for count tasks, whole gangs together."""
-        self._prepare()
+    def _choose_within(
+        self, step: runs.StepState, count: int, worker_ids: list[str]
+    ) -> list[Choice]:
         demand = placing.demand_of(step.model)
-        chosen: list[runs.Run] = []
-        for _ in range(count):
-            choices = [
-                choice
-                for worker_id in self._free_by_worker
-                if (choice := self._cheapest(worker_id, step, is_guaranteed))
-            ]
-            if not choices:
-                # A gang needs room for all of its tasks or for none.
-                return [] if step.model.is_gang else chosen
-            best = min(choices, key=lambda choice: choice.cost)
-            self._give(best.worker_id, models.Demand().minus(demand))
+        free_by_worker = {
+            worker_id: self._free_by_worker[worker_id]
+            for worker_id in worker_ids
+        }
+        stopped = set(self._chosen)
+        plan: list[Choice] = []
+        while len(plan) < count:
+            best = None
+            for worker_id, free in free_by_worker.items():
+                choice = self._cheapest(worker_id, step, free, stopped)
+                if choice and (best is None or choice.cost < best.cost):
+                    best = choice
+                    if not choice.victims:
+                        break
+            if best is None:
+                break
+            plan.append(best)
+            free = free_by_worker[best.worker_id]
+            free_by_worker[best.worker_id] = free.minus(demand)
             for run in best.victims:
-                self._chosen.add(run)
-                self._give(run.worker_id, placing.demand_of(run.step.model))
-            chosen.extend(best.victims)
-        return chosen
+                stopped.add(run)
+                if run.worker_id in free_by_worker:
+                    freed = placing.demand_of(run.step.model)
+                    free = free_by_worker[run.worker_id]
+                    free_by_worker[run.worker_id] = free.plus(freed)
+        return plan
 
     def _cheapest(
-        self, worker_id: str, step: runs.StepState, is_guaranteed: bool
+        self,
+        worker_id: str,
+        step: runs.StepState,
+        free: models.Demand,
+        stopped: set[runs.Run],
     ) -> Choice | None:
-        worker = self._workers_by_id[worker_id]
-        if not _may_run(step, worker):
-            return None
         demand = placing.demand_of(step.model)
-        free = self._free_by_worker[worker_id]
         if demand.fits(free):
             return Choice(0.0, worker_id, ())
         groups = []
-        for run in worker.runs_by_task.values():
-            group = self._group(run)
-            if all(_may_stop(member, is_guaranteed) for member in group):
-                groups.append((self._cost(group), run, group))
+        for run in self._workers_by_id[worker_id].runs_by_task.values():
+            group = _group(run)
+            if run not in stopped and all(
+                self._may_stop(member, step) for member in group
+            ):
+                cost = sum(lost_work(member, self._now) for member in group)
+                groups.append((cost, group))
         groups.sort(key=lambda entry: entry[0])
         cost, victims = 0.0, []
-        for group_cost, run, group in groups:
-            if run in victims:
+        for group_cost, group in groups:
+            if group[0] in victims:
                 continue
             victims.extend(group)
             cost += group_cost
-            here = (m for m in group if m.worker_id == worker_id)
-            for member in here:
-                free = free.plus(placing.demand_of(member.step.model))
+            for member in group:
+                if member.worker_id == worker_id:
+                    free = free.plus(placing.demand_of(member.step.model))
             if demand.fits(free):
                 return Choice(cost, worker_id, tuple(victims))
         return None
 
-    def _group(self, run: runs.Run) -> list[runs.Run]:
-        if run.step.model.is_gang:
-            return list(run.step.runs_by_index.values())
-        return [run]
+    def _may_stop(self, run: runs.Run, step: runs.StepState) -> bool:
+        victim = run.step.model
+        if run.phase is not runs.Phase.AT_WORK or victim.is_lasting:
+            return False
+        victim_job = run.step.job.job
+        job = step.job.job
+        is_guaranteed = job.account in self._guaranteed
+        if victim_job.queue.priority > job.queue.priority:
+            return is_guaranteed or victim.is_checkpointing
+        # Urgent work beyond its account's guarantee only borrows the room.
+        return is_guaranteed and victim_job.account not in self._guaranteed
+
+
+def _group(run: runs.Run) -> list[runs.Run]:
+    if run.step.model.is_gang:
+        return list(run.step.runs_by_index.values())
+    return [run]
+
 
-    def _cost(self, group: list[runs.Run]) -> float:
-        return sum(lost_work(run, self._now) for run in group) + sum(
-            run in self._chosen for run in group
-        )
+def _cost(plan: list[Choice]) -> float:
+    return sum(choice.cost for choice in plan)
 
 
 def lost_work(run: runs.Run, now: datetime.timedelta) -> float:
@@ -136,15 +185,6 @@
     return lost_s * weight
 
 
-def _may_stop(run: runs.Run, is_guaranteed: bool) -> bool:
-    step = run.step.model
-    if run.phase is not runs.Phase.AT_WORK or step.is_lasting:
-        return False
-    if run.step.job.job.queue.priority == 0:
-        return False
-    return is_guaranteed or step.is_checkpointing
-
-
 def _may_run(step: runs.StepState, worker: runs.Worker) -> bool:
     listing = worker.listing
     model = step.model
@@ -153,20 +193,3 @@
     if model.required_label and model.required_label not in listing.labels:
         return False
     return not model.data_rack or listing.rack == model.data_rack
-
-
-def _free_soon(
-    worker: runs.Worker, now: datetime.timedelta
-) -> models.Demand | None:
-    listing = worker.listing
-    if listing is None or listing.state.value != "ready":
-        return None
-    if worker.unreachable_since is not None or worker.avoid_until > now:
-        return None
-    free = models.Demand(
-        listing.milli_cores, listing.memory_mb, listing.accelerators
-    )
-    for run in worker.runs_by_task.values():
-        if run.phase is not runs.Phase.STOPPING:
-            free = free.minus(placing.demand_of(run.step.model))
-    return free
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import planning
+from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import watching
 
@@ -71,6 +72,7 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._strays: set[str] = set()
+        self._reservations = reservations.Reservations()
         self._orders = order_senders.Orders(self, link, clock, log, terms)
         self._watch = watching.Watch(self, link, clock, log, terms)
 
@@ -262,6 +264,7 @@
             self._clock.monotonic(),
             self._clock.now(),
             self._accounts(),
+            self._reservations,
         )
         plan = planning.Planner(situation).plan()
         for stop in plan.stops:
--- /dev/null
+++ b/tests/scheduling/test_preemption.py
@@ -0,0 +1,63 @@
+"""Urgent work begins in time when less urgent work fills all workers."""
+
+from cardamomcroft.ports import fleet
+from tests.scheduling import harness
+
+
+class FloodTest(harness.SchedulingTestCase):
+    """A flood of small long tasks fills the workers and queues."""
+
+    duration = harness.seconds(60)
+
+    async def asyncSetUp(self):
+        """Fill two racks' worth of accelerators twice over."""
+        await super().asyncSetUp()
+        self.add_workers(4)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        flood = harness.make_queue(priority=2)
+        for _ in range(4):
+            self.submit(harness.make_step(width=16), queue=flood)
+        await self.wait_until(lambda: len(self.fleet.running()) == 32)
+
+    def running_of(self, job_id: str) -> int:
+        """Count a job's tasks at work."""
+        return sum(
+            task.startswith(job_id) for task, _ in self.fleet.running()
+        )
+
+    async def check_begins(self, step) -> None:
+        """The job begins whole within the bound for guaranteed work."""
+        self.nodes_by_name["a"].scheduler._accounts = lambda: {"b": 24}
+        urgent = harness.make_queue(priority=0)
+        job_id = self.submit(step, queue=urgent, account="b")
+        await self.wait_until(
+            lambda: self.running_of(job_id) == step.width, 2.7
+        )
+
+    def stops(self) -> int:
+        """Count the runs that were stopped."""
+        return sum(
+            interval.end is fleet.End.STOPPED
+            for interval in self.fleet.intervals
+        )
+
+    async def test_whole_worker_is_freed_once(self):
+        """Freed pieces wait for the task that needs them all."""
+        await self.check_begins(harness.make_step(accelerators=8))
+        self.assertEqual(self.stops(), 8)
+
+    async def test_gang_gets_room_for_all_members(self):
+        """A gang preempts for all of its members or not at all."""
+        await self.check_begins(
+            harness.make_step(width=3, accelerators=8, is_gang=True)
+        )
+        self.assertEqual(self.stops(), 24)
+
+    async def test_rack_local_gang_stays_in_a_rack(self):
+        """A rack-local gang preempts within one rack."""
+        step = harness.make_step(
+            width=2, accelerators=8, is_gang=True, is_rack_local=True
+        )
+        await self.check_begins(step)
+        self.assertEqual(self.stops(), 16)
