--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -10,6 +10,7 @@
 
 POLL = datetime.timedelta(milliseconds=20)
 ROUND_TRIP = datetime.timedelta(milliseconds=2)
+STOP_BOUND = datetime.timedelta(milliseconds=200)
 GANG_TIMEOUT = datetime.timedelta(seconds=3)
 _MS = datetime.timedelta(milliseconds=1)
 
@@ -52,6 +53,7 @@
         self.lease_ms = 0
         self.ends = 0
         self.is_cut = False
+        self.stops_at_by_task: dict[str, datetime.timedelta] = {}
         self.lose_start_answers = 0
         self.fails_everything = False
         self.born_at = world.clock.monotonic()
@@ -86,6 +88,11 @@
         if self.runs_by_task and self.clock_ms() > self.lease_ms:
             for task in list(self.runs_by_task):
                 self.end(task, fleet.End.LAPSED)
+        for task, stops_at in list(self.stops_at_by_task.items()):
+            if stops_at <= now:
+                del self.stops_at_by_task[task]
+                if task in self.runs_by_task:
+                    self.end(task, fleet.End.STOPPED)
         for task, run in list(self.runs_by_task.items()):
             if run.width:
                 self._advance_member(task, run, now)
@@ -130,6 +137,8 @@
         self.workers_by_id: dict[str, FakeWorker] = {}
         self.steps_by_job: dict[str, tuple[models.Step, ...]] = {}
         self.intervals: list[Interval] = []
+        # Runs on one worker end this far apart when stopped together.
+        self.stop_steps = datetime.timedelta(milliseconds=40)
         self.injected: collections.Counter[str] = collections.Counter()
         self._gangs: dict[tuple[str, int], datetime.timedelta] = {}
 
@@ -243,7 +252,11 @@
         worker.highest_by_task[task] = max(highest, run)
         known = worker.runs_by_task.get(task)
         if known is not None and known.number <= run:
-            worker.end(task, fleet.End.STOPPED)
+            delay = self.stop_steps * (len(worker.stops_at_by_task) + 1)
+            worker.stops_at_by_task.setdefault(
+                task, self.clock.monotonic() + min(delay, STOP_BOUND)
+            )
+            worker.advance()
         return fleet.OrderResult(Status.DONE, worker.clock_ms())
 
     async def pace(
