--- /dev/null
+++ b/cardamomcroft/cli/explain.py
@@ -0,0 +1,142 @@
+"""Gather what instances logged about a job into one history."""
+
+import collections.abc
+import dataclasses
+import datetime
+import json
+import pathlib
+import sys
+import typing
+
+from cardamomcroft.cli import client
+from cardamomcroft.cli import output
+
+# What an instance believed around a job's life may explain its fate.
+CONTEXT = datetime.timedelta(seconds=2)
+BELIEFS = frozenset(
+    {
+        "append_answered",
+        "append_unanswered",
+        "configuration_in_force",
+        "handover_failed",
+        "leaving",
+        "scheduler_claimed",
+        "scheduler_lost",
+        "scheduler_started",
+        "started",
+        "stopped",
+        "store_lost",
+        "store_regained",
+        "worker_avoided",
+        "worker_listed",
+        "worker_lost",
+        "worker_reborn",
+        "worker_regained",
+        "worker_unlisted",
+    }
+)
+_HIDDEN = frozenset({"at", "instance", "event", "worker_id"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """Hold one logged event."""
+
+    at: datetime.datetime
+    instance: str
+    event: str
+    fields: dict[str, typing.Any]
+
+    def concerns(self, job_id: str) -> bool:
+        """Tell whether the event names the job."""
+        return any(
+            isinstance(value, str) and job_id in value
+            for value in self.fields.values()
+        )
+
+    def detail(self) -> str:
+        """Return the inputs and the outcome as one text."""
+        return " ".join(
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if name not in _HIDDEN
+        )
+
+
+def parse(lines: collections.abc.Iterable[str]) -> list[Line]:
+    """Return the events among the lines, whatever stands before them."""
+    events = []
+    for line in lines:
+        start = line.find('{"at"')
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(line[start:])
+            at = datetime.datetime.fromisoformat(fields["at"])
+            event = Line(at, fields["instance"], fields["event"], fields)
+        except (ValueError, KeyError, TypeError):
+            continue  # a line cut off in the middle
+        events.append(event)
+    return sorted(events, key=lambda event: event.at)
+
+
+def history(events: list[Line], job_id: str) -> list[Line]:
+    """Return the job's events and the beliefs that changed around them."""
+    own = [event for event in events if event.concerns(job_id)]
+    if not own:
+        return []
+    workers = {event.fields.get("worker_id") for event in own} - {None}
+    since, until = own[0].at - CONTEXT, own[-1].at + CONTEXT
+    return [
+        event
+        for event in events
+        if event in own
+        or (
+            event.event in BELIEFS
+            and since <= event.at <= until
+            and event.fields.get("worker_id") in workers | {None}
+        )
+    ]
+
+
+def explain(
+    job_id: str, /, *logs: pathlib.Path, json_output: bool = False
+) -> None:
+    """Show a job's history from the logs of all instances.
+
+    Parameters
+    ----------
+    job_id
+        The id that the client chose.
+    logs
+        Files with the instances' standard output; standard input if none.
+    json_output
+        Print one JSON list.
+    """
+    lines: list[str] = []
+    for path in logs:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            sys.exit(client.ExitCode.WRONG_USE)
+        lines.extend(text.splitlines())
+    if not logs:
+        lines.extend(sys.stdin)
+    found = history(parse(lines), job_id)
+    if not found:
+        print(f"no event names {job_id}", file=sys.stderr)
+        sys.exit(client.ExitCode.REFUSED)
+    rows = [
+        {
+            "time": event.at.strftime("%H:%M:%S.%f")[:-3],
+            "instance": event.instance,
+            "event": event.event,
+            "worker": event.fields.get("worker_id", ""),
+            "detail": event.detail(),
+        }
+        for event in found
+    ]
+    columns = ("time", "instance", "event", "worker", "detail")
+    plain = [event.fields for event in found]
+    output.show(plain, json_output, output.table(rows, columns))
--- a/cardamomcroft/cli/main.py
+++ b/cardamomcroft/cli/main.py
@@ -3,6 +3,8 @@
 import cyclopts
 
 from cardamomcroft.cli import callers
+from cardamomcroft.cli import deployment
+from cardamomcroft.cli import explain
 from cardamomcroft.cli import operators
 from cardamomcroft.cli import running
 from cardamomcroft.cli import standins
@@ -17,6 +19,7 @@
     ),
 )
 app.command(standins.app)
+app.command(deployment.app)
 for function in (
     operators.validate,
     operators.diff,
@@ -29,6 +32,7 @@
     callers.status,
     callers.cancel,
     callers.request,
+    explain.explain,
 ):
     app.command(function)
 
--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -11,6 +11,7 @@
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration
+from cardamomcroft.scheduling import configuration_view
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import node as nodes
@@ -33,7 +34,7 @@
         self,
         node: nodes.Node,
         target: store.Store,
-        config: "ConfigurationView",
+        config: configuration_view.ConfigurationView,
         clock: base.Clock,
         log: events.Events,
     ) -> None:
@@ -64,11 +65,14 @@
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer a call and close the connection when leaving."""
         self.in_flight += 1
-        self.last_call_at = self._clock.monotonic()
+        began_at = self.last_call_at = self._clock.monotonic()
         try:
             response = await self._answer(request)
         finally:
             self.in_flight -= 1
+        took_s = (self._clock.monotonic() - began_at).total_seconds()
+        labels = request.method, response.status
+        self._log.measures.requests.labels(*labels).observe(took_s)
         if self.is_leaving:
             response.force_close()
         return response
@@ -190,7 +194,7 @@
             job = submissions.decode(
                 job_id, route.queue, account, body, self._clock.now()
             )
-        except submissions.InvalidSubmission as error:
+        except submissions.SubmissionError as error:
             return self._refuse(request, 400, str(error))
         key = ledgers.Kind.SUBMISSION.key(job_id)
         entry = store.Entry(key, codec.encode_job(job))
@@ -218,9 +222,7 @@
             return web.json_response({})
         key = ledgers.Kind.CANCELLATION.key(job_id)
         status = await self._append(request, store.Entry(key, b"1"))
-        self._log.emit(
-            "cancel_requested", job_id=job_id, outcome=status.value
-        )
+        self._log.emit("cancel_requested", job_id=job_id, outcome=status.value)
         if status is store.AppendStatus.APPENDED:
             return web.json_response({})
         return self._refuse(request, 504, "outcome unknown")
@@ -232,91 +234,6 @@
         return self._node.replica.ledger.state(job_id) is not None
 
 
-class ConfigurationView:
-    """Follow the operator's configuration, which never goes back."""
-
-    READ_TIMEOUT = datetime.timedelta(seconds=0.8)
-    WAIT = datetime.timedelta(seconds=1)
-    RETRY_PAUSE = datetime.timedelta(milliseconds=150)
-
-    def __init__(
-        self,
-        source: store.Store,
-        clock: base.Clock,
-        log: events.Events,
-        decode,
-        key: str,
-        bound: datetime.timedelta,
-    ) -> None:
-        """Take the decoder, the key and the time to be in force."""
-        self._store = source
-        self._clock = clock
-        self._log = log
-        self._decode = decode
-        self._key = key
-        self._bound = bound
-        self._offset: int | None = None
-        self.current: configuration.Configuration | None = None
-        self.read_at: datetime.timedelta | None = None
-        self.on_change = lambda config: None
-
-    @property
-    def is_stale(self) -> bool:
-        """Tell whether a newer version could be in force elsewhere."""
-        if self.read_at is None:
-            return True
-        return self._clock.monotonic() - self.read_at > self._bound
-
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        while True:
-            if not await self._update():
-                await self._clock.sleep(self.RETRY_PAUSE)
-
-    async def _update(self) -> bool:
-        sent_at = self._clock.monotonic()
-        stream = store.Stream.OPERATOR
-        if self._offset is None:
-            page = await self._store.newest(stream, self.READ_TIMEOUT)
-        else:
-            page = await self._store.read(
-                stream, self._offset, self.WAIT, self.READ_TIMEOUT
-            )
-        if isinstance(page, store.ReadFailure):
-            if page.status is store.ReadStatus.EXPIRED:
-                self._offset = None
-            return False
-        for record in page.records:
-            if record.key == self._key and record.value:
-                self._take(record)
-        waited = self._offset is not None and not page.records
-        self.read_at = self._clock.monotonic() if waited else sent_at
-        self._offset = page.end_offset
-        return True
-
-    def _take(self, record: store.Record) -> None:
-        try:
-            config = self._decode(record.value)
-        except (ValueError, KeyError, TypeError) as error:
-            self._log.emit(
-                "configuration_invalid",
-                offset=record.offset,
-                error=repr(error),
-            )
-            return
-        if self.current and config.version <= self.current.version:
-            return
-        self.current = config
-        self._log.emit(
-            "configuration_in_force",
-            version=config.version,
-            offset=record.offset,
-            routes=len(config.routes),
-            keys=len(config.accounts_by_key),
-        )
-        self.on_change(config)
-
-
 async def settle_calls(ingress: Ingress, clock: base.Clock, limit_s: float):
     """Wait until calls have stopped coming, or for the limit."""
     quiet = datetime.timedelta(seconds=1)
@@ -328,5 +245,3 @@
         if is_quiet and now > least:
             return
         await asyncio.sleep(0.1)
-
-
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -16,7 +16,9 @@
 from cardamomcroft.platform import store as platform_store
 from cardamomcroft.platform import workers
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.scheduling import configuration_view
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import measures
 from cardamomcroft.scheduling import node as nodes
 from cardamomcroft.scheduling import scheduler as schedulers
 
@@ -27,6 +29,7 @@
 # Outlasts the outages of the store that the users name.
 MAX_GRANT_AGE = datetime.timedelta(seconds=10)
 STOP_MARGIN_S = 1.5  # before the platform kills the process
+VERSION = "0.2.0"
 WRONG_USE = 2
 
 
@@ -37,13 +40,22 @@
         """Take checked settings."""
         self._settings = settings
         self._clock = clocks.SystemClock()
-        self._log = events.Events(self._clock, settings.instance)
+        self._measures = measures.Measures()
+        self._log = events.Events(
+            self._clock, settings.instance, self._measures
+        )
         self._leaving = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
         settings = self._settings
-        self._log.emit("started", data_centre=settings.data_centre)
+        self._log.emit(
+            "started",
+            data_centre=settings.data_centre,
+            version=VERSION,
+            ingress=settings.ingress_address,
+            metrics=settings.metrics_address,
+        )
         self._trap_signals()
         connector = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=KEEP_ALIVE_S
@@ -72,8 +84,12 @@
 
     async def _serve(self, session: aiohttp.ClientSession) -> None:
         settings, clock, log = self._settings, self._clock, self._log
-        store = platform_store.HttpStore(settings.store_address, session)
-        link = workers.HttpWorkerLink(session, settings.advice_address)
+        store = platform_store.HttpStore(
+            settings.store_address, session, clock, self._measures
+        )
+        link = workers.HttpWorkerLink(
+            session, settings.advice_address, clock, self._measures
+        )
         terms = schedulers.Terms(
             min(LEASE, settings.max_lease),
             MAX_GRANT_AGE,
@@ -90,7 +106,7 @@
             terms,
             random.Random(),
         )
-        view = ingresses.ConfigurationView(
+        view = configuration_view.ConfigurationView(
             store,
             clock,
             log,
@@ -103,6 +119,10 @@
         runners = [
             await _listen(ingress.handle_ready, settings.ready_address),
             await _listen(ingress.handle, settings.ingress_address),
+            await _listen(
+                lambda request: self._show_measures(node, view),
+                settings.metrics_address,
+            ),
         ]
         tasks = [
             asyncio.ensure_future(view.run()),
@@ -115,6 +135,23 @@
         for runner in runners:
             await runner.cleanup()
 
+    async def _show_measures(
+        self, node: nodes.Node, view: configuration_view.ConfigurationView
+    ) -> web.Response:
+        for name, age in (
+            ("jobs", node.replica.age),
+            ("configuration", view.age),
+        ):
+            if age is not None:
+                gauge = self._measures.age.labels(name)
+                gauge.set(age.total_seconds())
+        self._measures.jobs.clear()
+        if node.scheduler is not None:
+            for labels, count in node.scheduler.count_jobs().items():
+                self._measures.jobs.labels(*labels).set(count)
+        self._measures.is_scheduler.set(node.scheduler is not None)
+        return web.Response(body=self._measures.render())
+
     async def _wait_leaving(self, tasks: list[asyncio.Task]) -> None:
         leaving = asyncio.ensure_future(self._leaving.wait())
         await asyncio.wait(
--- a/cardamomcroft/platform/settings.py
+++ b/cardamomcroft/platform/settings.py
@@ -24,6 +24,7 @@
     data_centre: str
     ingress_address: str  # HOST:PORT for clients
     ready_address: str  # HOST:PORT for the readiness probe
+    metrics_address: str  # HOST:PORT for the counters
     store_address: str
     advice_address: str | None
     config_bound: datetime.timedelta  # until a configuration is in force
@@ -50,6 +51,7 @@
             plain["Zone"],
             listen["FrontendAddr"],
             listen["Ready"],
+            f"{plain['Ip']}:{plain['InternalPorts'][0]}",
             plain["platform"]["Address"],
             plain.get("Advice") or None,
             bounds["ConfigApplyMs"] * _MS,
@@ -67,7 +69,7 @@
         )
     except KeyError as error:
         raise SettingsError(f"{path}: {error.args[0]} is missing") from None
-    except TypeError as error:
+    except (TypeError, IndexError) as error:
         raise SettingsError(f"{path}: {error}") from None
 
 
--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -9,7 +9,9 @@
 
 import aiohttp
 
+from cardamomcroft.ports import base
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import measures
 
 CONNECT_TIMEOUT_S = 0.4  # two tries fit into a second
 TOPICS = {
@@ -64,11 +66,18 @@
 class HttpStore(store.Store):
     """Use the store's HTTP interface."""
 
-    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        clock: base.Clock,
+        measured: measures.Measures,
+    ) -> None:
         """Take the store's HOST:PORT."""
+        self._clock = clock
+        self._measures = measured
         self._base = f"http://{address}"
         self._session = session
-        self.calls = 0
 
     async def _call(
         self,
@@ -77,14 +86,22 @@
         timeout: datetime.timedelta,
         body: bytes | None = None,
     ) -> tuple[int, bytes]:
-        self.calls += 1
         limit = aiohttp.ClientTimeout(
             total=timeout.total_seconds(), sock_connect=CONNECT_TIMEOUT_S
         )
-        async with self._session.request(
-            method, self._base + path, data=body, timeout=limit
-        ) as response:
-            return response.status, await response.read()
+        began_at = self._clock.monotonic()
+        outcome = "failed"
+        try:
+            async with self._session.request(
+                method, self._base + path, data=body, timeout=limit
+            ) as response:
+                raw = await response.read()
+                outcome = str(response.status)
+                return response.status, raw
+        finally:
+            call = path.partition("?")[0]
+            took = self._clock.monotonic() - began_at
+            self._measures.note_call("store", call, outcome, took)
 
     async def append(
         self, stream, entries, timeout, expected_end=None, writer=None
@@ -126,18 +143,14 @@
             if status == 200:
                 return decode_page(offset, raw)
         except _FAILED as error:
-            return store.ReadFailure(
-                store.ReadStatus.UNAVAILABLE, repr(error)
-            )
+            return store.ReadFailure(store.ReadStatus.UNAVAILABLE, repr(error))
         if status == 410:
             return store.ReadFailure(store.ReadStatus.EXPIRED)
         return store.ReadFailure(
             store.ReadStatus.UNAVAILABLE, f"status {status}"
         )
 
-    async def newest(
-        self, stream, timeout
-    ) -> store.Page | store.ReadFailure:
+    async def newest(self, stream, timeout) -> store.Page | store.ReadFailure:
         """Return the newest record of each key."""
         records: list[store.Record] = []
         first_end: int | None = None
--- a/cardamomcroft/platform/submissions.py
+++ b/cardamomcroft/platform/submissions.py
@@ -8,21 +8,21 @@
 _MS = datetime.timedelta(milliseconds=1)
 
 
-class InvalidSubmission(Exception):
+class SubmissionError(Exception):
     """Report a submission that cannot be read, with the reason."""
 
 
 def _count(plain: dict, name: str) -> int:
     value = plain.get(name, 0)
     if not isinstance(value, int | float) or value < 0:
-        raise InvalidSubmission(f"{name} is not a count")
+        raise SubmissionError(f"{name} is not a count")
     return int(value)
 
 
 def _step(plain: dict, number: int) -> models.Step:
     after = tuple(plain.get("After") or ())
     if any(not isinstance(a, int) or not 0 <= a < number for a in after):
-        raise InvalidSubmission("After names no earlier step")
+        raise SubmissionError("After names no earlier step")
     target_ms = _count(plain, "TargetMs")
     budget = plain.get("MaxUnavailable")
     label = plain.get("Requirements") or ""
@@ -57,7 +57,7 @@
     body: bytes,
     now: datetime.datetime,
 ) -> models.Job:
-    """Read a submission; raise InvalidSubmission if it is damaged."""
+    """Read a submission; raise SubmissionError if it is damaged."""
     try:
         plain = json.loads(body)
         steps = tuple(
@@ -73,9 +73,7 @@
             )
         payload = plain.get("Spec", "")
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise InvalidSubmission(repr(error)) from None
+        raise SubmissionError(repr(error)) from None
     if not steps or not isinstance(payload, str):
-        raise InvalidSubmission("no steps or no payload")
-    return models.Job(
-        job_id, queue, account, payload, steps, timetable, now
-    )
+        raise SubmissionError("no steps or no payload")
+    return models.Job(job_id, queue, account, payload, steps, timetable, now)
--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -5,8 +5,10 @@
 
 import aiohttp
 
+from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import measures
 
 CONNECT_TIMEOUT_S = 0.5  # several cross-zone round trips
 ADVICE_TIMEOUT_S = 2.0
@@ -39,9 +41,15 @@
     """Use the workers' HTTP interface."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, advice_address: str | None
+        self,
+        session: aiohttp.ClientSession,
+        advice_address: str | None,
+        clock: base.Clock,
+        measured: measures.Measures,
     ) -> None:
         """Take the address of the service that gives placement advice."""
+        self._clock = clock
+        self._measures = measured
         self._session = session
         self._advice_address = advice_address
 
@@ -51,6 +59,20 @@
         path: str,
         body: dict,
         timeout: datetime.timedelta,
+    ) -> tuple[fleet.OrderResult, dict]:
+        began_at = self._clock.monotonic()
+        result, plain = await self._exchange(address, path, body, timeout)
+        took = self._clock.monotonic() - began_at
+        outcome = result.status.value
+        self._measures.note_call("worker", path, outcome, took)
+        return result, plain
+
+    async def _exchange(
+        self,
+        address: fleet.Address,
+        path: str,
+        body: dict,
+        timeout: datetime.timedelta,
     ) -> tuple[fleet.OrderResult, dict]:
         limit = aiohttp.ClientTimeout(
             total=timeout.total_seconds(), sock_connect=CONNECT_TIMEOUT_S
@@ -228,6 +250,8 @@
         return None
     if not all(_is_count(value) and value >= 0 for value in counts):
         return None
+    if not isinstance(plain["Labels"], list):
+        return None
     if not all(isinstance(text, str) and text for text in texts):
         return None
     return fleet.Listing(
--- a/cardamomcroft/scheduling/candidate.py
+++ b/cardamomcroft/scheduling/candidate.py
@@ -88,4 +88,7 @@
             outcome=result.status.value,
             previous=ledger.claim.holder if ledger.claim else None,
         )
+        if ledger.holder_seen_at is not None:
+            silence = self._clock.monotonic() - ledger.holder_seen_at
+            self._log.measures.takeovers.observe(silence.total_seconds())
         return result.status is store.AppendStatus.APPENDED
--- a/cardamomcroft/scheduling/configuration.py
+++ b/cardamomcroft/scheduling/configuration.py
@@ -48,8 +48,7 @@
     def accounts_by_name(self) -> dict[str, Account]:
         """Return the accounts by name."""
         return {
-            account.name: account
-            for account in self.accounts_by_key.values()
+            account.name: account for account in self.accounts_by_key.values()
         }
 
     def route(self, host: str, path: str) -> Route | None:
--- /dev/null
+++ b/cardamomcroft/scheduling/configuration_view.py
@@ -0,0 +1,105 @@
+"""Follow the operator's configuration."""
+
+import collections.abc
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import configuration
+from cardamomcroft.scheduling import events
+
+# A connection that went silent costs a wait and a time-out, together less
+# than the two seconds within which a version has to be in force.
+WAIT = datetime.timedelta(seconds=1)
+READ_TIMEOUT = datetime.timedelta(seconds=0.8)
+RETRY_PAUSE = datetime.timedelta(milliseconds=150)
+
+Decoder = collections.abc.Callable[[bytes], configuration.Configuration]
+Listener = collections.abc.Callable[[configuration.Configuration], None]
+
+
+class ConfigurationView:
+    """Follow the operator's configuration, which never goes back."""
+
+    def __init__(
+        self,
+        source: store.Store,
+        clock: base.Clock,
+        log: events.Events,
+        decode: Decoder,
+        key: str,
+        bound: datetime.timedelta,
+    ) -> None:
+        """Take the decoder, the key and the time to be in force."""
+        self._store = source
+        self._clock = clock
+        self._log = log
+        self._decode = decode
+        self._key = key
+        self._bound = bound
+        self._offset: int | None = None
+        self.current: configuration.Configuration | None = None
+        self.read_at: datetime.timedelta | None = None
+        self.on_change: Listener = lambda config: None
+
+    @property
+    def age(self) -> datetime.timedelta | None:
+        """Return for how long a newer version may have gone unnoticed."""
+        if self.read_at is None:
+            return None
+        return self._clock.monotonic() - self.read_at
+
+    @property
+    def is_stale(self) -> bool:
+        """Tell whether a newer version could be in force elsewhere."""
+        age = self.age
+        return age is None or age > self._bound
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if not await self._update():
+                await self._clock.sleep(RETRY_PAUSE)
+
+    async def _update(self) -> bool:
+        sent_at = self._clock.monotonic()
+        stream = store.Stream.OPERATOR
+        if self._offset is None:
+            page = await self._store.newest(stream, READ_TIMEOUT)
+        else:
+            page = await self._store.read(
+                stream, self._offset, WAIT, READ_TIMEOUT
+            )
+        if isinstance(page, store.ReadFailure):
+            if page.status is store.ReadStatus.EXPIRED:
+                self._offset = None
+            return False
+        for record in page.records:
+            if record.key == self._key and record.value:
+                self._take(record)
+        waited = self._offset is not None and not page.records
+        self.read_at = self._clock.monotonic() if waited else sent_at
+        self._offset = page.end_offset
+        return True
+
+    def _take(self, record: store.Record) -> None:
+        try:
+            config = self._decode(record.value)
+        except (ValueError, KeyError, TypeError) as error:
+            self._log.emit(
+                "configuration_invalid",
+                offset=record.offset,
+                error=repr(error),
+            )
+            return
+        if self.current and config.version <= self.current.version:
+            return
+        self.current = config
+        self._log.emit(
+            "configuration_in_force",
+            version=config.version,
+            offset=record.offset,
+            routes=len(config.routes),
+            keys=len(config.accounts_by_key),
+        )
+        self.on_change(config)
--- a/cardamomcroft/scheduling/events.py
+++ b/cardamomcroft/scheduling/events.py
@@ -5,6 +5,7 @@
 import os
 
 from cardamomcroft.ports import base
+from cardamomcroft.scheduling import measures
 
 STDOUT = 1  # file descriptor
 LINES_PER_SECOND = 400  # 80 kB/s at 200 bytes a line, 1% of a small link
@@ -15,9 +16,14 @@
     """Write lines to a descriptor; drop and count what does not fit."""
 
     def __init__(
-        self, clock: base.Clock, instance: str, descriptor: int = STDOUT
+        self,
+        clock: base.Clock,
+        instance: str,
+        measured: measures.Measures,
+        descriptor: int = STDOUT,
     ) -> None:
         """Make the descriptor non-blocking."""
+        self.measures = measured
         self._clock = clock
         self._instance = instance
         self._descriptor = descriptor
@@ -31,6 +37,8 @@
 
     def emit(self, event: str, **fields: object) -> None:
         """Write an event with the inputs that decided it."""
+        outcome = fields.get("outcome") or fields.get("status") or ""
+        self.measures.events.labels(event, str(outcome)).inc()
         now = self._clock.now()
         second = int(now.timestamp())
         if second != self._second:
@@ -38,10 +46,14 @@
             self._report_dropped()
         self._lines += 1
         if self._lines > LINES_PER_SECOND:
-            self.dropped += 1
+            self._drop(1)
             return
         self._write(event, now, fields)
 
+    def _drop(self, count: int) -> None:
+        self.dropped += count
+        self.measures.lines_dropped.inc(count)
+
     def _report_dropped(self) -> None:
         if self.dropped > self._reported:
             count = self.dropped - self._reported
@@ -58,7 +70,7 @@
         line = json.dumps(plain, separators=(",", ":"), default=str)
         raw = line.encode() + b"\n"
         if self._backlog_bytes + len(raw) > BUFFERED_BYTES:
-            self.dropped += 1
+            self._drop(1)
             return
         self._backlog.append(raw)
         self._backlog_bytes += len(raw)
@@ -74,7 +86,7 @@
                 return
             except OSError:
                 # The reader is gone; there is nobody to tell.
-                self.dropped += len(self._backlog)
+                self._drop(len(self._backlog))
                 self._backlog.clear()
                 self._backlog_bytes = 0
                 return
--- a/cardamomcroft/scheduling/journal.py
+++ b/cardamomcroft/scheduling/journal.py
@@ -135,9 +135,7 @@
             return
         self.is_lost = True
         self._wake.set()
-        self._log.emit(
-            "scheduler_lost", epoch=self.claim.epoch, reason=reason
-        )
+        self._log.emit("scheduler_lost", epoch=self.claim.epoch, reason=reason)
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(False)
--- /dev/null
+++ b/cardamomcroft/scheduling/measures.py
@@ -0,0 +1,94 @@
+"""Count and time what an instance does, for its metrics address."""
+
+import datetime
+
+import prometheus_client
+
+# From one store call (6 ms) to the longest objective of a job.
+_SECONDS = (0.01, 0.03, 0.1, 0.3, 1, 2, 4, 8, 16, 32, 64)
+
+
+class Measures:
+    """Hold one process's counters and histograms."""
+
+    def __init__(self) -> None:
+        """Register every metric."""
+        registry = prometheus_client.CollectorRegistry()
+        self.registry = registry
+        self.events = prometheus_client.Counter(
+            "cardamomcroft_events",
+            "Logged events, also those whose line was dropped",
+            ("event", "outcome"),
+            registry=registry,
+        )
+        self.lines_dropped = prometheus_client.Counter(
+            "cardamomcroft_lines_dropped",
+            "Log lines dropped because of their number or a slow reader",
+            registry=registry,
+        )
+        self.calls = prometheus_client.Histogram(
+            "cardamomcroft_call_seconds",
+            "Calls to the store and to workers",
+            ("target", "call", "outcome"),
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.requests = prometheus_client.Histogram(
+            "cardamomcroft_request_seconds",
+            "Clients' requests",
+            ("method", "status"),
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.waits = prometheus_client.Histogram(
+            "cardamomcroft_start_wait_seconds",
+            "From a job's acceptance to its first start",
+            ("queue", "account"),
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.completions = prometheus_client.Histogram(
+            "cardamomcroft_job_seconds",
+            "From a job's acceptance to its end",
+            ("queue", "account", "state"),
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.takeovers = prometheus_client.Histogram(
+            "cardamomcroft_takeover_seconds",
+            "From the last sign of a scheduler to its successor's claim",
+            buckets=_SECONDS,
+            registry=registry,
+        )
+        self.age = prometheus_client.Gauge(
+            "cardamomcroft_belief_age_seconds",
+            "For how long a copy may have been out of date",
+            ("copy",),
+            registry=registry,
+        )
+        self.is_scheduler = prometheus_client.Gauge(
+            "cardamomcroft_is_scheduler",
+            "1 while this instance schedules",
+            registry=registry,
+        )
+        self.jobs = prometheus_client.Gauge(
+            "cardamomcroft_jobs",
+            "Jobs that have not ended, at the scheduler",
+            ("queue", "state"),
+            registry=registry,
+        )
+
+    def note_call(
+        self,
+        target: str,
+        call: str,
+        outcome: str,
+        duration: datetime.timedelta,
+    ) -> None:
+        """Count and time one call."""
+        child = self.calls.labels(target, call, outcome)
+        child.observe(duration.total_seconds())
+
+    def render(self) -> bytes:
+        """Return everything as text."""
+        return prometheus_client.generate_latest(self.registry)
--- a/cardamomcroft/scheduling/models.py
+++ b/cardamomcroft/scheduling/models.py
@@ -125,23 +125,6 @@
         """Tell whether the job runs until it is cancelled."""
         return any(step.is_lasting for step in self.steps)
 
-    @property
-    def chain(self) -> datetime.timedelta:
-        """Return the estimated length of the longest chain of steps."""
-        ends: list[datetime.timedelta] = []
-        for step in self.steps:
-            begins = [ends[number] for number in step.after]
-            ends.append(
-                max(begins, default=datetime.timedelta()) + step.estimate
-            )
-        return max(ends)
-
-    @property
-    def objective(self) -> datetime.timedelta:
-        """Return the time within which a job is worth most."""
-        slack = self.chain * self.queue.slack_factor
-        return slack + self.queue.target_latency
-
 
 class TaskKey(typing.NamedTuple):
     """Name one task of one occurrence of a job's step."""
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -140,4 +140,3 @@
         released = self.scheduler.journal.release()
         if not await clocks.within(self._clock, STOP_LIMIT, released):
             self._log.emit("handover_failed", reason="store unavailable")
-
--- a/cardamomcroft/scheduling/ordering.py
+++ b/cardamomcroft/scheduling/ordering.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 
+from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import runs
 
 # A job ended after three times its objective is worth nothing (brief).
@@ -30,30 +31,31 @@
     )
 
 
-def deadline(state: runs.JobState) -> datetime.timedelta:
-    """Return until when the job is worth most."""
-    return state.accepted_at + state.job.objective
-
-
-def is_useless(state: runs.JobState, now: datetime.timedelta) -> bool:
+def is_useless(
+    state: runs.JobState,
+    now: datetime.timedelta,
+    objective: datetime.timedelta,
+) -> bool:
     """Tell whether the job ends too late to be of use."""
     if state.job.is_lasting or state.job.timetable:
         return False
-    return now > state.accepted_at + state.job.objective * LAST_USE
+    return now > state.accepted_at + objective * LAST_USE
 
 
 def sort_key(
     state: runs.JobState,
     now: datetime.timedelta,
     guaranteed: frozenset[str],
+    durations: estimates.Durations,
 ) -> tuple:
     """Return a key that sorts the most urgent job first."""
     queue = state.job.queue
+    objective = durations.objective(state.job)
     is_guaranteed = queue.priority == 0 and state.job.account in guaranteed
     return (
         not is_guaranteed,
         not state.job.is_lasting,
-        is_useless(state, now),
+        is_useless(state, now, objective),
         queue.priority,
-        deadline(state),
+        state.accepted_at + objective,
     )
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -100,6 +100,7 @@
                 run.phase = runs.Phase.AT_WORK
             run.began_at = run.progressed_at = now
             run.settled_at = now
+            self._scheduler.note_first_start(run.step.job)
         elif result.status is Status.STALE_TOKEN:
             self._scheduler.journal.lose("worker has a newer token")
         elif result.status in _REFUSED:
@@ -200,4 +201,3 @@
                         self.stop_gang(run.step, "start unanswered")
                     else:
                         self.stop(run, "start unanswered")
-
--- a/cardamomcroft/scheduling/placing.py
+++ b/cardamomcroft/scheduling/placing.py
@@ -53,9 +53,7 @@
             room
             for room in self.rooms
             if room.service == service
-            and (
-                not step.required_label or step.required_label in room.labels
-            )
+            and (not step.required_label or step.required_label in room.labels)
             and (allowed is None or room.worker_id in allowed)
         ]
 
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -4,6 +4,7 @@
 import datetime
 
 from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import ordering
 from cardamomcroft.scheduling import placing
@@ -54,6 +55,7 @@
     wall: datetime.datetime
     accelerators_by_account: dict[str, int]
     reservations: reservations.Reservations
+    durations: estimates.Durations
 
 
 class Planner:
@@ -99,7 +101,9 @@
             self._take(entry.worker_id, entry.demand())
         ordered = sorted(
             (job for job in self._situation.jobs if not job.final_state),
-            key=lambda job: ordering.sort_key(job, now, self._guaranteed),
+            key=lambda job: ordering.sort_key(
+                job, now, self._guaranteed, self._situation.durations
+            ),
         )
         for job in ordered:
             if not job.is_cancelled:
@@ -200,7 +204,9 @@
     def _is_pressed(self, step: runs.StepState) -> bool:
         """Tell whether waiting costs more than a slower place."""
         waited = self._situation.now - step.job.accepted_at
-        return waited > step.model.estimate
+        return waited > self._situation.durations.expected(
+            step.job.job.queue.name, step.model
+        )
 
     def _place_gang(
         self, step: runs.StepState, rooms: list[placing.Room]
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -9,6 +9,7 @@
 from cardamomcroft.scheduling import models
 
 CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
+RATE_SPAN_S = 1.0  # percents are whole numbers; shorter spans tell little
 _MS = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
 
@@ -39,6 +40,12 @@
     checkpoint: str = ""
     percent: float = 0.0
     progressed_at: datetime.timedelta = _ZERO
+    listed_at: datetime.timedelta | None = None
+    first_percent: float | None = None  # in the first list that had the run
+    first_listed_at: datetime.timedelta | None = None
+    is_far: bool = False  # away from its data, or its gang spans racks
+    is_inherited: bool = False  # began under an earlier scheduler
+    is_resumed: bool = False  # started from a checkpoint
     gauge: float = 0.0
     pace: int = 100
     stop_reason: str = ""
@@ -48,6 +55,26 @@
         """Return the task's name towards workers."""
         return str(self.key)
 
+    def note_percent(self, percent: float, now: datetime.timedelta) -> None:
+        """Take in how far a list says that the run is."""
+        if self.first_percent is None:
+            self.first_percent, self.first_listed_at = percent, now
+        if percent != self.percent:
+            self.percent, self.progressed_at = percent, now
+        elif self.listed_at is None:
+            self.progressed_at = now
+        self.listed_at = now
+
+    def percent_rate(self) -> float | None:
+        """Return percent a second between lists; None while unknown."""
+        if self.first_percent is None or self.listed_at is None:
+            return None
+        span_s = (self.listed_at - self.first_listed_at).total_seconds()
+        gained = self.percent - self.first_percent
+        if span_s < RATE_SPAN_S or gained <= 0:
+            return None
+        return gained / span_s
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class StepState:
@@ -100,7 +127,8 @@
     job: models.Job
     accepted_at: datetime.timedelta
     steps_by_key: dict[tuple[int, int], StepState]
-    has_begun: bool = False
+    has_begun: bool = False  # the first start is recorded
+    has_started: bool = False  # a worker has confirmed a start
     final_state: str = ""
     is_cancelled: bool = False
 
@@ -159,7 +187,7 @@
         self.address = address
         self.born_ms = born_ms
         self.listing: fleet.Listing | None = None
-        self.unlisted_at: datetime.timedelta | None = None
+        self.listed_at = _ZERO
         self.runs_by_task: dict[str, Run] = {}
         self.has_inventory = True
         self.seen = 0  # ends processed
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import directory as directories
+from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import ledger as ledgers
@@ -18,6 +19,7 @@
 from cardamomcroft.scheduling import planning
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
+from cardamomcroft.scheduling import soundness
 from cardamomcroft.scheduling import watching
 
 # Gathers the events of one moment into one round.
@@ -72,6 +74,7 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._strays: set[str] = set()
+        self.durations = estimates.Durations()
         self._reservations = reservations.Reservations()
         self._orders = order_senders.Orders(self, link, clock, log, terms)
         self._watch = watching.Watch(self, link, clock, log, terms)
@@ -115,12 +118,17 @@
             for task in list(self._tasks):
                 task.cancel()
 
+    def count_jobs(self) -> collections.Counter[tuple[str, str]]:
+        """Count the jobs that have not ended by queue and state."""
+        return collections.Counter(
+            (job.job.queue.name, "running" if job.has_begun else "queued")
+            for job in self.jobs_by_id.values()
+        )
+
     def _describe_load(self) -> dict[str, int]:
         return {}
 
-    def note_news(
-        self, news: list[tuple[ledgers.Kind, str]]
-    ) -> None:
+    def note_news(self, news: list[tuple[ledgers.Kind, str]]) -> None:
         """Take in submissions and cancellations."""
         for kind, job_id in news:
             if kind is ledgers.Kind.SUBMISSION:
@@ -258,6 +266,7 @@
         self._watch.check_lapses()
         self._orders.check_uncertain()
         self._end_jobs()
+        self._move_suspects()
         situation = planning.Situation(
             list(self.jobs_by_id.values()),
             self.workers_by_id,
@@ -265,6 +274,7 @@
             self._clock.now(),
             self._accounts(),
             self._reservations,
+            self.durations,
         )
         plan = planning.Planner(situation).plan()
         for stop in plan.stops:
@@ -274,6 +284,29 @@
         if plan.starts:
             self._assign(plan.starts)
 
+    def _move_suspects(self) -> None:
+        now = self._clock.monotonic()
+        workers = self.workers_by_id.values()
+        for run, reason in soundness.suspects(workers, self.durations, now):
+            if run.phase is not runs.Phase.AT_WORK:
+                continue  # stopped with another member of its gang
+            worker = self.workers_by_id[run.worker_id]
+            self._log.emit(
+                "run_moved",
+                task=run.name,
+                run=run.number,
+                worker_id=run.worker_id,
+                reason=reason,
+                percent=run.percent,
+                at_work_s=(now - run.began_at).total_seconds(),
+            )
+            if reason != "worker drains":
+                self.note_strike(worker)
+            if run.step.model.is_gang:
+                self.stop_gang(run.step, reason)
+            else:
+                self._orders.stop(run, reason)
+
     def _sync_workers(self) -> None:
         now = self._clock.monotonic()
         listings = self._directory.listings_by_id
@@ -312,10 +345,30 @@
                 self._orders.stop(run, job.final_state)
 
     async def _confirm_end(self, job: runs.JobState) -> None:
-        if await self.journal.commit():
-            self._log.emit(
-                "job_ended", job_id=job.job.job_id, state=job.final_state
-            )
+        if not await self.journal.commit():
+            return
+        took_s = (self._clock.monotonic() - job.accepted_at).total_seconds()
+        queue, account = job.job.queue.name, job.job.account
+        self._log.measures.completions.labels(
+            queue, account, job.final_state
+        ).observe(took_s)
+        objective = self.durations.objective(job.job)
+        self._log.emit(
+            "job_ended",
+            job_id=job.job.job_id,
+            state=job.final_state,
+            took_s=took_s,
+            objective_s=objective.total_seconds(),
+        )
+
+    def note_first_start(self, job: runs.JobState) -> None:
+        """Time how long a job has waited for its first start."""
+        if job.has_started:
+            return
+        job.has_started = True
+        wait_s = (self._clock.monotonic() - job.accepted_at).total_seconds()
+        labels = job.job.queue.name, job.job.account
+        self._log.measures.waits.labels(*labels).observe(wait_s)
 
     def _ask_advice(self, step: runs.StepState) -> None:
         if not step.is_asking:
@@ -365,12 +418,27 @@
                 now,
             )
             run.checkpoint = step.checkpoints_by_index.get(start.index, "")
-            run.progressed_at = now
+            run.is_resumed = bool(run.checkpoint)
             self.attach(run)
             batch.append(run)
+        self._mark_far(batch)
         self._stage_starts(batch)
         self.spawn(self._launch(batch))
 
+    def _mark_far(self, batch: list[runs.Run]) -> None:
+        """Mark the runs that work at a distance and so take longer."""
+        for run in batch:
+            model = run.step.model
+            rack = self.workers_by_id[run.worker_id].listing.rack
+            if model.data_rack and rack != model.data_rack:
+                run.is_far = True
+            if model.is_rack_local:
+                racks = {
+                    self.workers_by_id[member.worker_id].listing.rack
+                    for member in run.step.runs_by_index.values()
+                }
+                run.is_far = run.is_far or len(racks) > 1
+
     def _stage_starts(self, batch: list[runs.Run]) -> None:
         for worker_id in {run.worker_id for run in batch}:
             self.stage_assignment(self.workers_by_id[worker_id])
@@ -399,9 +467,7 @@
         """Stop all members of a gang that cannot run whole."""
         self._orders.stop_gang(step, reason)
 
-    def stop_stray(
-        self, worker: runs.Worker, task: str, number: int
-    ) -> None:
+    def stop_stray(self, worker: runs.Worker, task: str, number: int) -> None:
         """Stop a run that no step accounts for, once at a time."""
         name = f"{worker.worker_id} {task} {number}"
         if name in self._strays:
--- a/cardamomcroft/scheduling/watching.py
+++ b/cardamomcroft/scheduling/watching.py
@@ -54,6 +54,7 @@
             self._note_rebirth(worker, listing.born_ms)
         worker.address = listing.address
         worker.listing = listing
+        worker.listed_at = now
         worker.note_clock(listing.clock_ms, now)
 
     def _note_rebirth(self, worker: runs.Worker, born_ms: int) -> None:
@@ -126,9 +127,7 @@
             return _ZERO
         return LONG_POLL
 
-    def _may_grant(
-        self, worker: runs.Worker, now: datetime.timedelta
-    ) -> bool:
+    def _may_grant(self, worker: runs.Worker, now: datetime.timedelta) -> bool:
         """Tell whether to extend the lease.
 
         An unanswered call may have extended it, so a worker out of reach is
@@ -148,9 +147,7 @@
         if self._may_grant(worker, now):
             deadline_ms = worker.lease_until(now, self._terms.lease)
         told = worker.durable
-        order = fleet.HoldOrder(
-            self._scheduler.token, told, deadline_ms, wait
-        )
+        order = fleet.HoldOrder(self._scheduler.token, told, deadline_ms, wait)
         result = await self._link.hold(worker.address, order, HOLD_TIMEOUT)
         if isinstance(result, fleet.OrderResult):
             await self._note_unanswered(worker, result)
@@ -243,13 +240,12 @@
                 worker_id=worker.worker_id,
                 phase=run.phase.value,
             )
+            run.is_inherited = run.phase is runs.Phase.INHERITED
             run.phase = runs.Phase.AT_WORK
             run.settled_at = now
         if running.checkpoint:
             run.checkpoint = running.checkpoint
-        if running.percent != run.percent:
-            run.percent = running.percent
-            run.progressed_at = now
+        run.note_percent(running.percent, now)
         run.gauge = running.gauge
 
     def _note_absent(self, worker: runs.Worker, run: runs.Run) -> None:
@@ -295,6 +291,7 @@
     ) -> None:
         if finished.end is fleet.End.DONE:
             worker.strikes = 0
+            self._observe_duration(worker, finished, step)
             if not step.model.is_lasting:
                 self._scheduler.note_done(step, index)
         elif finished.end is fleet.End.FAILED:
@@ -302,6 +299,25 @@
             if index not in step.done:
                 self._scheduler.note_failed(step, index, finished.run)
 
+    def _observe_duration(
+        self,
+        worker: runs.Worker,
+        finished: fleet.FinishedTask,
+        step: runs.StepState,
+    ) -> None:
+        run = worker.runs_by_task.get(finished.task)
+        if (
+            run is not None
+            and run.phase is runs.Phase.AT_WORK
+            and run.number == finished.run
+            and not run.is_resumed
+            and not run.is_far
+            and not run.is_inherited
+        ):
+            actual = self._clock.monotonic() - run.began_at
+            queue = step.job.job.queue.name
+            self._scheduler.durations.observe(queue, step.model, actual)
+
     def check_lapses(self) -> None:
         """Give up the runs of workers whose leases have run out."""
         now = self._clock.monotonic()
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -56,6 +56,7 @@
         self.stops_at_by_task: dict[str, datetime.timedelta] = {}
         self.lose_start_answers = 0
         self.fails_everything = False
+        self.hangs = False
         self.born_at = world.clock.monotonic()
 
     def clock_ms(self) -> int:
@@ -82,6 +83,13 @@
             )
         )
 
+    def percent(self, run: FakeRun) -> int:
+        """Return how far a run is; a worker that hangs shows no progress."""
+        if self.hangs:
+            return 10
+        worked = self._world.clock.monotonic() - run.began_at
+        return min(int(worked / self._world.duration * 100), 99)
+
     def advance(self) -> None:
         """End what is done, failed or without a lease."""
         now = self._world.clock.monotonic()
@@ -96,6 +104,8 @@
         for task, run in list(self.runs_by_task.items()):
             if run.width:
                 self._advance_member(task, run, now)
+            elif self.hangs:
+                continue
             elif now - run.began_at >= self._world.duration:
                 self.end(task, self._end())
 
@@ -293,7 +303,9 @@
             worker.clock_ms(),
             worker.listing.born_ms,
             tuple(
-                fleet.RunningTask(task, run.number, "", 50, 0.0)
+                fleet.RunningTask(
+                    task, run.number, "", worker.percent(run), 0.0
+                )
                 for task, run in worker.runs_by_task.items()
             ),
             tuple(worker.finished),
--- a/cardamomcroft/standin/store.py
+++ b/cardamomcroft/standin/store.py
@@ -136,9 +136,7 @@
                 return store.Page(tuple(records[offset:]), len(records))
             await service.clock.sleep(POLL)
 
-    async def newest(
-        self, stream, timeout
-    ) -> store.Page | store.ReadFailure:
+    async def newest(self, stream, timeout) -> store.Page | store.ReadFailure:
         """Return the newest record of each key."""
         service = self._service
         await service.clock.sleep(service.faults.delay)
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,56 @@
+"""A job's history is found in the logs of several instances."""
+
+import unittest
+
+from cardamomcroft.cli import explain
+
+JOB = "53890e985b027f06"
+
+
+def line(second: float, instance: str, rest: str) -> str:
+    """Return a line as an instance writes it, behind a collector's words."""
+    at = f"2026-12-04T10:00:{second:06.3f}+00:00"
+    return f' 12.5 {instance} {{"at":"{at}","instance":"{instance}",{rest}}}'
+
+
+LINES = [
+    line(7, "b", f'"event":"job_ended","job_id":"{JOB}","state":"completed"'),
+    line(1, "a", f'"event":"job_submitted","job_id":"{JOB}"'),
+    line(2, "b", f'"event":"start_ordered","task":"{JOB}.0.0.1",'
+                 '"worker_id":"w1"'),
+    line(3, "b", '"event":"worker_lost","worker_id":"w1"'),
+    line(3, "b", '"event":"worker_lost","worker_id":"w2"'),
+    line(4, "b", '"event":"start_ordered","task":"0000000000000000.0.0.1",'
+                 '"worker_id":"w1"'),
+    line(5, "c", '"event":"scheduler_claimed","outcome":"appended"'),
+    line(30, "c", '"event":"scheduler_claimed","outcome":"appended"'),
+    "not an event",
+    ' 12.5 a {"at":"2026-12-04T10:0',
+]  # fmt: skip
+
+
+class ExplainTest(unittest.TestCase):
+    """Lines come in any order, cut off or with other text."""
+
+    def setUp(self):
+        """Read the lines."""
+        events = explain.parse(LINES)
+        self.found = explain.history(events, JOB)
+
+    def test_own_events_come_by_time(self):
+        """Every event that names the job or a task of it is there."""
+        own = [e.event for e in self.found if e.concerns(JOB)]
+        self.assertEqual(own, ["job_submitted", "start_ordered", "job_ended"])
+
+    def test_beliefs_around_it_are_shown(self):
+        """What changed at its workers and the scheduler's role is there."""
+        others = [e.fields for e in self.found if not e.concerns(JOB)]
+        self.assertEqual(
+            [(o["event"], o.get("worker_id")) for o in others],
+            [("worker_lost", "w1"), ("scheduler_claimed", None)],
+        )
+
+    def test_unknown_job_has_no_history(self):
+        """Nothing is shown for an id that no line names."""
+        events = explain.parse(LINES)
+        self.assertEqual(explain.history(events, "f" * 16), [])
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,198 @@
+"""The platform's messages are decoded once, damaged ones with a reason."""
+
+import datetime
+import json
+import struct
+import unittest
+
+from cardamomcroft.platform import configuration
+from cardamomcroft.platform import settings
+from cardamomcroft.platform import store as platform_store
+from cardamomcroft.platform import submissions
+from cardamomcroft.platform import workers
+from cardamomcroft.ports import fleet
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import codec
+from tests.scheduling import harness
+
+NOW = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
+
+
+class StoreTest(unittest.TestCase):
+    """Records are framed by lengths."""
+
+    def test_pages_keep_offsets(self):
+        """Records are numbered on from the offset asked for."""
+        entries = [store.Entry("a", b"1"), store.Entry("b", None)]
+        body = struct.pack(">QQ", 12, 3)
+        body += platform_store.encode_entries(entries)
+        page = platform_store.decode_page(10, body)
+        self.assertEqual(
+            page.records,
+            (store.Record(10, "a", b"1"), store.Record(11, "b", None)),
+        )
+        self.assertEqual(page.end_offset, 12)
+
+    def test_partial_page_is_read_on(self):
+        """A page that ends early names its own end, not the stream's."""
+        body = struct.pack(">QQ", 99, 0)
+        body += platform_store.encode_entries([store.Entry("a", b"1")])
+        self.assertEqual(platform_store.decode_page(10, body).end_offset, 11)
+
+    def test_empty_page_ends_at_the_stream(self):
+        """Without records, reading goes on at the stream's end."""
+        page = platform_store.decode_page(10, struct.pack(">QQ", 10, 0))
+        self.assertEqual(page, store.Page((), 10))
+
+
+def entry(**changes: object) -> store.Record:
+    """Return a worker's entry."""
+    plain = {
+        "Service": "svc",
+        "Address": "10.0.0.1:80",
+        "Zone": "dahab",
+        "State": "ready",
+        "Capacity": {"Cpu": 64000, "MemMb": 131072, "Gpu": 8},
+        "Labels": ["a", "r1-3"],
+        "ClockMs": 5,
+        "born": 7,
+    }
+    plain |= changes
+    return store.Record(0, "i-1", json.dumps(plain).encode())
+
+
+class WorkerTest(unittest.TestCase):
+    """Workers' entries and lists."""
+
+    def test_entry(self):
+        """An entry names address, room and rack."""
+        listing = workers.decode_listing(entry())
+        self.assertEqual(listing.address, fleet.Address("i-1", "10.0.0.1:80"))
+        self.assertEqual(listing.rack, "r1-3")
+        self.assertEqual(listing.accelerators, 8)
+
+    def test_damaged_entries_name_no_worker(self):
+        """Fields missing, of another type or unknown are not guessed."""
+        for changes in (
+            {"State": "odd"},
+            {"State": None},
+            {"Capacity": 5},
+            {"Capacity": {"Cpu": "x"}},
+            {"Labels": "a"},
+            {"Labels": [1]},
+            {"Address": 5},
+            {"born": 1.5},
+            {"ClockMs": None},
+        ):
+            with self.subTest(changes=changes):
+                damaged = entry(**changes)
+                self.assertIsNone(workers.decode_listing(damaged))
+        raw = store.Record(0, "i-1", b"\xff\x00")
+        self.assertIsNone(workers.decode_listing(raw))
+
+    def test_inventory(self):
+        """Both lists are read, with or without the fifth column."""
+        inventory = workers.decode_inventory(
+            {
+                "ClockMs": 9,
+                "born": 7,
+                "Running": [["j.0.0.1", 2, "c", 41, 12]],
+                "Finished": [[58, "j.0.0.2", 1, "alone", ""]],
+            }
+        )
+        self.assertEqual(inventory.running[0].gauge, 12)
+        end = inventory.finished[0].end
+        self.assertIs(end, fleet.End.GANG_INCOMPLETE)
+
+
+class SubmissionTest(unittest.TestCase):
+    """Clients' jobs."""
+
+    def decode(self, plain: object):
+        """Read a body."""
+        body = json.dumps(plain).encode()
+        queue = harness.make_queue()
+        return submissions.decode("0" * 16, queue, "acc", body, NOW)
+
+    def test_round_trip_through_the_record(self):
+        """What is accepted is what the record gives back."""
+        job = self.decode(
+            {
+                "Spec": "text",
+                "Phases": [
+                    {"Count": 4, "Cpu": 500, "Gang": True, "Gpu": 2},
+                    {
+                        "Count": 2,
+                        "After": [0],
+                        "EstimateMs": 900,
+                        "TargetMs": 80,
+                        "Affinity": "r1-3",
+                        "Checkpointing": True,
+                    },
+                ],
+                "RepeatCount": 3,
+                "StartAtMs": 1_785_000_000_000,
+                "IntervalMs": 2000,
+            }
+        )
+        self.assertEqual(
+            codec.decode_job("0" * 16, codec.encode_job(job)), job
+        )
+
+    def test_damaged_submissions_are_refused(self):
+        """Each is refused with a reason, none accepted in part."""
+        for plain in (
+            [],
+            {},
+            {"Phases": []},
+            {"Phases": [{"Count": "x"}]},
+            {"Phases": [{"Count": 1, "Cpu": -1}]},
+            {"Phases": [{"Count": 1, "After": [0]}]},
+            {"Phases": [5]},
+            {"Phases": [{"Count": 1}], "Spec": 5},
+            {"Phases": [{"Count": 1}], "RepeatCount": 2},
+        ):
+            with (
+                self.subTest(plain=plain),
+                self.assertRaises(submissions.SubmissionError),
+            ):
+                self.decode(plain)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The operator's configuration."""
+
+    def test_longest_prefix_wins(self):
+        """Host and longest prefix select the route."""
+        routes = [
+            {"Name": n, "Host": "h", "PathPrefix": p, "Service": "s"}
+            for n, p in (("short", "/a/"), ("long", "/a/b/"))
+        ]
+        value = json.dumps(
+            {
+                "Version": 3,
+                "Routes": routes,
+                "Tenants": [
+                    {
+                        "Name": "t",
+                        "ApiKeys": ["k"],
+                        "Guaranteed": {"Gpu": 56},
+                    }
+                ],
+            }
+        ).encode()
+        config = configuration.decode(value)
+        self.assertEqual(config.route("h", "/a/b/1").queue.name, "long")
+        self.assertEqual(config.route("h", "/a/1").queue.name, "short")
+        self.assertIsNone(config.route("other", "/a/1"))
+        account = config.accounts_by_key["k"]
+        self.assertEqual(account.guaranteed_accelerators, 56)
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file."""
+
+    def test_missing_field_is_named(self):
+        """The error names the file and the field."""
+        with self.assertRaisesRegex(settings.SettingsError, "f: Bounds"):
+            settings.decode({}, "f")
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -194,8 +194,6 @@
         await self.wait_until(lambda: len(self.fleet.running()) == 4)
         victim = self.fleet.running()[0][1]
         self.fleet.workers_by_id[victim].is_cut = True
-        await self.wait_until(
-            lambda: self.state(job_id) == "completed", 60
-        )
+        await self.wait_until(lambda: self.state(job_id) == "completed", 60)
         ends = [i for i in self.fleet.intervals if i.end is fleet.End.DONE]
         self.assertGreaterEqual(len(ends), 4)
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -22,9 +22,7 @@
 
     def running_of(self, job_id: str) -> int:
         """Count a job's tasks at work."""
-        return sum(
-            task.startswith(job_id) for task, _ in self.fleet.running()
-        )
+        return sum(task.startswith(job_id) for task, _ in self.fleet.running())
 
     async def check_begins(self, step) -> None:
         """The job begins whole within the bound for guaranteed work."""
--- /dev/null
+++ b/tests/scheduling/test_soundness.py
@@ -0,0 +1,79 @@
+"""Tasks leave workers that hang or drain."""
+
+import dataclasses
+import datetime
+import unittest
+
+from cardamomcroft.ports import fleet
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import estimates
+from tests.scheduling import harness
+
+
+class HangTest(harness.SchedulingTestCase):
+    """One worker's tasks stand still."""
+
+    duration = harness.seconds(6)
+
+    async def test_stalled_task_moves(self):
+        """The task runs elsewhere long before anybody would give up."""
+        self.add_workers(2)
+        self.fleet.workers_by_id["w1"].hangs = True
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        job_id = self.submit(harness.make_step(width=2))
+        await self.wait_until(lambda: self.state(job_id) == "completed", 16)
+        self.check_run_once(job_id)
+        stopped = [
+            i for i in self.fleet.intervals if i.end is fleet.End.STOPPED
+        ]
+        self.assertTrue(stopped)
+        self.assertEqual({i.worker_id for i in stopped}, {"w1"})
+
+
+class DrainTest(harness.SchedulingTestCase):
+    """A worker announces that it leaves."""
+
+    duration = harness.seconds(6)
+
+    async def test_task_that_would_be_cut_moves(self):
+        """What cannot end in time starts elsewhere at once."""
+        self.add_workers(2)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        job_id = self.submit(harness.make_step(width=2))
+        await self.wait_until(lambda: len(self.fleet.running()) == 2)
+        leaving = self.fleet.running()[0][1]
+        self.listings[leaving] = dataclasses.replace(
+            self.listings[leaving],
+            state=fleet.ServerState.DRAINING,
+            remaining=harness.seconds(2),
+        )
+        self.store.put(store.Stream.SERVERS, leaving, b"1")
+        await self.wait_until(
+            lambda: {w for _, w in self.fleet.running()} == {"w2"}, 1.5
+        )
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.check_run_once(job_id)
+
+
+class DurationsTest(unittest.TestCase):
+    """Declared run times may be far off."""
+
+    def observe(self, declared_s: float, actual_s: list[float]) -> float:
+        """Return the prediction after the runs given."""
+        step = dataclasses.replace(
+            harness.make_step(), estimate=harness.seconds(declared_s)
+        )
+        durations = estimates.Durations()
+        for number in actual_s:
+            durations.observe("q", step, harness.seconds(number))
+        return durations.expected("q", step) / datetime.timedelta(seconds=1)
+
+    def test_learns_when_declared_times_are_off(self):
+        """The learnt mean replaces a declared time that misleads."""
+        self.assertAlmostEqual(self.observe(1, [8, 9, 8, 9]), 8.3, delta=1)
+
+    def test_keeps_declared_times_that_are_right(self):
+        """A declared time that holds goes before the mean."""
+        self.assertEqual(self.observe(8.4, [2, 8.4, 8.4, 8.4]), 8.4)
