--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -5,6 +5,7 @@
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import estimates
+from cardamomcroft.scheduling import headroom
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import ordering
 from cardamomcroft.scheduling import placing
@@ -59,6 +60,7 @@
     accelerators_by_account: dict[str, int]
     reservations: reservations.Reservations
     durations: estimates.Durations
+    headroom: headroom.Headroom
 
 
 class Planner:
@@ -102,6 +104,7 @@
             self._use_reservations(step)
         for entry in self._reserved.all():
             self._take(entry.worker_id, entry.demand())
+        self._kept: frozenset[str] | None = None
         ordered = sorted(
             (job for job in self._situation.jobs if not job.final_state),
             key=lambda job: ordering.sort_key(
@@ -197,6 +200,9 @@
         rooms = self._board.eligible(
             model, step.job.job.queue.service, advised or None
         )
+        if step.job.job.queue.priority > 0:
+            kept = self._kept_workers()
+            rooms = [room for room in rooms if room.worker_id not in kept]
         if not model.data_rack:
             return rooms
         near = [room for room in rooms if room.rack == model.data_rack]
@@ -204,6 +210,18 @@
             return near
         return rooms
 
+    def _kept_workers(self) -> frozenset[str]:
+        """Return the workers kept idle, once urgent work is placed."""
+        if self._kept is None:
+            total = sum(
+                worker.listing.accelerators
+                for worker in self._situation.workers_by_id.values()
+                if worker.listing is not None
+            )
+            headroom = self._situation.headroom
+            self._kept = headroom.kept(self._board.rooms, total)
+        return self._kept
+
     def _is_pressed(self, step: runs.StepState) -> bool:
         """Tell whether waiting costs more than a slower place."""
         waited = self._situation.now - step.job.accepted_at
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import headroom as headrooms
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
@@ -75,6 +76,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._strays: set[str] = set()
         self.durations = estimates.Durations()
+        self._headroom = headrooms.Headroom()
         self._reservations = reservations.Reservations()
         self._orders = order_senders.Orders(self, link, clock, log, terms)
         self._watch = watching.Watch(self, link, clock, log, terms)
@@ -149,6 +151,7 @@
         state = runs.make_job_state(job, progress, now - age)
         state.is_cancelled = job_id in self._ledger.cancelled_ids
         self.jobs_by_id[job_id] = state
+        self._headroom.observe(job)
 
     def _inherit(self) -> None:
         for job_id in self._ledger.jobs_by_id:
@@ -275,6 +278,7 @@
             self._accounts(),
             self._reservations,
             self.durations,
+            self._headroom,
         )
         plan = planning.Planner(situation).plan()
         for stop in plan.stops:
