--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -28,7 +28,9 @@
 LEASE = datetime.timedelta(seconds=6)
 # Outlasts the outages of the store that the users name.
 MAX_GRANT_AGE = datetime.timedelta(seconds=10)
-STOP_MARGIN_S = 1.5  # before the platform kills the process
+# Before the platform kills the process: a handover and closing connections.
+STOP_MARGIN_S = 2.0
+CLOSE_LIMIT_S = 0.3
 VERSION = "0.2.0"
 WRONG_USE = 2
 
@@ -174,7 +176,7 @@
 async def _listen(handler, address: str) -> web.ServerRunner:
     host, _, port = address.rpartition(":")
     server = web.Server(handler, keepalive_timeout=CLIENT_IDLE_S)
-    runner = web.ServerRunner(server)
+    runner = web.ServerRunner(server, shutdown_timeout=CLOSE_LIMIT_S)
     await runner.setup()
     await web.TCPSite(runner, host, int(port), reuse_address=True).start()
     return runner
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -6,6 +6,7 @@
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import headroom
+from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import ordering
 from cardamomcroft.scheduling import placing
@@ -19,6 +20,11 @@
 # Before that, urgent work stops what has cost less than twice as much as it
 # costs itself: a late urgent job wastes its caller's time and its own work.
 EAGER_LOSS = 2.0
+# Work that does not come first waits a while for room to become free.
+PATIENCE = datetime.timedelta(seconds=1)
+# Away from its data, or spread over racks, work takes three times as long
+# (protocol): that pays once the wait has cost two further times.
+REMOTE_FACTOR = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +67,7 @@
     reservations: reservations.Reservations
     durations: estimates.Durations
     headroom: headroom.Headroom
+    holds: holding.Holds
 
 
 class Planner:
@@ -100,11 +107,13 @@
         """Return the decisions."""
         now = self._situation.now
         self._reserved.drop_useless(now)
+        self._situation.holds.drop_useless(now)
         for step in self._reserved.steps():
             self._use_reservations(step)
         for entry in self._reserved.all():
             self._take(entry.worker_id, entry.demand())
         self._kept: frozenset[str] | None = None
+        self._held: set[str] = set()
         ordered = sorted(
             (job for job in self._situation.jobs if not job.final_state),
             key=lambda job: ordering.sort_key(
@@ -139,8 +148,12 @@
         ):
             return
         waiting = sorted(step.waiting)
+        held = step.held_by_worker()
         for entry in ready:
             count = min(entry.count, len(waiting))
+            if step.model.spread_limit:
+                left = step.model.spread_limit - held[entry.worker_id]
+                count = min(count, max(left, 0))
             room = self._rooms_by_id[entry.worker_id]
             demand = placing.demand_of(step.model)
             for index in waiting[:count]:
@@ -167,6 +180,7 @@
         plain = not advised
         if plain and signature in self._hopeless:
             self._make_room(step)
+            self._hold(step)
             return
         rooms = self._rooms(step, advised)
         if model.is_gang:
@@ -177,6 +191,7 @@
             if plain:
                 self._hopeless.add(signature)
             self._make_room(step)
+            self._hold(step)
 
     def _advised(self, step: runs.StepState) -> frozenset[str] | None:
         """Return the workers advised; empty for any, None while unknown."""
@@ -225,9 +240,10 @@
     def _is_pressed(self, step: runs.StepState) -> bool:
         """Tell whether waiting costs more than a slower place."""
         waited = self._situation.now - step.job.accepted_at
-        return waited > self._situation.durations.expected(
+        expected = self._situation.durations.expected(
             step.job.job.queue.name, step.model
         )
+        return waited > expected * (REMOTE_FACTOR - 1)
 
     def _place_gang(
         self, step: runs.StepState, rooms: list[placing.Room]
@@ -245,9 +261,7 @@
         self, step: runs.StepState, rooms: list[placing.Room]
     ) -> bool:
         waiting = self._unplanned_indexes(step)
-        held: dict[str, int] = {}
-        for run in step.runs_by_index.values():
-            held[run.worker_id] = held.get(run.worker_id, 0) + 1
+        held = step.held_by_worker()
         taken = self._board.place(step.model, len(waiting), rooms, held)
         for index, room in zip(waiting, taken, strict=False):
             self._start(step, index, room)
@@ -286,15 +300,21 @@
         self._preemption.take(room.worker_id, placing.demand_of(step.model))
 
     def _make_room(self, step: runs.StepState) -> None:
-        queue = step.job.job.queue
-        if queue.priority != 0 or step.model.is_filling:
-            return
         now = self._situation.now
+        waited = now - step.job.accepted_at
+        is_urgent = step.job.job.queue.priority == 0
+        if step.model.is_filling or not (is_urgent or waited > PATIENCE):
+            return
         count = self._unplanned(step)
         if step.model.is_gang and count < step.model.width:
             return
+        kept = frozenset() if is_urgent else self._kept_workers()
         choices = self._preemption.choose(
-            step, count, self._may_span_racks(step), self._most_lost(step)
+            step,
+            count,
+            self._may_span_racks(step),
+            self._most_lost(step),
+            self._held | kept,
         )
         if not choices:
             return
@@ -309,10 +329,58 @@
                 for run in choice.victims
             )
 
+    def _hold(self, step: runs.StepState) -> None:
+        """Keep less urgent work off the workers that will fit soonest."""
+        if step.model.is_lasting or self._unplanned(step) <= 0:
+            return
+        budget = int(len(self._board.rooms) * holding.MOST_HELD)
+        budget -= len(self._held)
+        holds = self._situation.holds
+        best = holds.of(step) or self._soonest(step, budget)
+        if not best or len(best) > budget:
+            return
+        if not holds.of(step):
+            holds.keep(step, best, self._situation.now)
+        self._held.update(best)
+        self._board.rooms = [
+            room
+            for room in self._board.rooms
+            if room.worker_id not in self._held
+        ]
+
+    def _soonest(self, step: runs.StepState, budget: int) -> list[str]:
+        """Return the workers on which a large step's tasks fit soonest."""
+        model = step.model
+        within_rack = model.is_rack_local and not self._may_span_racks(step)
+        slots_by_rack: dict[str, dict[str, list[datetime.timedelta]]] = {}
+        for room in self._board.eligible(model, step.job.job.queue.service):
+            worker = self._situation.workers_by_id[room.worker_id]
+            is_near = model.data_rack in ("", room.rack)
+            capacity = capacity_of(worker.listing)
+            if is_near and holding.is_large(model, capacity):
+                rack = room.rack if within_rack else ""
+                slots = slots_by_rack.setdefault(rack, {})
+                slots[room.worker_id] = holding.times_to_fit(
+                    worker,
+                    room.free,
+                    placing.demand_of(model),
+                    self._situation.durations,
+                    self._situation.now,
+                )
+        count = min(self._unplanned(step), max(budget, 0))
+        wanted = model.width if model.is_gang else count
+        plans = [
+            plan
+            for slots in slots_by_rack.values()
+            if wanted and (plan := holding.choose(slots, wanted))
+        ]
+        return min(plans, key=len, default=[])
+
     def _most_lost(self, step: runs.StepState) -> float:
         """Return the core-seconds that may be thrown away for a step."""
         waited = self._situation.now - step.job.accepted_at
-        if waited >= PREEMPTION_WAIT:
+        is_urgent = step.job.job.queue.priority == 0
+        if is_urgent and waited >= PREEMPTION_WAIT:
             return float("inf")
         expected = self._situation.durations.expected(
             step.job.job.queue.name, step.model
--- a/cardamomcroft/scheduling/preempting.py
+++ b/cardamomcroft/scheduling/preempting.py
@@ -4,6 +4,7 @@
 guaranteed within the bound, and urgent jobs do not queue behind long ones.
 """
 
+import collections.abc
 import dataclasses
 import datetime
 
@@ -53,6 +54,7 @@
         count: int,
         may_span_racks: bool,
         most_lost: float,
+        excluded: collections.abc.Set[str],
     ) -> list[Choice]:
         """Return places for the tasks; for a gang, for all or none.
 
@@ -62,7 +64,8 @@
         usable = [
             worker_id
             for worker_id in self._free_by_worker
-            if _may_run(step, self._workers_by_id[worker_id])
+            if worker_id not in excluded
+            and _may_run(step, self._workers_by_id[worker_id])
         ]
         if step.model.is_rack_local and not may_span_racks:
             plans = [
@@ -108,9 +111,15 @@
         }
         stopped = set(self._chosen)
         plan: list[Choice] = []
+        held = step.held_by_worker()
+        limit = step.model.spread_limit or len(step.waiting) + sum(
+            held.values()
+        )
         while len(plan) < count:
             best = None
             for worker_id, free in free_by_worker.items():
+                if held[worker_id] >= limit:
+                    continue
                 choice = self._cheapest(worker_id, step, free, stopped)
                 if choice and (best is None or choice.cost < best.cost):
                     best = choice
@@ -119,6 +128,7 @@
             if best is None:
                 break
             plan.append(best)
+            held[best.worker_id] += 1
             free = free_by_worker[best.worker_id]
             free_by_worker[best.worker_id] = free.minus(demand)
             for run in best.victims:
@@ -167,7 +177,9 @@
             return False
         victim_job = run.step.job.job
         job = step.job.job
-        is_guaranteed = job.account in self._guaranteed
+        is_guaranteed = (
+            job.queue.priority == 0 and job.account in self._guaranteed
+        )
         if victim_job.queue.priority > job.queue.priority:
             return is_guaranteed or victim.is_checkpointing
         # Urgent work beyond its account's guarantee only borrows the room.
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -1,5 +1,6 @@
 """Hold the scheduler's beliefs about jobs, runs and workers."""
 
+import collections
 import dataclasses
 import datetime
 import enum
@@ -111,6 +112,18 @@
             self.job.job.job_id, self.occurrence, self.number, index
         )
 
+    def held_by_worker(self) -> collections.Counter[str]:
+        """Count the step's runs on each worker."""
+        return collections.Counter(
+            run.worker_id for run in self.runs_by_index.values()
+        )
+
+    def checkpoint(self, index: int) -> str:
+        """Return where a task resumes; a gang's tasks share one value."""
+        if self.model.is_gang:
+            return max(self.checkpoints_by_index.values(), default="")
+        return self.checkpoints_by_index.get(index, "")
+
     def progress(self) -> codec.StepProgress:
         """Return what lasts."""
         return codec.StepProgress(
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import headroom as headrooms
+from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
@@ -77,6 +78,7 @@
         self._strays: set[str] = set()
         self.durations = estimates.Durations()
         self._headroom = headrooms.Headroom()
+        self._holds = holding.Holds()
         self._reservations = reservations.Reservations()
         self._orders = order_senders.Orders(self, link, clock, log, terms)
         self._watch = watching.Watch(self, link, clock, log, terms)
@@ -204,7 +206,7 @@
             runs.Phase.INHERITED,
             now,
         )
-        run.checkpoint = step.checkpoints_by_index.get(index, "")
+        run.checkpoint = step.checkpoint(index)
         run.settled_at = now
         self.attach(run)
 
@@ -279,6 +281,7 @@
             self._reservations,
             self.durations,
             self._headroom,
+            self._holds,
         )
         plan = planning.Planner(situation).plan()
         for stop in plan.stops:
@@ -421,7 +424,7 @@
                 runs.Phase.ASSIGNED,
                 now,
             )
-            run.checkpoint = step.checkpoints_by_index.get(start.index, "")
+            run.checkpoint = step.checkpoint(start.index)
             run.is_resumed = bool(run.checkpoint)
             self.attach(run)
             batch.append(run)
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -24,7 +24,7 @@
         """Count a job's tasks at work."""
         return sum(task.startswith(job_id) for task, _ in self.fleet.running())
 
-    async def check_begins(self, step) -> None:
+    async def check_begins(self, step) -> str:
         """The job begins whole within the bound for guaranteed work."""
         self.nodes_by_name["a"].scheduler._accounts = lambda: {"b": 24}
         urgent = harness.make_queue(priority=0)
@@ -32,6 +32,7 @@
         await self.wait_until(
             lambda: self.running_of(job_id) == step.width, 2.7
         )
+        return job_id
 
     def stops(self) -> int:
         """Count the runs that were stopped."""
@@ -77,3 +78,14 @@
         """Much would be lost: room may become free by itself first."""
         await self.pass_time(20)
         self.assertGreater(await self.time_to_begin(), 0.8)
+
+    async def test_spread_limit_holds(self):
+        """Room made for a step keeps its tasks apart."""
+        step = harness.make_step(width=4, accelerators=4, spread_limit=1)
+        job_id = await self.check_begins(step)
+        workers = {
+            worker_id
+            for task, worker_id in self.fleet.running()
+            if task.startswith(job_id)
+        }
+        self.assertEqual(len(workers), 4)
