Bound the cost of a round: cached victims and ends, few searches a round

Change: groups that may stop, endings and rack places are worked out once a round; at most eight searches a round and six holds a quarter second; rounds leave three quarters of the processor; spread limits count what the round has planned and kept.

--- a/cardamomcroft/scheduling/holding.py
+++ b/cardamomcroft/scheduling/holding.py
@@ -16,6 +16,9 @@
 LARGE = 0.25  # of a worker; smaller tasks fit into what becomes free
 HORIZON = datetime.timedelta(seconds=5)  # holding longer wastes too much
 LONGEST = HORIZON * 1.5  # runs may take longer than predicted
+# Bounds the cost of rounds while hundreds of jobs wait.
+SEARCHES = 6
+SEARCH_PERIOD = datetime.timedelta(milliseconds=250)
 _ZERO = datetime.timedelta()
 
 
@@ -31,6 +34,8 @@
         self._by_step: dict[
             runs.StepState, tuple[list[str], datetime.timedelta]
         ] = {}
+        self._next_search = _ZERO
+        self._searches = 0
 
     def keep(
         self,
@@ -45,8 +50,16 @@
         """Return the workers held for a step."""
         return self._by_step.get(step, ([], _ZERO))[0]
 
+    def may_search(self) -> bool:
+        """Count a search for workers; tell whether it may be made."""
+        self._searches += 1
+        return self._searches <= SEARCHES
+
     def drop_useless(self, now: datetime.timedelta) -> None:
         """Drop what has expired or whose tasks no longer wait."""
+        if now >= self._next_search:
+            self._next_search = now + SEARCH_PERIOD
+            self._searches = 0
         for step, (_, until) in list(self._by_step.items()):
             is_over = step.job.is_cancelled or step.job.final_state
             if until <= now or not step.waiting or is_over:
@@ -64,15 +77,16 @@
     return any(need > have * LARGE for need, have in pairs if have)
 
 
-def times_to_fit(
+Ending = list[tuple[datetime.timedelta, models.Demand]]
+
+
+def endings(
     worker: runs.Worker,
-    free: models.Demand,
-    demand: models.Demand,
     durations: estimates.Durations,
     now: datetime.timedelta,
-) -> list[datetime.timedelta]:
-    """Return when each further task will fit, within the horizon."""
-    ending = sorted(
+) -> Ending:
+    """Return when runs end and what room each then frees."""
+    return sorted(
         (
             (durations.remaining(run, now), placing.demand_of(run.step.model))
             for run in worker.runs_by_task.values()
@@ -80,6 +94,12 @@
         ),
         key=lambda pair: pair[0],
     )
+
+
+def times_to_fit(
+    ending: Ending, free: models.Demand, demand: models.Demand
+) -> list[datetime.timedelta]:
+    """Return when each further task will fit, within the horizon."""
     times: list[datetime.timedelta] = []
     at = _ZERO
     for left, freed in [(_ZERO, models.Demand()), *ending]:
--- a/cardamomcroft/scheduling/ordering.py
+++ b/cardamomcroft/scheduling/ordering.py
@@ -8,6 +8,8 @@
 
 # A job ended after three times its objective is worth nothing (brief).
 LAST_USE = 3
+# Learnt run times change slowly.
+OBJECTIVE_AGE = datetime.timedelta(seconds=1)
 
 
 def guaranteed_accounts(
@@ -50,7 +52,10 @@
 ) -> tuple:
     """Return a key that sorts the most urgent job first."""
     queue = state.job.queue
-    objective = durations.objective(state.job)
+    if now >= state.objective_until:
+        state.objective = durations.objective(state.job)
+        state.objective_until = now + OBJECTIVE_AGE
+    objective = state.objective
     is_guaranteed = queue.priority == 0 and state.job.account in guaranteed
     return (
         not is_guaranteed,
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -1,5 +1,6 @@
 """Plan a round: what starts where, and what makes room for it."""
 
+import collections
 import dataclasses
 import datetime
 
@@ -20,6 +21,9 @@
 # Before that, urgent work stops what has cost less than twice as much as it
 # costs itself: a late urgent job wastes its caller's time and its own work.
 EAGER_LOSS = 2.0
+# Bound the cost of rounds while hundreds of jobs wait.
+SEARCHES = 8  # for room a round
+SEARCH_PAUSE = datetime.timedelta(milliseconds=150)
 # Work that does not come first waits a while for room to become free.
 PATIENCE = datetime.timedelta(seconds=1)
 # Away from its data, or spread over racks, work takes three times as long
@@ -114,6 +118,9 @@
             self._take(entry.worker_id, entry.demand())
         self._kept: frozenset[str] | None = None
         self._held: set[str] = set()
+        self._endings_by_worker: dict[str, holding.Ending] = {}
+        self._rack_places: dict[models.Demand, int] = {}
+        self._searches = 0
         ordered = sorted(
             (job for job in self._situation.jobs if not job.final_state),
             key=lambda job: ordering.sort_key(
@@ -154,6 +161,7 @@
             if step.model.spread_limit:
                 left = step.model.spread_limit - held[entry.worker_id]
                 count = min(count, max(left, 0))
+            held[entry.worker_id] += count
             room = self._rooms_by_id[entry.worker_id]
             demand = placing.demand_of(step.model)
             for index in waiting[:count]:
@@ -261,12 +269,26 @@
         self, step: runs.StepState, rooms: list[placing.Room]
     ) -> bool:
         waiting = self._unplanned_indexes(step)
-        held = step.held_by_worker()
+        held = self._held_by_worker(step)
         taken = self._board.place(step.model, len(waiting), rooms, held)
         for index, room in zip(waiting, taken, strict=False):
             self._start(step, index, room)
         return len(taken) == len(waiting)
 
+    def _held_by_worker(
+        self, step: runs.StepState
+    ) -> collections.Counter[str]:
+        """Count a step's runs, planned starts and kept room by worker."""
+        held = step.held_by_worker()
+        held.update(
+            start.worker_id
+            for start in self._plan.starts
+            if start.step is step
+        )
+        for entry in self._reserved.of(step):
+            held[entry.worker_id] += entry.count
+        return held
+
     def _unplanned(self, step: runs.StepState) -> int:
         """Count the waiting tasks that have neither a start nor room."""
         planned = sum(start.step is step for start in self._plan.starts)
@@ -284,14 +306,16 @@
         return self._is_pressed(step) or not self._fits_a_rack(step)
 
     def _fits_a_rack(self, step: runs.StepState) -> bool:
-        model = step.model
-        places: dict[str, int] = {}
-        for worker in self._situation.workers_by_id.values():
-            if worker.listing is not None:
-                rack = worker.listing.rack
-                count = placing.places(model, capacity_of(worker.listing))
-                places[rack] = places.get(rack, 0) + count
-        return any(count >= model.width for count in places.values())
+        demand = step.model.demand
+        if demand not in self._rack_places:
+            places: collections.Counter[str] = collections.Counter()
+            for worker in self._situation.workers_by_id.values():
+                if worker.listing is not None:
+                    capacity = capacity_of(worker.listing)
+                    count = placing.places(step.model, capacity)
+                    places[worker.listing.rack] += count
+            self._rack_places[demand] = max(places.values(), default=0)
+        return self._rack_places[demand] >= step.model.width
 
     def _start(
         self, step: runs.StepState, index: int, room: placing.Room
@@ -308,6 +332,10 @@
         count = self._unplanned(step)
         if step.model.is_gang and count < step.model.width:
             return
+        if now < step.search_at or self._searches >= SEARCHES:
+            return
+        self._searches += 1
+        step.search_at = now + SEARCH_PAUSE
         kept = frozenset() if is_urgent else self._kept_workers()
         choices = self._preemption.choose(
             step,
@@ -315,6 +343,7 @@
             self._may_span_racks(step),
             self._most_lost(step),
             self._held | kept,
+            self._held_by_worker(step),
         )
         if not choices:
             return
@@ -348,8 +377,17 @@
             if room.worker_id not in self._held
         ]
 
+    def _endings(self, worker: runs.Worker) -> holding.Ending:
+        if worker.worker_id not in self._endings_by_worker:
+            self._endings_by_worker[worker.worker_id] = holding.endings(
+                worker, self._situation.durations, self._situation.now
+            )
+        return self._endings_by_worker[worker.worker_id]
+
     def _soonest(self, step: runs.StepState, budget: int) -> list[str]:
         """Return the workers on which a large step's tasks fit soonest."""
+        if not self._situation.holds.may_search():
+            return []
         model = step.model
         within_rack = model.is_rack_local and not self._may_span_racks(step)
         slots_by_rack: dict[str, dict[str, list[datetime.timedelta]]] = {}
@@ -361,11 +399,9 @@
                 rack = room.rack if within_rack else ""
                 slots = slots_by_rack.setdefault(rack, {})
                 slots[room.worker_id] = holding.times_to_fit(
-                    worker,
+                    self._endings(worker),
                     room.free,
                     placing.demand_of(model),
-                    self._situation.durations,
-                    self._situation.now,
                 )
         count = min(self._unplanned(step), max(budget, 0))
         wanted = model.width if model.is_gang else count
--- a/cardamomcroft/scheduling/preempting.py
+++ b/cardamomcroft/scheduling/preempting.py
@@ -4,6 +4,7 @@
 guaranteed within the bound, and urgent jobs do not queue behind long ones.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import datetime
@@ -25,6 +26,14 @@
     victims: tuple[runs.Run, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stoppable:
+    """Hold a worker's runs that may stop, cheapest first."""
+
+    groups: list[tuple[float, list[runs.Run]]]
+    room: models.Demand  # freed if all of them stop
+
+
 class Preemption:
     """Find victims in one round, counting what is being freed already."""
 
@@ -41,6 +50,7 @@
         self._now = now
         self._guaranteed = guaranteed
         self._chosen: set[runs.Run] = set()
+        self._stoppable: dict[tuple[str, int, bool], _Stoppable] = {}
 
     def take(self, worker_id: str, demand: models.Demand) -> None:
         """Count room that the round has given away."""
@@ -55,6 +65,7 @@
         may_span_racks: bool,
         most_lost: float,
         excluded: collections.abc.Set[str],
+        held_by_worker: collections.Counter[str],
     ) -> list[Choice]:
         """Return places for the tasks; for a gang, for all or none.
 
@@ -69,11 +80,11 @@
         ]
         if step.model.is_rack_local and not may_span_racks:
             plans = [
-                self._choose_within(step, count, group)
+                self._choose_within(step, count, group, held_by_worker)
                 for group in self._by_rack(usable)
             ]
         else:
-            plans = [self._choose_within(step, count, usable)]
+            plans = [self._choose_within(step, count, usable, held_by_worker)]
         plans = [plan for plan in plans if plan]
         if not plans:
             return []
@@ -102,7 +113,11 @@
                 self.take(run.worker_id, models.Demand().minus(freed))
 
     def _choose_within(
-        self, step: runs.StepState, count: int, worker_ids: list[str]
+        self,
+        step: runs.StepState,
+        count: int,
+        worker_ids: list[str],
+        held_by_worker: collections.Counter[str],
     ) -> list[Choice]:
         demand = placing.demand_of(step.model)
         free_by_worker = {
@@ -111,7 +126,7 @@
         }
         stopped = set(self._chosen)
         plan: list[Choice] = []
-        held = step.held_by_worker()
+        held = held_by_worker.copy()
         limit = step.model.spread_limit or len(step.waiting) + sum(
             held.values()
         )
@@ -149,18 +164,12 @@
         demand = placing.demand_of(step.model)
         if demand.fits(free):
             return Choice(0.0, worker_id, ())
-        groups = []
-        for run in self._workers_by_id[worker_id].runs_by_task.values():
-            group = _group(run)
-            if run not in stopped and all(
-                self._may_stop(member, step) for member in group
-            ):
-                cost = sum(lost_work(member, self._now) for member in group)
-                groups.append((cost, group))
-        groups.sort(key=lambda entry: entry[0])
+        stoppable = self._stoppable_at(worker_id, step)
+        if not demand.fits(free.plus(stoppable.room)):
+            return None
         cost, victims = 0.0, []
-        for group_cost, group in groups:
-            if group[0] in victims:
+        for group_cost, group in stoppable.groups:
+            if group[0] in victims or group[0] in stopped:
                 continue
             victims.extend(group)
             cost += group_cost
@@ -171,16 +180,37 @@
                 return Choice(cost, worker_id, tuple(victims))
         return None
 
-    def _may_stop(self, run: runs.Run, step: runs.StepState) -> bool:
+    def _stoppable_at(
+        self, worker_id: str, step: runs.StepState
+    ) -> "_Stoppable":
+        job = step.job.job
+        priority = job.queue.priority
+        is_guaranteed = priority == 0 and job.account in self._guaranteed
+        key = worker_id, priority, is_guaranteed
+        if key not in self._stoppable:
+            groups = []
+            room = models.Demand()
+            for run in self._workers_by_id[worker_id].runs_by_task.values():
+                group = _group(run)
+                if all(
+                    self._may_stop(member, priority, is_guaranteed)
+                    for member in group
+                ):
+                    cost = sum(lost_work(m, self._now) for m in group)
+                    groups.append((cost, group))
+                    room = room.plus(placing.demand_of(run.step.model))
+            groups.sort(key=lambda entry: entry[0])
+            self._stoppable[key] = _Stoppable(groups, room)
+        return self._stoppable[key]
+
+    def _may_stop(
+        self, run: runs.Run, priority: int, is_guaranteed: bool
+    ) -> bool:
         victim = run.step.model
         if run.phase is not runs.Phase.AT_WORK or victim.is_lasting:
             return False
         victim_job = run.step.job.job
-        job = step.job.job
-        is_guaranteed = (
-            job.queue.priority == 0 and job.account in self._guaranteed
-        )
-        if victim_job.queue.priority > job.queue.priority:
+        if victim_job.queue.priority > priority:
             return is_guaranteed or victim.is_checkpointing
         # Urgent work beyond its account's guarantee only borrows the room.
         return is_guaranteed and victim_job.account not in self._guaranteed
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -96,6 +96,7 @@
     )
     runs_started: int = 0
     retry_at: datetime.timedelta = _ZERO
+    search_at: datetime.timedelta = _ZERO  # not before, for room
     tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -143,6 +144,9 @@
     has_begun: bool = False  # the first start is recorded
     has_started: bool = False  # a worker has confirmed a start
     final_state: str = ""
+    # What ordering works with, and until when it need not be worked out anew.
+    objective: datetime.timedelta = _ZERO
+    objective_until: datetime.timedelta = _ZERO
     is_cancelled: bool = False
 
     @property
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -24,7 +24,8 @@
 from cardamomcroft.scheduling import soundness
 from cardamomcroft.scheduling import watching
 
-# Gathers the events of one moment into one round.
+# Gathers the events of one moment into one round; rounds that take long come
+# less often, so that they leave three quarters of the processor.
 ROUND_PAUSE = datetime.timedelta(milliseconds=20)
 # Due times, lapses and orders without answers.
 TICK = datetime.timedelta(milliseconds=100)
@@ -113,10 +114,12 @@
         self.spawn(self._directory.run())
         try:
             while not self.journal.is_lost:
+                began_at = self._clock.monotonic()
                 self._round()
+                took = self._clock.monotonic() - began_at
                 await clocks.within(self._clock, TICK, self._wake.wait())
                 if self._wake.is_set():
-                    await self._clock.sleep(ROUND_PAUSE)
+                    await self._clock.sleep(max(ROUND_PAUSE, took * 3))
                 self._wake.clear()
         finally:
             for task in list(self._tasks):
--- /dev/null
+++ b/tests/scheduling/test_planning.py
@@ -0,0 +1,83 @@
+"""One round's decisions, without nodes or time."""
+
+import collections
+import datetime
+import unittest
+
+from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import estimates
+from cardamomcroft.scheduling import headroom
+from cardamomcroft.scheduling import holding
+from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import planning
+from cardamomcroft.scheduling import reservations
+from cardamomcroft.scheduling import runs
+from tests.scheduling import harness
+
+WALL = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
+NOW = datetime.timedelta(seconds=100)
+
+
+def make_worker(name: str, accelerators: int = 8) -> runs.Worker:
+    """Return an idle worker."""
+    address = fleet.Address(name, f"{name}:80")
+    worker = runs.Worker(address, 1)
+    worker.listing = fleet.Listing(
+        address,
+        "svc",
+        fleet.ServerState.READY,
+        "dc",
+        1,
+        0,
+        frozenset({"a", "r1"}),
+        "r1",
+        64_000,
+        131_072,
+        accelerators,
+        None,
+    )
+    return worker
+
+
+def make_job(*steps: models.Step, priority: int = 1) -> runs.JobState:
+    """Return a job that was accepted a second ago."""
+    queue = harness.make_queue(priority)
+    job = models.Job("0" * 16, queue, "acc", "payload", steps, None, WALL)
+    return runs.make_job_state(job, None, NOW - harness.seconds(1))
+
+
+def make_situation(
+    jobs: list[runs.JobState],
+    workers: list[runs.Worker],
+    kept: reservations.Reservations | None = None,
+) -> planning.Situation:
+    """Return the inputs of a round."""
+    return planning.Situation(
+        jobs,
+        {worker.worker_id: worker for worker in workers},
+        NOW,
+        WALL,
+        {},
+        kept or reservations.Reservations(),
+        estimates.Durations(),
+        headroom.Headroom(),
+        holding.Holds(),
+    )
+
+
+class SpreadTest(unittest.TestCase):
+    """Tasks that must stay apart."""
+
+    def test_kept_room_counts_beside_what_is_placed(self):
+        """Kept room and room found in one round stay within the limit."""
+        job = make_job(harness.make_step(width=6, spread_limit=2))
+        step = job.steps_by_key[0, 0]
+        kept = reservations.Reservations()
+        kept.add(step, ["w1"], NOW)
+        kept.add(step, ["w1"], NOW)
+        workers = [make_worker("w1"), make_worker("w2"), make_worker("w3")]
+        plan = planning.Planner(make_situation([job], workers, kept)).plan()
+        counts = collections.Counter(s.worker_id for s in plan.starts)
+        self.assertEqual(counts, {"w1": 2, "w2": 2, "w3": 2})
+        indexes = [start.index for start in plan.starts]
+        self.assertEqual(sorted(indexes), list(range(6)))
