--- a/cardamomcroft/platform/settings.py
+++ b/cardamomcroft/platform/settings.py
@@ -7,6 +7,7 @@
 
 import yaml
 
+METRICS_PORT = 9464  # the deploy file's; usual for exporters
 PATH_VARIABLE = "CARDAMOMCROFT_CONFIG"
 _MS = datetime.timedelta(milliseconds=1)
 _S = datetime.timedelta(seconds=1)
@@ -51,7 +52,7 @@
             plain["Zone"],
             listen["FrontendAddr"],
             listen["Ready"],
-            f"{plain['Ip']}:{plain['InternalPorts'][0]}",
+            f"{plain['Ip']}:{METRICS_PORT}",
             plain["platform"]["Address"],
             plain.get("Advice") or None,
             bounds["ConfigApplyMs"] * _MS,
--- a/cardamomcroft/scheduling/preempting.py
+++ b/cardamomcroft/scheduling/preempting.py
@@ -15,6 +15,9 @@
 
 # Accelerators weigh as many cores in work that is thrown away (prices).
 CORES_AN_ACCELERATOR = 8
+# Stopping urgent work makes its caller late; any less urgent work that has
+# run for less time than an urgent job's usual objective goes first.
+URGENT_LOSS_S = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,6 +239,8 @@
     """Return the core-seconds that a stop would throw away."""
     step = run.step.model
     lost_s = (now - run.began_at).total_seconds()
+    if run.step.job.job.queue.priority == 0:
+        lost_s += URGENT_LOSS_S
     if step.is_checkpointing:
         lost_s = min(lost_s, 1.0)  # a stop saves; restoring costs a little
     return lost_s * weight(step.demand)
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -1,6 +1,7 @@
 """One round's decisions, without nodes or time."""
 
 import collections
+import dataclasses
 import datetime
 import unittest
 
@@ -81,3 +82,39 @@
         self.assertEqual(counts, {"w1": 2, "w2": 2, "w3": 2})
         indexes = [start.index for start in plan.starts]
         self.assertEqual(sorted(indexes), list(range(6)))
+
+
+def start(worker: runs.Worker, job: runs.JobState, age_s: float) -> None:
+    """Let a job's only task run on a worker."""
+    step = job.steps_by_key[0, 0]
+    run = runs.Run(
+        step.key(0),
+        1,
+        worker.worker_id,
+        step,
+        runs.Phase.AT_WORK,
+        NOW - harness.seconds(age_s),
+    )
+    step.waiting.clear()
+    step.runs_by_index[0] = run
+    worker.runs_by_task[run.name] = run
+
+
+class VictimTest(unittest.TestCase):
+    """An account reclaims what it is guaranteed."""
+
+    def test_urgent_work_of_others_stops_last(self):
+        """Long work goes first, although young urgent work loses less."""
+        borrowed = make_job(harness.make_step(accelerators=8), priority=0)
+        long_work = make_job(harness.make_step(accelerators=8), priority=1)
+        workers = [make_worker("w1"), make_worker("w2")]
+        start(workers[0], borrowed, 0.5)
+        start(workers[1], long_work, 6)
+        owner = make_job(harness.make_step(accelerators=8), priority=0)
+        owner.job = dataclasses.replace(owner.job, account="owner")
+        situation = make_situation([owner, borrowed, long_work], workers)
+        situation = dataclasses.replace(
+            situation, accelerators_by_account={"owner": 8}
+        )
+        plan = planning.Planner(situation).plan()
+        self.assertEqual([stop.run.worker_id for stop in plan.stops], ["w2"])
