Let the scheduler follow a copy that was read anew

Cause: after the store had dropped records that it had not read, the replica replaced its ledger while the scheduler went on with the old one, and every later submission ended its loop with a KeyError. Change: the scheduler asks the replica for its ledger. Measured: tests.scheduling.test_node.HistoryTest fails before, passes after.

--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -110,7 +110,7 @@
             self._terms, run_base=(claim.term - 1) * RUNS_A_TERM
         )
         self.scheduler = schedulers.Scheduler(
-            self.replica.ledger,
+            self.replica,
             journal,
             directory,
             self._link,
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -19,6 +19,7 @@
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import planning
+from cardamomcroft.scheduling import replica as replicas
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import soundness
@@ -54,7 +55,7 @@
 
     def __init__(
         self,
-        ledger: ledgers.Ledger,
+        replica: replicas.Replica,
         journal: journals.Journal,
         directory: directories.Directory,
         link: fleet.WorkerLink,
@@ -64,7 +65,7 @@
         accounts: collections.abc.Callable[[], dict[str, int]],
     ) -> None:
         """Take over what the ledger says at the moment of the claim."""
-        self._ledger = ledger
+        self._replica = replica
         self.journal = journal
         self._directory = directory
         self._clock = clock
@@ -84,6 +85,11 @@
         self._orders = order_senders.Orders(self, link, clock, log, terms)
         self._watch = watching.Watch(self, link, clock, log, terms)
 
+    @property
+    def _ledger(self) -> ledgers.Ledger:
+        """Return the copy as it is now; a reload replaces it."""
+        return self._replica.ledger
+
     @property
     def token(self) -> int:
         """Return the fencing token."""
--- a/cardamomcroft/standin/store.py
+++ b/cardamomcroft/standin/store.py
@@ -20,6 +20,7 @@
     refused_clients: set[str] = dataclasses.field(default_factory=set)
     lose_answers: int = 0  # appends done and not answered
     drop_appends: int = 0  # appends neither done nor answered
+    expire_reads: int = 0  # reads whose records have been deleted
     delay: datetime.timedelta = ROUND_TRIP
 
 
@@ -131,6 +132,10 @@
         while True:
             if service.is_cut(self._name):
                 return store.ReadFailure(store.ReadStatus.UNAVAILABLE)
+            if service.faults.expire_reads and stream is store.Stream.JOBS:
+                service.faults.expire_reads -= 1
+                service.count("expired")
+                return store.ReadFailure(store.ReadStatus.EXPIRED)
             records = service.records_by_stream[stream]
             if len(records) > offset or service.clock.monotonic() >= until:
                 return store.Page(tuple(records[offset:]), len(records))
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -197,3 +197,25 @@
         await self.wait_until(lambda: self.state(job_id) == "completed", 60)
         ends = [i for i in self.fleet.intervals if i.end is fleet.End.DONE]
         self.assertGreaterEqual(len(ends), 4)
+
+
+class HistoryTest(harness.SchedulingTestCase):
+    """The store drops its history."""
+
+    async def test_reload_goes_on_with_new_jobs(self):
+        """A holder that reads everything anew takes in what comes next."""
+        self.add_workers(1)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        first = self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running())
+        self.store.faults.expire_reads = 1
+        self.submit(harness.make_step())
+        await self.pass_time(0.5)
+        third = self.submit(harness.make_step())
+        for job_id in (first, third):
+            await self.wait_until(
+                lambda j=job_id: self.state(j) == "completed"
+            )
+            self.check_run_once(job_id)
+        self.assertEqual(self.store.injected["expired"], 1)
