Decode records when they are first asked for

Cause: each of 38 to 44 instances decoded every record of every job. Change: the ledger keeps bytes and decodes on first use.

--- /dev/null
+++ b/cardamomcroft/scheduling/lazy.py
@@ -0,0 +1,49 @@
+"""Decode records when they are first asked for."""
+
+import collections.abc
+import typing
+
+Value = typing.TypeVar("Value")
+
+
+class LazyMap(collections.abc.Mapping[str, Value]):
+    """Map names to values that are decoded on first use.
+
+    Every instance follows every record, but most are asked for few.
+    """
+
+    def __init__(
+        self, decode: collections.abc.Callable[[str, bytes], Value]
+    ) -> None:
+        """Take how to decode a record by its name and bytes."""
+        self._decode = decode
+        self._raw: dict[str, bytes] = {}
+        self._values: dict[str, Value] = {}
+
+    def put(self, name: str, raw: bytes) -> None:
+        """Replace a record."""
+        self._raw[name] = raw
+        self._values.pop(name, None)
+
+    def drop(self, name: str) -> None:
+        """Forget a record, if there is one."""
+        self._raw.pop(name, None)
+        self._values.pop(name, None)
+
+    def __getitem__(self, name: str) -> Value:
+        """Return the value; raise KeyError if there is none."""
+        if name not in self._values:
+            self._values[name] = self._decode(name, self._raw[name])
+        return self._values[name]
+
+    def __contains__(self, name: object) -> bool:
+        """Tell whether there is a record, without decoding it."""
+        return name in self._raw
+
+    def __iter__(self) -> collections.abc.Iterator[str]:
+        """Return the names."""
+        return iter(self._raw)
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._raw)
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -5,6 +5,7 @@
 
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import lazy
 from cardamomcroft.scheduling import models
 
 CLAIM_KEY = "claim"
@@ -34,10 +35,16 @@
     def __init__(self) -> None:
         """Start empty, before the first record."""
         self.end_offset = 0
-        self.jobs_by_id: dict[str, models.Job] = {}
+        self.jobs_by_id: lazy.LazyMap[models.Job] = lazy.LazyMap(
+            codec.decode_job
+        )
         self.cancelled_ids: set[str] = set()
-        self.progress_by_id: dict[str, codec.Progress] = {}
-        self.assignments_by_worker: dict[str, codec.Assignment] = {}
+        self.progress_by_id: lazy.LazyMap[codec.Progress] = lazy.LazyMap(
+            lambda _, raw: codec.decode_progress(raw)
+        )
+        self.assignments_by_worker: lazy.LazyMap[codec.Assignment] = (
+            lazy.LazyMap(lambda _, raw: codec.decode_assignment(raw))
+        )
         self.claim: codec.Claim | None = None
         self.holder_seen_at: datetime.timedelta | None = None
 
@@ -81,7 +88,7 @@
                 return False
             if name in self.jobs_by_id:
                 return False
-            self.jobs_by_id[name] = codec.decode_job(name, value)
+            self.jobs_by_id.put(name, value)
             return True
         if kind is Kind.CANCELLATION:
             is_new = value is not None and name not in self.cancelled_ids
@@ -90,18 +97,17 @@
             return is_new
         if kind is Kind.PROGRESS:
             if value is not None:
-                self.progress_by_id[name] = codec.decode_progress(value)
+                self.progress_by_id.put(name, value)
             return False
         if value is None:
-            self.assignments_by_worker.pop(name, None)
+            self.assignments_by_worker.drop(name)
         else:
-            assignment = codec.decode_assignment(value)
-            self.assignments_by_worker[name] = assignment
+            self.assignments_by_worker.put(name, value)
         return False
 
     def _forget(self, job_id: str) -> None:
-        self.jobs_by_id.pop(job_id, None)
-        self.progress_by_id.pop(job_id, None)
+        self.jobs_by_id.drop(job_id)
+        self.progress_by_id.drop(job_id)
         self.cancelled_ids.discard(job_id)
 
     def state(self, job_id: str) -> str | None:
