Move a crawling task once; one strike a worker for runs found together

Eight runs found stalled together also counted as eight strikes. Change: one move for crawling and three for standing still a task; one strike a worker and round.

--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -95,6 +95,9 @@
         default_factory=dict
     )
     runs_started: int = 0
+    moves_by_index: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )  # runs stopped because they stood still or crawled
     retry_at: datetime.timedelta = _ZERO
     search_at: datetime.timedelta = _ZERO  # not before, for room
     tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -303,6 +303,7 @@
     def _move_suspects(self) -> None:
         now = self._clock.monotonic()
         workers = self.workers_by_id.values()
+        struck: set[runs.Worker] = set()
         for run, reason in soundness.suspects(workers, self.durations, now):
             if run.phase is not runs.Phase.AT_WORK:
                 continue  # stopped with another member of its gang
@@ -317,11 +318,14 @@
                 at_work_s=(now - run.began_at).total_seconds(),
             )
             if reason != "worker drains":
-                self.note_strike(worker)
+                run.step.moves_by_index[run.key.index] += 1
+                struck.add(worker)
             if run.step.model.is_gang:
                 self.stop_gang(run.step, reason)
             else:
                 self._orders.stop(run, reason)
+        for worker in struck:
+            self.note_strike(worker)
 
     def _sync_workers(self) -> None:
         now = self._clock.monotonic()
--- a/cardamomcroft/scheduling/soundness.py
+++ b/cardamomcroft/scheduling/soundness.py
@@ -18,6 +18,10 @@
 # beyond the spread of sound workers' speeds (0.8 to 1.3).
 CRAWL_FACTOR = 2.5
 CRAWL_LEAST = datetime.timedelta(seconds=3)
+# A task that crawls on a second worker is long by itself; one that stands
+# still on several has met a rack's trouble or stands still by itself.
+MOST_SLOW_MOVES = 1
+MOST_STALL_MOVES = 3
 DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
 
 
@@ -35,6 +39,8 @@
     """Tell whether a run has stood still since an earlier list."""
     if not is_movable(run) or run.listed_at is None or run.percent >= 99:
         return False
+    if run.step.moves_by_index[run.key.index] >= MOST_STALL_MOVES:
+        return False
     if run.step.model.is_gang and not _is_whole(run):
         return False
     return run.listed_at - run.progressed_at >= STALL
@@ -56,6 +62,8 @@
     """Tell whether a run ends sooner if it starts again elsewhere."""
     if not is_movable(run) or run.is_far or run.percent_rate() is None:
         return False
+    if run.step.moves_by_index[run.key.index] >= MOST_SLOW_MOVES:
+        return False
     queue = run.step.job.job.queue.name
     expected = durations.longest(queue, run.step.model)
     if expected is None:
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -83,12 +83,12 @@
             )
         )
 
-    def percent(self, run: FakeRun) -> int:
+    def percent(self, task: str, run: FakeRun) -> int:
         """Return how far a run is; a worker that hangs shows no progress."""
         if self.hangs:
             return 10
         worked = self._world.clock.monotonic() - run.began_at
-        return min(int(worked / self._world.duration * 100), 99)
+        return min(int(worked / self._world.duration_of(task) * 100), 99)
 
     def advance(self) -> None:
         """End what is done, failed or without a lease."""
@@ -106,7 +106,7 @@
                 self._advance_member(task, run, now)
             elif self.hangs:
                 continue
-            elif now - run.began_at >= self._world.duration:
+            elif now - run.began_at >= self._world.duration_of(task):
                 self.end(task, self._end())
 
     def _end(self) -> fleet.End:
@@ -147,11 +147,16 @@
         self.workers_by_id: dict[str, FakeWorker] = {}
         self.steps_by_job: dict[str, tuple[models.Step, ...]] = {}
         self.intervals: list[Interval] = []
+        self.durations_by_job: dict[str, datetime.timedelta] = {}
         # Runs on one worker end this far apart when stopped together.
         self.stop_steps = datetime.timedelta(milliseconds=40)
         self.injected: collections.Counter[str] = collections.Counter()
         self._gangs: dict[tuple[str, int], datetime.timedelta] = {}
 
+    def duration_of(self, task: str) -> datetime.timedelta:
+        """Return how long a task works."""
+        return self.durations_by_job.get(task[:16], self.duration)
+
     def add(self, worker_id: str, accelerators: int = 8) -> fleet.Listing:
         """Add a worker and return its entry for the directory."""
         listing = fleet.Listing(
@@ -304,7 +309,7 @@
             worker.listing.born_ms,
             tuple(
                 fleet.RunningTask(
-                    task, run.number, "", worker.percent(run), 0.0
+                    task, run.number, "", worker.percent(task, run), 0.0
                 )
                 for task, run in worker.runs_by_task.items()
             ),
--- a/tests/scheduling/test_soundness.py
+++ b/tests/scheduling/test_soundness.py
@@ -31,6 +31,28 @@
         self.assertEqual({i.worker_id for i in stopped}, {"w1"})
 
 
+class LongTest(harness.SchedulingTestCase):
+    """One task takes far longer than its queue's others."""
+
+    duration = harness.seconds(2)
+
+    async def test_long_task_is_moved_once(self):
+        """It crawls on every worker, so it stays on the second."""
+        self.add_workers(4)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        for _ in range(2):
+            job_id = self.submit(harness.make_step(width=4))
+            await self.wait_until(
+                lambda j=job_id: self.state(j) == "completed"
+            )
+        long_job = self.submit(harness.make_step())
+        self.fleet.durations_by_job[long_job] = harness.seconds(40)
+        await self.wait_until(lambda: self.state(long_job) == "completed", 60)
+        ends = [i.end for i in self.fleet.intervals if long_job in i.task]
+        self.assertEqual(ends, [fleet.End.STOPPED, fleet.End.DONE])
+
+
 class DrainTest(harness.SchedulingTestCase):
     """A worker announces that it leaves."""
 
