Play the whole path over HTTP against a stand-in; keep the role after an error

Cause: the adapter had tests of its decoders only, and a process that ended early left its tasks running on a closed session (seen in the new test); an error in one round ended the role, and a successor would have met it too. Change: standin.platform speaks the platform's protocol on loopback; two whole instances are tested through it (submit, repeat, show, cancel, revoke, refuse, metrics, leave); tasks end with their process; a round that raises is logged and the next one goes on.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -38,13 +38,17 @@
 class Process:
     """Own one instance's sockets and tasks."""
 
-    def __init__(self, settings: platform_settings.Settings) -> None:
-        """Take checked settings."""
+    def __init__(
+        self,
+        settings: platform_settings.Settings,
+        log_descriptor: int = events.STDOUT,
+    ) -> None:
+        """Take checked settings and where log lines go."""
         self._settings = settings
         self._clock = clocks.SystemClock()
         self._measures = measures.Measures()
         self._log = events.Events(
-            self._clock, settings.instance, self._measures
+            self._clock, settings.instance, self._measures, log_descriptor
         )
         self._leaving = asyncio.Event()
 
@@ -58,7 +62,6 @@
             ingress=settings.ingress_address,
             metrics=settings.metrics_address,
         )
-        self._trap_signals()
         connector = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=KEEP_ALIVE_S
         )
@@ -70,10 +73,15 @@
         self._log.emit("stopped")
         self._log.flush()
 
-    def _trap_signals(self) -> None:
+    def leave(self) -> None:
+        """Begin a planned stop."""
+        self._leaving.set()
+
+    def trap_signals(self) -> None:
+        """Leave on SIGTERM and read the settings again on SIGHUP."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
-        loop.add_signal_handler(signal.SIGINT, self._leaving.set)
+        loop.add_signal_handler(signal.SIGTERM, self.leave)
+        loop.add_signal_handler(signal.SIGINT, self.leave)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
     def _reload(self) -> None:
@@ -130,12 +138,16 @@
             asyncio.ensure_future(view.run()),
             asyncio.ensure_future(node.run()),
         ]
-        await self._wait_leaving(tasks)
-        await self._leave(ingress, node)
-        for task in tasks:
-            task.cancel()
-        for runner in runners:
-            await runner.cleanup()
+        try:
+            await self._wait_leaving(tasks)
+            await self._leave(ingress, node)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await node.close()
+            for runner in runners:
+                await runner.cleanup()
 
     async def _show_measures(
         self, node: nodes.Node, view: configuration_view.ConfigurationView
@@ -175,7 +187,9 @@
 
 async def _listen(handler, address: str) -> web.ServerRunner:
     host, _, port = address.rpartition(":")
-    server = web.Server(handler, keepalive_timeout=CLIENT_IDLE_S)
+    server = web.Server(
+        handler, keepalive_timeout=CLIENT_IDLE_S, access_log=None
+    )
     runner = web.ServerRunner(server, shutdown_timeout=CLOSE_LIMIT_S)
     await runner.setup()
     await web.TCPSite(runner, host, int(port), reuse_address=True).start()
@@ -193,7 +207,9 @@
 
 
 async def _run(settings: platform_settings.Settings) -> None:
-    await Process(settings).run()
+    process = Process(settings)
+    process.trap_signals()
+    await process.run()
 
 
 if __name__ == "__main__":
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -132,6 +132,12 @@
         finally:
             self.scheduler = None
 
+    async def close(self) -> None:
+        """End the scheduler's tasks."""
+        if self._scheduling is not None:
+            self._scheduling.cancel()
+            await asyncio.gather(self._scheduling, return_exceptions=True)
+
     async def stop(self) -> None:
         """Hand the role over, if the store answers, and stop following."""
         self._is_stopping = True
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import traceback
 
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
@@ -121,7 +122,7 @@
         try:
             while not self.journal.is_lost:
                 began_at = self._clock.monotonic()
-                self._round()
+                self._round_or_report()
                 took = self._clock.monotonic() - began_at
                 await clocks.within(self._clock, TICK, self._wake.wait())
                 if self._wake.is_set():
@@ -275,6 +276,20 @@
         value = codec.encode_assignment(worker.assignment())
         self.journal.stage(key, value)
 
+    def _round_or_report(self) -> None:
+        """Decide once; an error costs this round, not the role.
+
+        A successor would meet the same error with the same records.
+        """
+        try:
+            self._round()
+        except Exception as error:
+            self._log.emit(
+                "round_crashed",
+                error=repr(error),
+                trace=traceback.format_exc(limit=-3),
+            )
+
     def _round(self) -> None:
         self._sync_workers()
         self._watch.check_lapses()
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -153,6 +153,10 @@
         self.injected: collections.Counter[str] = collections.Counter()
         self._gangs: dict[tuple[str, int], datetime.timedelta] = {}
 
+    def steps_of(self, job_id: str) -> tuple[models.Step, ...]:
+        """Return a job's steps."""
+        return self.steps_by_job[job_id]
+
     def duration_of(self, task: str) -> datetime.timedelta:
         """Return how long a task works."""
         return self.durations_by_job.get(task[:16], self.duration)
@@ -244,7 +248,7 @@
         if order.run <= worker.highest_by_task.get(order.task, 0):
             return fleet.OrderResult(Status.STALE_RUN, clock_ms)
         job_id, _, step_number, _ = order.task.rsplit(".", 3)
-        step = self.steps_by_job[job_id][int(step_number)]
+        step = self.steps_of(job_id)[int(step_number)]
         if not step.demand.fits(worker.free()):
             return fleet.OrderResult(Status.NO_ROOM, clock_ms)
         width = step.width if step.is_gang else 0
--- /dev/null
+++ b/cardamomcroft/standin/platform.py
@@ -0,0 +1,270 @@
+"""Serve the stand-ins of the store and the workers over HTTP.
+
+Speaks the users' platform's protocol on one loopback address, so that the
+daemon's adapter is tested and shown without their bench.
+"""
+
+import base64
+import dataclasses
+import datetime
+import json
+import struct
+
+from aiohttp import web
+
+from cardamomcroft.ports import base
+from cardamomcroft.ports import fleet as fleets
+from cardamomcroft.ports import store as stores
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import ledger
+from cardamomcroft.scheduling import models
+from cardamomcroft.standin import fleet
+from cardamomcroft.standin import store
+
+_STREAMS = {f"keyed.{stream.value}": stream for stream in stores.Stream}
+_STREAMS |= {
+    "keyed.op": stores.Stream.OPERATOR,
+    "keyed.servers": stores.Stream.SERVERS,
+}
+_REASONS = {
+    fleets.OrderStatus.STALE_TOKEN: "fence",
+    fleets.OrderStatus.STALE_RUN: "old",
+    fleets.OrderStatus.EXPIRED: "late",
+    fleets.OrderStatus.NO_ROOM: "room",
+}
+_ENDS = {
+    fleets.End.DONE: "done",
+    fleets.End.FAILED: "failed",
+    fleets.End.STOPPED: "stopped",
+    fleets.End.LAPSED: "lapsed",
+    fleets.End.GANG_BROKEN: "broken",
+    fleets.End.GANG_INCOMPLETE: "alone",
+}
+_MS = datetime.timedelta(milliseconds=1)
+_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class _StoredFleet(fleet.FakeFleet):
+    """Know the jobs' steps from the records of their submissions."""
+
+    service: store.StoreService
+
+    def steps_of(self, job_id: str) -> tuple[models.Step, ...]:
+        """Return a job's steps."""
+        key = ledger.Kind.SUBMISSION.key(job_id)
+        for record in self.service.records_by_stream[stores.Stream.JOBS]:
+            if record.key == key:
+                return codec.decode_job(job_id, record.value).steps
+        raise KeyError(job_id)
+
+
+class PlatformServer:
+    """Answer the store's and the workers' calls."""
+
+    def __init__(
+        self, clock: base.Clock, duration: datetime.timedelta
+    ) -> None:
+        """Take how long every task works."""
+        self.store = store.StoreService(clock)
+        self.fleet = _StoredFleet(clock, duration)
+        self.fleet.service = self.store
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+        self._handlers = {
+            "/log-append": self._append,
+            "/log-read": self._read,
+            "/log-newest": self._newest,
+            "/run-start": self._start,
+            "/run-stop": self._stop,
+            "/hold": self._hold,
+        }
+
+    async def listen(self, host: str = "127.0.0.1") -> None:
+        """Serve on a free port."""
+        server = web.Server(self._handle, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, 0).start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def add_worker(self, worker_id: str) -> None:
+        """Register a worker of the service ``svc``."""
+        listing = self.fleet.add(worker_id)
+        entry = {
+            "Service": listing.service,
+            "Address": self.address,
+            "Zone": listing.data_centre,
+            "State": listing.state.value,
+            "Capacity": {
+                "Cpu": listing.milli_cores,
+                "MemMb": listing.memory_mb,
+                "Gpu": listing.accelerators,
+            },
+            "Labels": sorted(listing.labels),
+            "ClockMs": 0,
+            "born": listing.born_ms,
+        }
+        value = json.dumps(entry).encode()
+        self.store.put(stores.Stream.SERVERS, worker_id, value)
+
+    def configure(self, plain: dict) -> None:
+        """Put a configuration in force as the operator does."""
+        value = json.dumps(plain).encode()
+        self.store.put(stores.Stream.OPERATOR, "config", value)
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        handler = self._handlers.get(request.path)
+        if handler is None:
+            return web.Response(status=404)
+        return await handler(request)
+
+    async def _append(self, request: web.BaseRequest) -> web.Response:
+        query = request.query
+        writer = None
+        if "Producer" in query:
+            writer = stores.Writer(
+                query["Producer"], int(query["epoch"]), int(query["Sequence"])
+            )
+        expected = query.get("Timestamp")
+        answer = await self.store.client("http").append(
+            _STREAMS[query["Topic"]],
+            _entries(await request.read()),
+            _TIMEOUT,
+            int(expected) if expected is not None else None,
+            writer,
+        )
+        status = stores.AppendStatus
+        if answer.status is status.APPENDED:
+            return web.json_response(
+                {"Offset": answer.offset, "EndOffset": answer.end_offset}
+            )
+        if answer.status is status.CONFLICT:
+            return web.json_response(
+                {"EndOffset": answer.end_offset}, status=412
+            )
+        if answer.status is status.FENCED:
+            return web.json_response({"Reason": "fenced"}, status=409)
+        if answer.status is status.OUT_OF_SEQUENCE:
+            body = {"Reason": "seq", "Sequence": answer.expected_sequence}
+            return web.json_response(body, status=409)
+        return web.Response(status=503)
+
+    async def _read(self, request: web.BaseRequest) -> web.Response:
+        offset = int(request.query["From"])
+        page = await self.store.client("http").read(
+            _STREAMS[request.query["Topic"]],
+            offset,
+            int(request.query.get("WaitMs", 0)) * _MS,
+            _TIMEOUT,
+        )
+        if isinstance(page, stores.ReadFailure):
+            is_expired = page.status is stores.ReadStatus.EXPIRED
+            return web.Response(status=410 if is_expired else 503)
+        body = struct.pack(">QQ", page.end_offset, 0)
+        for record in page.records:
+            key = record.key.encode()
+            raw = bytes([len(key)]) + key + (record.value or b"")
+            body += struct.pack(">I", len(raw)) + raw
+        return web.Response(body=body)
+
+    async def _newest(self, request: web.BaseRequest) -> web.Response:
+        page = await self.store.client("http").newest(
+            _STREAMS[request.query["Topic"]], _TIMEOUT
+        )
+        if isinstance(page, stores.ReadFailure):
+            return web.Response(status=503)
+        items = [
+            {
+                "Key": record.key,
+                "Value": base64.b64encode(record.value).decode(),
+                "Offset": record.offset,
+            }
+            for record in page.records
+        ]
+        return web.json_response(
+            {"items": items, "HasMore": False, "EndOffset": page.end_offset}
+        )
+
+    async def _start(self, request: web.BaseRequest) -> web.Response:
+        plain = await request.json()
+        order = fleets.StartOrder(
+            plain["Task"],
+            plain["RunId"],
+            plain["Spec"],
+            plain["DeadlineMs"],
+            plain["FencingToken"],
+            plain.get("Checkpoint", ""),
+        )
+        return _answer(
+            await self.fleet.start(_worker(request), order, _TIMEOUT)
+        )
+
+    async def _stop(self, request: web.BaseRequest) -> web.Response:
+        plain = await request.json()
+        return _answer(
+            await self.fleet.stop(
+                _worker(request),
+                plain["Task"],
+                plain["RunId"],
+                plain["FencingToken"],
+                _TIMEOUT,
+            )
+        )
+
+    async def _hold(self, request: web.BaseRequest) -> web.Response:
+        plain = await request.json()
+        order = fleets.HoldOrder(
+            plain["FencingToken"],
+            plain["LastSeen"],
+            plain.get("DeadlineMs"),
+            plain.get("WaitMs", 0) * _MS,
+        )
+        result = await self.fleet.hold(_worker(request), order, _TIMEOUT)
+        if isinstance(result, fleets.OrderResult):
+            return _answer(result)
+        return web.json_response(
+            {
+                "ClockMs": result.clock_ms,
+                "born": result.born_ms,
+                "Running": [
+                    list(dataclasses.astuple(run)) for run in result.running
+                ],
+                "Finished": [
+                    [e.number, e.task, e.run, _ENDS[e.end], e.checkpoint]
+                    for e in result.finished
+                ],
+            }
+        )
+
+
+def _worker(request: web.BaseRequest) -> fleets.Address:
+    return fleets.Address(request.headers["X-Expected-Instance"], "")
+
+
+def _answer(result: fleets.OrderResult) -> web.Response:
+    body = {"ClockMs": result.clock_ms or 0}
+    if result.status is fleets.OrderStatus.DONE:
+        return web.json_response(body)
+    reason = _REASONS.get(result.status)
+    if reason is None:
+        return web.Response(status=503)
+    return web.json_response(body | {"Reason": reason}, status=409)
+
+
+def _entries(body: bytes) -> list[stores.Entry]:
+    entries = []
+    position = 0
+    while position < len(body):
+        (length,) = struct.unpack_from(">I", body, position)
+        raw = body[position + 4 : position + 4 + length]
+        split = 1 + raw[0]
+        key = raw[1:split].decode()
+        entries.append(stores.Entry(key, raw[split:] or None))
+        position += 4 + length
+    return entries
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,233 @@
+"""The whole path over HTTP: submit, run, show, cancel, refuse, leave."""
+
+import asyncio
+import datetime
+import os
+import socket
+import unittest
+
+import aiohttp
+
+from cardamomcroft.platform import main
+from cardamomcroft.platform import settings
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.standin import platform
+
+HOST = "127.0.0.1"
+KEY = {"Api-Key": "k1", "Host": "jobs.example"}
+JOB = "00000000000000aa"
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def seconds(number: float) -> datetime.timedelta:
+    """Return a duration."""
+    return datetime.timedelta(seconds=number)
+
+
+def make_settings(name: str, store_address: str) -> settings.Settings:
+    """Return the settings of an instance on loopback."""
+    addresses = [f"{HOST}:{free_port()}" for _ in range(3)]
+    return settings.Settings(
+        name,
+        "dc",
+        *addresses,
+        store_address,
+        None,
+        seconds(2),
+        seconds(10),
+        seconds(0.2),
+        seconds(6),
+        seconds(2),
+        seconds(1.5),
+        3.0,
+        seconds(2),
+        seconds(0.6),
+        seconds(2.7),
+        seconds(3),
+        seconds(120),
+    )
+
+
+def configuration(version: int, keys: list[str]) -> dict:
+    """Return a configuration with one queue and one account."""
+    route = {
+        "Name": "q",
+        "Host": "jobs.example",
+        "PathPrefix": "/scan/",
+        "Service": "svc",
+        "Priority": 1,
+        "MaxAttempts": 2,
+        "SlackFactor": 3.0,
+        "TargetLatencyMs": 500,
+    }
+    account = {"Name": "t", "ApiKeys": keys, "Guaranteed": {"Gpu": 8}}
+    return {"Version": version, "Routes": [route], "Tenants": [account]}
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    """Two instances, two workers and a store on loopback."""
+
+    async def asyncSetUp(self):
+        """Start everything and wait until clients are served."""
+        self.platform = platform.PlatformServer(
+            clocks.SystemClock(), seconds(0.3)
+        )
+        await self.platform.listen()
+        self.platform.configure(configuration(1, ["k1"]))
+        for worker_id in ("w1", "w2"):
+            self.platform.add_worker(worker_id)
+        self.sink = os.open(os.devnull, os.O_WRONLY)
+        self.processes = []
+        self.tasks = []
+        for name in ("a", "b"):
+            chosen = make_settings(name, self.platform.address)
+            process = main.Process(chosen, self.sink)
+            self.processes.append((process, chosen))
+            self.tasks.append(asyncio.ensure_future(process.run()))
+        self.session = aiohttp.ClientSession()
+        for _, chosen in self.processes:
+            await self.wait_for(lambda c=chosen: self.is_ready(c))
+
+    async def asyncTearDown(self):
+        """Stop everything."""
+        await self.session.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.platform.close()
+        os.close(self.sink)
+
+    async def wait_for(self, condition, limit: float = 10) -> None:
+        """Wait until an awaited condition holds."""
+        until = asyncio.get_running_loop().time() + limit
+        while not await condition():
+            self.assertLess(asyncio.get_running_loop().time(), until)
+            await asyncio.sleep(0.02)
+
+    async def is_ready(self, chosen: settings.Settings) -> bool:
+        """Ask the readiness probe."""
+        try:
+            url = f"http://{chosen.ready_address}/readyz"
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def call(
+        self, method: str, path: str, body=None, headers=KEY, instance=0
+    ) -> tuple[int, dict]:
+        """Call an instance as a client does."""
+        address = self.processes[instance][1].ingress_address
+        async with self.session.request(
+            method, f"http://{address}{path}", json=body, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def is_completed(self, job_id: str, instance: int) -> bool:
+        """Ask an instance whether a job has completed."""
+        status, plain = await self.call(
+            "GET", f"/scan/{job_id}", instance=instance
+        )
+        self.assertEqual(status, 200)
+        return plain["State"] == "completed"
+
+    async def test_job_runs_and_every_instance_shows_it(self):
+        """Accepted at one instance, completed, shown at the other."""
+        body = {
+            "Spec": "text",
+            "Phases": [
+                {"Count": 3, "Cpu": 500, "MemMb": 100, "Gpu": 1, "Gang": True},
+                {"Count": 2, "Cpu": 500, "MemMb": 100, "After": [0]},
+            ],
+        }
+        for instance in (0, 1):  # the second is a repeat
+            status, _ = await self.call(
+                "POST", f"/scan/{JOB}", body, instance=instance
+            )
+            self.assertEqual(status, 200)
+        await self.wait_for(lambda: self.is_completed(JOB, 1))
+        done = [i.task for i in self.platform.fleet.intervals]
+        self.assertEqual(len(done), 5)
+        self.assertEqual(len(set(done)), 5)
+        _, plain = await self.call("GET", "/scan/")
+        self.assertEqual(plain, {"Pending": 0})
+
+    async def test_refusals_are_truthful(self):
+        """Unknown keys, queues and jobs, and damaged bodies."""
+        body = {"Phases": [{"Count": 1}]}
+        path = f"/scan/{JOB}"
+        wrong_key = KEY | {"Api-Key": "no"}
+        status, _ = await self.call("POST", path, body, wrong_key)
+        self.assertEqual(status, 401)
+        status, _ = await self.call("POST", f"/other/{JOB}", body)
+        self.assertEqual(status, 404)
+        status, _ = await self.call("GET", path)
+        self.assertEqual(status, 410)
+        status, _ = await self.call("DELETE", path)
+        self.assertEqual(status, 410)
+        status, _ = await self.call("POST", path, {"Phases": []})
+        self.assertEqual(status, 400)
+        self.platform.store.faults.is_down = True
+        status, _ = await self.call("POST", path, body)
+        self.assertEqual(status, 503)
+
+    async def test_revoked_key_is_refused_everywhere(self):
+        """A new version is in force on both instances within its bound."""
+        self.platform.configure(configuration(2, ["k2"]))
+
+        async def is_refused() -> bool:
+            statuses = [
+                (await self.call("GET", "/scan/", instance=n))[0]
+                for n in (0, 1)
+            ]
+            return statuses == [401, 401]
+
+        await self.wait_for(is_refused, 2)
+
+    async def test_cancelled_job_is_shown_as_such(self):
+        """A cancellation is acknowledged and its tasks stop."""
+        self.platform.fleet.duration = seconds(30)
+        body = {"Phases": [{"Count": 2, "Cpu": 500, "MemMb": 100}]}
+        await self.call("POST", f"/scan/{JOB}", body)
+
+        async def is_running() -> bool:
+            return len(self.platform.fleet.running()) == 2
+
+        await self.wait_for(is_running)
+        status, _ = await self.call("DELETE", f"/scan/{JOB}", instance=1)
+        self.assertEqual(status, 200)
+        _, plain = await self.call("GET", f"/scan/{JOB}", instance=1)
+        self.assertEqual(plain["State"], "cancelled")
+
+        async def is_gone() -> bool:
+            return not self.platform.fleet.running()
+
+        await self.wait_for(is_gone, 3)
+
+    async def test_metrics_are_served(self):
+        """Counters and histograms come as text."""
+        address = self.processes[0][1].metrics_address
+        url = f"http://{address}/metrics"
+        async with self.session.get(url) as response:
+            text = await response.text()
+        self.assertIn("cardamomcroft_is_scheduler", text)
+        self.assertIn('event="configuration_in_force"', text)
+
+    async def test_planned_stop_answers_what_it_has_read(self):
+        """A leaving instance is not ready but still answers."""
+        process, chosen = self.processes[0]
+        process.leave()
+
+        async def is_out() -> bool:
+            return not await self.is_ready(chosen)
+
+        await self.wait_for(is_out, 1)
+        status, _ = await self.call("GET", "/scan/")
+        self.assertEqual(status, 200)
+        await asyncio.wait_for(self.tasks[0], 6)
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -219,3 +219,33 @@
             )
             self.check_run_once(job_id)
         self.assertEqual(self.store.injected["expired"], 1)
+
+
+class BrokenRoundTest(harness.SchedulingTestCase):
+    """An error in one round is reported and the next goes on."""
+
+    async def test_role_survives(self):
+        """The job completes although a round has raised."""
+        self.add_workers(1)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        scheduler = self.nodes_by_name["a"].scheduler
+        whole = scheduler._accounts
+        raised = []
+
+        def accounts():
+            if len(raised) < 3:
+                raised.append(True)
+                raise ValueError("broken")
+            return whole()
+
+        scheduler._accounts = accounts
+        job_id = self.submit(harness.make_step())
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.assertEqual(len(raised), 3)
+        measured = scheduler._log.measures.registry
+        count = measured.get_sample_value(
+            "cardamomcroft_events_total",
+            {"event": "round_crashed", "outcome": ""},
+        )
+        self.assertEqual(count, 3)
