Show a cancellation, or an acceptance, to the query that follows it; split the scheduler

Cause: tests.platform.test_path failed 6 times of 14 beside load: a state query right after an acknowledged cancel found a copy under 50 ms old and answered 'running' (and would have answered 410 to a job just accepted). Ruled out: the ledger; the record was in the store before the query.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -16,11 +16,11 @@
 from cardamomcroft.platform import store as platform_store
 from cardamomcroft.platform import workers
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.scheduling import beliefs
 from cardamomcroft.scheduling import configuration_view
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import measures
 from cardamomcroft.scheduling import node as nodes
-from cardamomcroft.scheduling import scheduler as schedulers
 
 KEEP_ALIVE_S = 30.0  # polls reuse their connections
 CLIENT_IDLE_S = 60.0
@@ -100,7 +100,7 @@
         link = workers.HttpWorkerLink(
             session, settings.advice_address, clock, self._measures
         )
-        terms = schedulers.Terms(
+        terms = beliefs.Terms(
             min(LEASE, settings.max_lease),
             MAX_GRANT_AGE,
             settings.stop_bound,
--- /dev/null
+++ b/cardamomcroft/scheduling/beliefs.py
@@ -0,0 +1,214 @@
+"""Hold what the scheduler believes, and record what lasts of it."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import datetime
+
+from cardamomcroft.ports import base
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import estimates
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import journal as journals
+from cardamomcroft.scheduling import ledger as ledgers
+from cardamomcroft.scheduling import runs
+
+STRIKE_LIMIT = 2  # failures in a row after which a worker is avoided
+STRIKE_PAUSE = datetime.timedelta(seconds=3)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """Hold the bounds that the workers' protocol sets."""
+
+    lease: datetime.timedelta
+    max_grant_age: datetime.timedelta  # an isolated holder extends leases
+    stop_bound: datetime.timedelta
+    run_base: int  # run numbers of this term start above it
+
+
+class Beliefs:
+    """Hold jobs, runs and workers; stage their records in the journal."""
+
+    def __init__(
+        self,
+        journal: journals.Journal,
+        clock: base.Clock,
+        log: events.Events,
+        terms: Terms,
+    ) -> None:
+        """Start empty."""
+        self.journal = journal
+        self.clock = clock
+        self.log = log
+        self.terms = terms
+        self.jobs_by_id: dict[str, runs.JobState] = {}
+        self.workers_by_id: dict[str, runs.Worker] = {}
+        self.durations = estimates.Durations()
+        self.changed = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token."""
+        return self.journal.claim.epoch + 1
+
+    def spawn(self, coroutine: collections.abc.Coroutine) -> None:
+        """Run a task that ends with the scheduler."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._reap)
+
+    def _reap(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            self.log.emit("task_crashed", error=repr(task.exception()))
+
+    def wake(self) -> None:
+        """Ask for a round."""
+        self.changed.set()
+
+    def cancel_tasks(self) -> None:
+        """End everything that was spawned."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def find(self, name: str) -> tuple[runs.StepState, int] | None:
+        """Return a task's step and index, if its job has not ended."""
+        try:
+            job_id, occurrence, number, index = name.rsplit(".", 3)
+            state = self.jobs_by_id.get(job_id)
+            if state is None:
+                return None
+            step = state.steps_by_key.get((int(occurrence), int(number)))
+            return (step, int(index)) if step else None
+        except ValueError:
+            return None
+
+    def attach(self, run: runs.Run) -> None:
+        """Count a run at its step and worker."""
+        index = run.key.index
+        run.step.waiting.discard(index)
+        run.step.runs_by_index[index] = run
+        self.workers_by_id[run.worker_id].runs_by_task[run.name] = run
+
+    def detach(self, run: runs.Run) -> None:
+        """Forget a run that is gone for certain."""
+        index = run.key.index
+        step = run.step
+        if step.runs_by_index.get(index) is run:
+            del step.runs_by_index[index]
+            if index not in step.done:
+                step.waiting.add(index)
+        worker = self.workers_by_id.get(run.worker_id)
+        if worker and worker.runs_by_task.get(run.name) is run:
+            del worker.runs_by_task[run.name]
+        if run.checkpoint:
+            self._keep_checkpoint(run)
+        self.wake()
+
+    def _keep_checkpoint(self, run: runs.Run) -> None:
+        step, index = run.step, run.key.index
+        if index in step.done or not run.checkpoint:
+            return
+        if step.checkpoints_by_index.get(index) != run.checkpoint:
+            step.checkpoints_by_index[index] = run.checkpoint
+            self.stage_progress(step.job)
+
+    def stage_progress(self, job: runs.JobState) -> None:
+        """Record a job's progress with the next batch."""
+        ended_at = self.clock.now().timestamp() if job.final_state else 0.0
+        value = codec.encode_progress(job.progress(ended_at))
+        key = ledgers.Kind.PROGRESS.key(job.job.job_id)
+        self.journal.stage(key, value)
+
+    def stage_assignment(self, worker: runs.Worker) -> None:
+        """Record what a worker may run with the next batch."""
+        key = ledgers.Kind.ASSIGNMENT.key(worker.worker_id)
+        worker.is_recorded = True
+        value = codec.encode_assignment(worker.assignment())
+        self.journal.stage(key, value)
+
+    def note_done(self, run_step: runs.StepState, index: int) -> None:
+        """Count a task's success; a gang's tasks succeed together."""
+        indexes = (
+            range(run_step.model.width) if run_step.model.is_gang else (index,)
+        )
+        for number in indexes:
+            run_step.done.add(number)
+            run_step.waiting.discard(number)
+            run_step.checkpoints_by_index.pop(number, None)
+        job = run_step.job
+        is_whole = all(step.is_done for step in job.steps_by_key.values())
+        if is_whole and not job.final_state:
+            job.final_state = "completed"
+            self.spawn(self.confirm_end(job))
+        self.stage_progress(job)
+        self.wake()
+
+    def note_failed(
+        self, step: runs.StepState, index: int, number: int
+    ) -> None:
+        """Count an attempt that failed; a gang fails as one."""
+        index = 0 if step.model.is_gang else index
+        count, last = step.failures_by_index.get(index, (0, 0))
+        if number <= last:
+            return
+        step.failures_by_index[index] = (count + 1, number)
+        job = step.job
+        if (
+            count + 1 >= job.job.queue.max_attempts
+            and not step.model.is_lasting
+            and not job.final_state
+        ):
+            job.final_state = "failed"
+            self.log.emit(
+                "job_failed",
+                job_id=job.job.job_id,
+                step=step.number,
+                index=index,
+                attempts=count + 1,
+            )
+            self.spawn(self.confirm_end(job))
+        self.stage_progress(job)
+        self.wake()
+
+    def note_strike(self, worker: runs.Worker) -> None:
+        """Avoid a worker that fails what it starts, longer each time."""
+        worker.strikes += 1
+        if worker.strikes >= STRIKE_LIMIT:
+            pause = STRIKE_PAUSE * min(worker.strikes - STRIKE_LIMIT + 1, 4)
+            worker.avoid_until = self.clock.monotonic() + pause
+            self.log.emit(
+                "worker_avoided",
+                worker_id=worker.worker_id,
+                strikes=worker.strikes,
+                seconds=pause.total_seconds(),
+            )
+
+    async def confirm_end(self, job: runs.JobState) -> None:
+        """Report a job's end once it is durable."""
+        if not await self.journal.commit():
+            return
+        took_s = (self.clock.monotonic() - job.accepted_at).total_seconds()
+        queue, account = job.job.queue.name, job.job.account
+        self.log.measures.completions.labels(
+            queue, account, job.final_state
+        ).observe(took_s)
+        objective = self.durations.objective(job.job)
+        self.log.emit(
+            "job_ended",
+            job_id=job.job.job_id,
+            state=job.final_state,
+            took_s=took_s,
+            objective_s=objective.total_seconds(),
+        )
+
+    def note_first_start(self, job: runs.JobState) -> None:
+        """Time how long a job has waited for its first start."""
+        if job.has_started:
+            return
+        job.has_started = True
+        wait_s = (self.clock.monotonic() - job.accepted_at).total_seconds()
+        labels = job.job.queue.name, job.job.account
+        self.log.measures.waits.labels(*labels).observe(wait_s)
--- /dev/null
+++ b/cardamomcroft/scheduling/inheriting.py
@@ -0,0 +1,83 @@
+"""Take over what an earlier scheduler may have started."""
+
+from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import beliefs as beliefs_module
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import ledger as ledgers
+from cardamomcroft.scheduling import runs
+
+
+def inherit(
+    beliefs: beliefs_module.Beliefs, ledger: ledgers.Ledger
+) -> list[runs.Worker]:
+    """Return the workers that may run something, none of them asked yet.
+
+    A task's newest recorded run is the only one that can still be there:
+    earlier ones were gone for certain before it was recorded.
+    """
+    latest = _latest_runs(ledger)
+    for worker_id, known in ledger.assignments_by_worker.items():
+        worker = _make_worker(beliefs, worker_id, known)
+        beliefs.workers_by_id[worker_id] = worker
+        for name, number in known.runs_by_task.items():
+            if latest[name] == (number, worker_id):
+                _inherit_run(beliefs, worker, name, number)
+    beliefs.log.emit(
+        "scheduler_started",
+        epoch=beliefs.journal.claim.epoch,
+        term=beliefs.journal.claim.term,
+        jobs=len(beliefs.jobs_by_id),
+        workers=len(beliefs.workers_by_id),
+        offset=ledger.end_offset,
+    )
+    return list(beliefs.workers_by_id.values())
+
+
+def _latest_runs(ledger: ledgers.Ledger) -> dict[str, tuple[int, str]]:
+    latest: dict[str, tuple[int, str]] = {}
+    for worker_id, known in ledger.assignments_by_worker.items():
+        for name, number in known.runs_by_task.items():
+            if number > latest.get(name, (0, ""))[0]:
+                latest[name] = (number, worker_id)
+    return latest
+
+
+def _make_worker(
+    beliefs: beliefs_module.Beliefs, worker_id: str, known: codec.Assignment
+) -> runs.Worker:
+    address = fleet.Address(worker_id, known.host_port)
+    worker = runs.Worker(address, known.born_ms)
+    worker.is_recorded = True
+    worker.has_inventory = False
+    # The earlier scheduler may extend leases for that long after its last
+    # record, and the last of them then has to run out.
+    terms = beliefs.terms
+    longest = terms.max_grant_age + terms.lease / runs.CLOCK_RATE
+    worker.lapses_at = beliefs.clock.monotonic() + longest
+    return worker
+
+
+def _inherit_run(
+    beliefs: beliefs_module.Beliefs,
+    worker: runs.Worker,
+    name: str,
+    number: int,
+) -> None:
+    found = beliefs.find(name)
+    if found is None:
+        return
+    step, index = found
+    if index not in step.waiting:
+        return
+    now = beliefs.clock.monotonic()
+    run = runs.Run(
+        step.key(index),
+        number,
+        worker.worker_id,
+        step,
+        runs.Phase.INHERITED,
+        now,
+    )
+    run.checkpoint = step.checkpoint(index)
+    run.settled_at = now
+    beliefs.attach(run)
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -9,6 +9,7 @@
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import beliefs
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration
@@ -39,7 +40,7 @@
         clock: base.Clock,
         log: events.Events,
         decode_listing: directories.Decoder,
-        terms: schedulers.Terms,
+        terms: beliefs.Terms,
         rng: random.Random,
     ) -> None:
         """Assemble the roles."""
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -1,10 +1,10 @@
 """Send orders to workers and settle those without an answer."""
 
+import collections.abc
 import datetime
 
-from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
-from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import beliefs as beliefs_module
 from cardamomcroft.scheduling import runs
 
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=700)  # 30 round trips
@@ -15,6 +15,7 @@
 REFUSED_PAUSE = datetime.timedelta(milliseconds=300)
 UNHEALTHY_PAUSE = datetime.timedelta(seconds=1)
 
+Contact = collections.abc.Callable[[runs.Worker], None]
 Status = fleet.OrderStatus
 # The worker certainly does not run what it refused.
 _REFUSED = frozenset(
@@ -35,32 +36,28 @@
     """Start and stop runs."""
 
     def __init__(
-        self,
-        scheduler,
-        link: fleet.WorkerLink,
-        clock: base.Clock,
-        log: events.Events,
-        terms,
+        self, beliefs: beliefs_module.Beliefs, link: fleet.WorkerLink
     ) -> None:
-        """Take the scheduler whose beliefs the answers change."""
-        self._scheduler = scheduler
+        """Take the beliefs that the answers change."""
+        self._beliefs = beliefs
         self._link = link
-        self._clock = clock
-        self._log = log
-        self._terms = terms
+        self._clock = beliefs.clock
+        self._log = beliefs.log
+        self._strays: set[tuple[str, str, int]] = set()
+        self.on_contact: Contact = lambda worker: None
 
     async def start_all(
         self, worker: runs.Worker, assigned: list[runs.Run]
     ) -> None:
         """Start runs on one worker, one after another."""
-        self._scheduler.ensure_watched(worker)
+        self.on_contact(worker)
         for run in assigned:
             if run.phase is runs.Phase.ASSIGNED:
                 await self._start(worker, run)
 
     async def _start(self, worker: runs.Worker, run: runs.Run) -> None:
         if run.step.job.is_cancelled or run.step.job.final_state:
-            self._scheduler.detach(run)
+            self._beliefs.detach(run)
             return
         now = self._clock.monotonic()
         run.phase = runs.Phase.STARTING
@@ -71,8 +68,8 @@
             run.name,
             run.number,
             run.step.job.job.payload,
-            worker.lease_until(now, self._terms.lease),
-            self._scheduler.token,
+            worker.lease_until(now, self._beliefs.terms.lease),
+            self._beliefs.token,
             run.checkpoint,
             ticket,
         )
@@ -89,7 +86,7 @@
             run=run.number,
             worker_id=worker.worker_id,
             outcome=result.status.value,
-            epoch=self._scheduler.journal.claim.epoch,
+            epoch=self._beliefs.journal.claim.epoch,
         )
         if result.clock_ms is not None:
             worker.note_clock(result.clock_ms, now)
@@ -100,9 +97,9 @@
                 run.phase = runs.Phase.AT_WORK
             run.began_at = run.progressed_at = now
             run.settled_at = now
-            self._scheduler.note_first_start(run.step.job)
+            self._beliefs.note_first_start(run.step.job)
         elif result.status is Status.STALE_TOKEN:
-            self._scheduler.journal.lose("worker has a newer token")
+            self._beliefs.journal.lose("worker has a newer token")
         elif result.status in _REFUSED:
             self._refused(worker, run, result)
         elif run.phase is runs.Phase.STARTING:
@@ -120,7 +117,7 @@
         elif result.status is not Status.STALE_RUN:
             worker.avoid_until = now + REFUSED_PAUSE
         run.checkpoint = ""
-        self._scheduler.detach(run)
+        self._beliefs.detach(run)
         if run.step.model.is_gang:
             self.stop_gang(run.step, "member refused")
 
@@ -136,30 +133,30 @@
             return
         if run.phase is runs.Phase.ASSIGNED:
             run.stop_reason = reason
-            self._scheduler.detach(run)
+            self._beliefs.detach(run)
             run.phase = runs.Phase.STOPPING
             return
         run.phase = runs.Phase.STOPPING
         run.stop_reason = reason
         run.settled_at = None
-        self._scheduler.spawn(self._stop(run))
+        self._beliefs.spawn(self._stop(run))
 
     async def _stop(self, run: runs.Run) -> None:
         while True:
-            worker = self._scheduler.workers_by_id.get(run.worker_id)
+            worker = self._beliefs.workers_by_id.get(run.worker_id)
             if worker is None or run.name not in worker.runs_by_task:
                 return
             result = await self._link.stop(
                 worker.address,
                 run.name,
                 run.number,
-                self._scheduler.token,
+                self._beliefs.token,
                 ORDER_TIMEOUT,
             )
             if result.status is Status.DONE:
                 break
             if result.status is Status.STALE_TOKEN:
-                self._scheduler.journal.lose("worker has a newer token")
+                self._beliefs.journal.lose("worker has a newer token")
                 return
             await self._clock.sleep(STOP_PAUSE)
         self._log.emit(
@@ -170,16 +167,24 @@
             reason=run.stop_reason,
         )
         now = self._clock.monotonic()
-        run.settled_at = now + self._terms.stop_bound + STOP_MARGIN
-        self._scheduler.ensure_watched(worker)
+        run.settled_at = now + self._beliefs.terms.stop_bound + STOP_MARGIN
+        self.on_contact(worker)
 
-    async def stop_stray(
+    def stop_stray(self, worker: runs.Worker, task: str, number: int) -> None:
+        """Stop a run that no step accounts for, once at a time."""
+        stray = worker.worker_id, task, number
+        if stray not in self._strays:
+            self._strays.add(stray)
+            self._beliefs.spawn(self._stop_stray(worker, task, number))
+
+    async def _stop_stray(
         self, worker: runs.Worker, task: str, number: int
     ) -> None:
-        """Stop a run that nobody accounts for; it is listed until then."""
         result = await self._link.stop(
-            worker.address, task, number, self._scheduler.token, ORDER_TIMEOUT
+            worker.address, task, number, self._beliefs.token, ORDER_TIMEOUT
         )
+        # It is listed, and stopped again, until it is gone.
+        self._strays.discard((worker.worker_id, task, number))
         self._log.emit(
             "stray_stopped",
             task=task,
@@ -191,7 +196,7 @@
     def check_uncertain(self) -> None:
         """Stop starts that got no answer and are not listed."""
         now = self._clock.monotonic()
-        for worker in self._scheduler.workers_by_id.values():
+        for worker in self._beliefs.workers_by_id.values():
             for run in list(worker.runs_by_task.values()):
                 if (
                     run.phase is runs.Phase.UNCERTAIN
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -4,7 +4,6 @@
 import dataclasses
 import datetime
 
-from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import headroom
 from cardamomcroft.scheduling import holding
@@ -13,6 +12,7 @@
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import preempting
 from cardamomcroft.scheduling import reservations
+from cardamomcroft.scheduling import rooms as rooms_module
 from cardamomcroft.scheduling import runs
 
 # Runs end all the time; within this wait most urgent jobs find room without
@@ -85,7 +85,7 @@
             [
                 room
                 for worker in situation.workers_by_id.values()
-                if (room := room_of(worker, situation.now))
+                if (room := rooms_module.room_of(worker, situation.now))
             ]
         )
         self._guaranteed = ordering.guaranteed_accounts(
@@ -101,7 +101,7 @@
             {
                 worker.worker_id: free
                 for worker in situation.workers_by_id.values()
-                if (free := room_soon(worker, situation.now))
+                if (free := rooms_module.room_soon(worker, situation.now))
             },
             situation.now,
             self._guaranteed,
@@ -311,7 +311,7 @@
             places: collections.Counter[str] = collections.Counter()
             for worker in self._situation.workers_by_id.values():
                 if worker.listing is not None:
-                    capacity = capacity_of(worker.listing)
+                    capacity = rooms_module.capacity_of(worker.listing)
                     count = placing.places(step.model, capacity)
                     places[worker.listing.rack] += count
             self._rack_places[demand] = max(places.values(), default=0)
@@ -394,7 +394,7 @@
         for room in self._board.eligible(model, step.job.job.queue.service):
             worker = self._situation.workers_by_id[room.worker_id]
             is_near = model.data_rack in ("", room.rack)
-            capacity = capacity_of(worker.listing)
+            capacity = rooms_module.capacity_of(worker.listing)
             if is_near and holding.is_large(model, capacity):
                 rack = room.rack if within_rack else ""
                 slots = slots_by_rack.setdefault(rack, {})
@@ -425,54 +425,6 @@
         return own * expected.total_seconds() * EAGER_LOSS
 
 
-def capacity_of(listing: fleet.Listing) -> models.Demand:
-    """Return what an empty worker offers."""
-    return models.Demand(
-        listing.milli_cores, listing.memory_mb, listing.accelerators
-    )
-
-
-def room_soon(
-    worker: runs.Worker, now: datetime.timedelta
-) -> models.Demand | None:
-    """Return the room once the runs being stopped are gone."""
-    if not is_usable(worker, now):
-        return None
-    free = capacity_of(worker.listing).minus(worker.used())
-    for run in worker.runs_by_task.values():
-        if run.phase is runs.Phase.STOPPING:
-            free = free.plus(placing.demand_of(run.step.model))
-    return free
-
-
-def room_of(
-    worker: runs.Worker, now: datetime.timedelta
-) -> placing.Room | None:
-    """Return a worker's room; None while it gets no new work."""
-    listing = worker.listing
-    if listing is None or not is_usable(worker, now):
-        return None
-    return placing.Room(
-        worker.worker_id,
-        capacity_of(listing).minus(worker.used()),
-        listing.rack,
-        listing.labels,
-        listing.service,
-        worker.strikes,
-    )
-
-
-def is_usable(worker: runs.Worker, now: datetime.timedelta) -> bool:
-    """Tell whether a worker gets new work."""
-    return (
-        worker.listing is not None
-        and worker.listing.state.value == "ready"
-        and worker.has_inventory
-        and worker.unreachable_since is None
-        and worker.avoid_until <= now
-    )
-
-
 def ready_steps(
     job: runs.JobState, now: datetime.timedelta, wall: datetime.datetime
 ) -> list[runs.StepState]:
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -10,7 +10,6 @@
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import ledger
 
-RECENT = datetime.timedelta(milliseconds=50)  # a few store calls
 READ_TIMEOUT = datetime.timedelta(seconds=1)  # 240 ms at a slow store
 _ZERO = datetime.timedelta()
 
@@ -42,13 +41,20 @@
         return self._clock.monotonic() - self.fresh_at
 
     async def refresh(self, limit: datetime.timedelta) -> None:
-        """Bring a copy that is not quite new up to date, if that is quick."""
-        if self.age is not None and self.age <= RECENT:
-            return
-        if self._refreshing is None or self._refreshing.done():
-            self._refreshing = asyncio.ensure_future(self.update())
-        shared = asyncio.shield(self._refreshing)
-        await clocks.within(self._clock, limit, shared)
+        """Bring the copy up to this moment, if the store is quick."""
+        catching_up = self._catch_up(self._clock.monotonic())
+        await clocks.within(self._clock, limit, catching_up)
+
+    async def _catch_up(self, asked_at: datetime.timedelta) -> None:
+        """Read until the copy holds all that was acknowledged by then.
+
+        A read that is under way was sent earlier and may lack the newest.
+        """
+        while self.fresh_at is None or self.fresh_at < asked_at:
+            if self._refreshing is None or self._refreshing.done():
+                self._refreshing = asyncio.ensure_future(self.update())
+            if not await asyncio.shield(self._refreshing):
+                return
 
     async def update(self, wait: datetime.timedelta = _ZERO) -> bool:
         """Read once; tell whether the store answered."""
--- /dev/null
+++ b/cardamomcroft/scheduling/rooms.py
@@ -0,0 +1,56 @@
+"""Work out what workers can take, from what is believed of them."""
+
+import datetime
+
+from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import placing
+from cardamomcroft.scheduling import runs
+
+
+def capacity_of(listing: fleet.Listing) -> models.Demand:
+    """Return what an empty worker offers."""
+    return models.Demand(
+        listing.milli_cores, listing.memory_mb, listing.accelerators
+    )
+
+
+def room_soon(
+    worker: runs.Worker, now: datetime.timedelta
+) -> models.Demand | None:
+    """Return the room once the runs being stopped are gone."""
+    if not is_usable(worker, now):
+        return None
+    free = capacity_of(worker.listing).minus(worker.used())
+    for run in worker.runs_by_task.values():
+        if run.phase is runs.Phase.STOPPING:
+            free = free.plus(placing.demand_of(run.step.model))
+    return free
+
+
+def room_of(
+    worker: runs.Worker, now: datetime.timedelta
+) -> placing.Room | None:
+    """Return a worker's room; None while it gets no new work."""
+    listing = worker.listing
+    if listing is None or not is_usable(worker, now):
+        return None
+    return placing.Room(
+        worker.worker_id,
+        capacity_of(listing).minus(worker.used()),
+        listing.rack,
+        listing.labels,
+        listing.service,
+        worker.strikes,
+    )
+
+
+def is_usable(worker: runs.Worker, now: datetime.timedelta) -> bool:
+    """Tell whether a worker gets new work."""
+    return (
+        worker.listing is not None
+        and worker.listing.state.value == "ready"
+        and worker.has_inventory
+        and worker.unreachable_since is None
+        and worker.avoid_until <= now
+    )
--- a/cardamomcroft/scheduling/watching.py
+++ b/cardamomcroft/scheduling/watching.py
@@ -2,10 +2,10 @@
 
 import datetime
 
-from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
-from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import beliefs as beliefs_module
+from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import runs
 
 LONG_POLL = datetime.timedelta(seconds=2)  # the longest the workers allow
@@ -22,24 +22,22 @@
 
     def __init__(
         self,
-        scheduler,
+        beliefs: beliefs_module.Beliefs,
+        orders: order_senders.Orders,
         link: fleet.WorkerLink,
-        clock: base.Clock,
-        log: events.Events,
-        terms,
     ) -> None:
-        """Take the scheduler whose beliefs the lists change."""
-        self._scheduler = scheduler
+        """Take the beliefs that the lists change."""
+        self._beliefs = beliefs
+        self._orders = orders
         self._link = link
-        self._clock = clock
-        self._log = log
-        self._terms = terms
+        self._clock = beliefs.clock
+        self._log = beliefs.log
 
     def ensure(self, worker: runs.Worker) -> None:
         """Start polling unless it goes on already."""
         if not worker.is_watched:
             worker.is_watched = True
-            self._scheduler.spawn(self._poll(worker))
+            self._beliefs.spawn(self._poll(worker))
 
     def note_listing(
         self,
@@ -83,15 +81,15 @@
                 worker_id=worker.worker_id,
                 reason=reason,
             )
-            self._scheduler.detach(run)
+            self._beliefs.detach(run)
             self._break_gang(run, reason)
         if worker.is_recorded:
-            self._scheduler.stage_assignment(worker)
+            self._beliefs.stage_assignment(worker)
 
     def _break_gang(self, run: runs.Run, reason: str) -> None:
         step = run.step
         if step.model.is_gang and not step.is_done:
-            self._scheduler.stop_gang(step, reason)
+            self._orders.stop_gang(step, reason)
 
     async def _poll(self, worker: runs.Worker) -> None:
         try:
@@ -101,7 +99,7 @@
             worker.is_watched = False
 
     def _is_needed(self, worker: runs.Worker) -> bool:
-        if self._scheduler.workers_by_id.get(worker.worker_id) is not worker:
+        if self._beliefs.workers_by_id.get(worker.worker_id) is not worker:
             return False
         return (
             bool(worker.runs_by_task)
@@ -133,11 +131,11 @@
         An unanswered call may have extended it, so a worker out of reach is
         only asked for its inventory: otherwise its runs would never lapse.
         """
-        proof_age = now - self._scheduler.journal.proven_at
+        proof_age = now - self._beliefs.journal.proven_at
         return (
             bool(worker.runs_by_task)
             and worker.unreachable_since is None
-            and proof_age < self._terms.max_grant_age
+            and proof_age < self._beliefs.terms.max_grant_age
         )
 
     async def _hold(self, worker: runs.Worker) -> None:
@@ -145,9 +143,9 @@
         wait = self._wait(worker)
         deadline_ms = None
         if self._may_grant(worker, now):
-            deadline_ms = worker.lease_until(now, self._terms.lease)
+            deadline_ms = worker.lease_until(now, self._beliefs.terms.lease)
         told = worker.durable
-        order = fleet.HoldOrder(self._scheduler.token, told, deadline_ms, wait)
+        order = fleet.HoldOrder(self._beliefs.token, told, deadline_ms, wait)
         result = await self._link.hold(worker.address, order, HOLD_TIMEOUT)
         if isinstance(result, fleet.OrderResult):
             await self._note_unanswered(worker, result)
@@ -171,7 +169,7 @@
     ) -> None:
         now = self._clock.monotonic()
         if result.status is fleet.OrderStatus.STALE_TOKEN:
-            self._scheduler.journal.lose("worker has a newer token")
+            self._beliefs.journal.lose("worker has a newer token")
             return
         if worker.unreachable_since is None:
             worker.unreachable_since = now
@@ -189,7 +187,7 @@
     async def _wait_durable(self, worker: runs.Worker) -> None:
         """Wait a little; an outage of the store must not delay the lease."""
         target = worker.seen
-        commit = self._scheduler.journal.commit()
+        commit = self._beliefs.journal.commit()
         if await clocks.within(self._clock, DURABLE_WAIT, commit):
             worker.durable = max(worker.durable, target)
 
@@ -207,7 +205,7 @@
             self._log.emit("worker_regained", worker_id=worker.worker_id)
         if not worker.has_inventory:
             worker.has_inventory = True
-            self._scheduler.wake()
+            self._beliefs.wake()
         for finished in inventory.finished:
             if finished.number > worker.seen:
                 self._note_end(worker, finished)
@@ -230,7 +228,7 @@
     ) -> None:
         run = worker.runs_by_task.get(running.task)
         if run is None or run.number != running.run:
-            self._scheduler.stop_stray(worker, running.task, running.run)
+            self._orders.stop_stray(worker, running.task, running.run)
             return
         if run.phase in (runs.Phase.UNCERTAIN, runs.Phase.INHERITED):
             self._log.emit(
@@ -256,13 +254,13 @@
             worker_id=worker.worker_id,
             phase=run.phase.value,
         )
-        self._scheduler.detach(run)
+        self._beliefs.detach(run)
         self._break_gang(run, "member absent")
 
     def _note_end(
         self, worker: runs.Worker, finished: fleet.FinishedTask
     ) -> None:
-        found = self._scheduler.find(finished.task)
+        found = self._beliefs.find(finished.task)
         self._log.emit(
             "run_ended",
             task=finished.task,
@@ -278,7 +276,7 @@
         if found is not None:
             self._count_end(worker, finished, *found)
         if is_current:
-            self._scheduler.detach(run)
+            self._beliefs.detach(run)
             if finished.end is not fleet.End.DONE:
                 self._break_gang(run, finished.end.value)
 
@@ -293,11 +291,11 @@
             worker.strikes = 0
             self._observe_duration(worker, finished, step)
             if not step.model.is_lasting:
-                self._scheduler.note_done(step, index)
+                self._beliefs.note_done(step, index)
         elif finished.end is fleet.End.FAILED:
-            self._scheduler.note_strike(worker)
+            self._beliefs.note_strike(worker)
             if index not in step.done:
-                self._scheduler.note_failed(step, index, finished.run)
+                self._beliefs.note_failed(step, index, finished.run)
 
     def _observe_duration(
         self,
@@ -316,12 +314,12 @@
         ):
             actual = self._clock.monotonic() - run.began_at
             queue = step.job.job.queue.name
-            self._scheduler.durations.observe(queue, step.model, actual)
+            self._beliefs.durations.observe(queue, step.model, actual)
 
     def check_lapses(self) -> None:
         """Give up the runs of workers whose leases have run out."""
         now = self._clock.monotonic()
-        for worker in list(self._scheduler.workers_by_id.values()):
+        for worker in list(self._beliefs.workers_by_id.values()):
             if self._is_needed(worker):
                 self.ensure(worker)
             if worker.unreachable_since is None:
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -10,20 +10,20 @@
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import beliefs
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import measures
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import node as nodes
-from cardamomcroft.scheduling import scheduler as schedulers
 from cardamomcroft.standin import fleet as standin_fleet
 from cardamomcroft.standin import store as standin_store
 
 STEP = datetime.timedelta(milliseconds=50)
 HEARTBEAT = datetime.timedelta(seconds=1.5)
 LEASE = datetime.timedelta(seconds=6)
-TERMS = schedulers.Terms(
+TERMS = beliefs.Terms(
     LEASE,
     datetime.timedelta(seconds=10),
     datetime.timedelta(milliseconds=200),
--- a/tests/scheduling/test_replica.py
+++ b/tests/scheduling/test_replica.py
@@ -66,6 +66,17 @@
         await self.finish(self.copy.refresh(harness.seconds(0.15)))
         self.assertIn(JOB, self.copy.ledger.progress_by_id)
 
+    async def test_refresh_sees_what_was_acknowledged_just_before(self):
+        """A read under way, sent before the record, is not enough."""
+        earlier = harness.asyncio.ensure_future(
+            self.copy.refresh(harness.seconds(1))
+        )
+        await self.clock.settle()
+        self.service.put(store.Stream.JOBS, f"p/{JOB}", progress(0, "x").value)
+        await self.finish(self.copy.refresh(harness.seconds(1)))
+        self.assertIn(JOB, self.copy.ledger.progress_by_id)
+        await self.finish(earlier)
+
     async def test_slow_store_does_not_delay_the_answer(self):
         """The copy answers when the store takes long."""
         await self.clock.advance(harness.seconds(0.2))
