Drop the records of jobs that ended long ago

Cause: ended jobs stayed in the keyed stream for good, so every instance held all jobs ever accepted and a restart read them all. Ruled out: topics that expire; running jobs' records must stay. Change: the scheduler drops a job's three records in one append once its state has been shown for the promised time and a minute more (late copies of a submission); a successor goes on with what it inherits.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -28,6 +28,9 @@
 LEASE = datetime.timedelta(seconds=6)
 # Outlasts the outages of the store that the users name.
 MAX_GRANT_AGE = datetime.timedelta(seconds=10)
+# Copies of a submission arrive seconds late (protocol) and clocks differ; a
+# dropped job would be taken for a new one.
+RETENTION_MARGIN = datetime.timedelta(seconds=60)
 # Before the platform kills the process: a handover and closing connections.
 STOP_MARGIN_S = 2.0
 CLOSE_LIMIT_S = 0.3
@@ -105,6 +108,7 @@
             MAX_GRANT_AGE,
             settings.stop_bound,
             0,
+            settings.retention + RETENTION_MARGIN,
         )
         node = nodes.Node(
             f"{settings.instance} {uuid.uuid4().hex[:8]}",
--- a/cardamomcroft/scheduling/beliefs.py
+++ b/cardamomcroft/scheduling/beliefs.py
@@ -25,6 +25,7 @@
     max_grant_age: datetime.timedelta  # an isolated holder extends leases
     stop_bound: datetime.timedelta
     run_base: int  # run numbers of this term start above it
+    retention: datetime.timedelta  # of ended jobs' records
 
 
 class Beliefs:
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -29,6 +29,9 @@
         return self.value + name
 
 
+JOB_KINDS = (Kind.CANCELLATION, Kind.PROGRESS, Kind.SUBMISSION)
+
+
 class Ledger:
     """Hold the newest record of each key, decoded."""
 
@@ -91,9 +94,10 @@
             self.jobs_by_id.put(name, value)
             return True
         if kind is Kind.CANCELLATION:
-            is_new = value is not None and name not in self.cancelled_ids
-            if is_new:
-                self.cancelled_ids.add(name)
+            if value is None:
+                return False  # dropped with its submission
+            is_new = name not in self.cancelled_ids
+            self.cancelled_ids.add(name)
             return is_new
         if kind is Kind.PROGRESS:
             if value is not None:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from cardamomcroft.scheduling import beliefs as beliefs_module
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import expiry
 from cardamomcroft.scheduling import headroom as headrooms
 from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import inheriting
@@ -62,6 +63,7 @@
         self._headroom = headrooms.Headroom()
         self._holds = holding.Holds()
         self._reservations = reservations.Reservations()
+        self._expiry = expiry.Expiry(terms.retention)
 
     async def run(self) -> None:
         """Decide until the claim is lost."""
@@ -106,6 +108,10 @@
     def _admit(self, job_id: str) -> None:
         progress = self._replica.ledger.progress_by_id.get(job_id)
         if progress and progress.state in ledgers.FINAL_STATES:
+            ended_at = datetime.datetime.fromtimestamp(
+                progress.ended_at, datetime.UTC
+            )
+            self._expiry.note_ended(job_id, ended_at)
             return
         if job_id in self.beliefs.jobs_by_id:
             return
@@ -136,6 +142,7 @@
         self._watch.check_lapses()
         self._orders.check_uncertain()
         self._end_jobs()
+        self._drop_old_jobs()
         self._move_suspects()
         situation = planning.Situation(
             list(self.beliefs.jobs_by_id.values()),
@@ -215,6 +222,15 @@
                 self._stop_leftovers(job)
                 if not job.runs:
                     del self.beliefs.jobs_by_id[job_id]
+                    self._expiry.note_ended(job_id, self._clock.now())
+
+    def _drop_old_jobs(self) -> None:
+        due = self._expiry.pop_due(self._clock.now())
+        for job_id in due:
+            for kind in ledgers.JOB_KINDS:
+                self.journal.stage(kind.key(job_id), None)
+        if due:
+            self._log.emit("jobs_dropped", count=len(due), job_ids=due)
 
     def _stop_leftovers(self, job: runs.JobState) -> None:
         for run in job.runs:
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -28,6 +28,7 @@
     datetime.timedelta(seconds=10),
     datetime.timedelta(milliseconds=200),
     0,
+    datetime.timedelta(seconds=30),
 )
 
 
