Let a live scheduler keep its role over an outage of the store

What the holder had learnt (run times, workers to avoid, room kept) is lost with each outage. Ruled out: the holder; it was alive and renewed 20 ms later. Change: a candidate that has just regained the store waits 1.1 s for the holder, one append's time-out and a pause. Both waits must be over, so no claim comes earlier than before.

--- a/cardamomcroft/scheduling/candidate.py
+++ b/cardamomcroft/scheduling/candidate.py
@@ -15,6 +15,9 @@
 # last orders have left before anybody else may claim.
 SILENCE = datetime.timedelta(milliseconds=1500)
 JITTER = datetime.timedelta(milliseconds=200)
+# After an outage of the store a live holder is heard of again within one
+# append's time-out and a pause (journal.APPEND_TIMEOUT, RETRY_PAUSE).
+RETURN_PATIENCE = datetime.timedelta(milliseconds=1100)
 CLAIM_TIMEOUT = datetime.timedelta(milliseconds=900)
 _ZERO = datetime.timedelta()
 
@@ -66,6 +69,11 @@
         ):
             return True  # an earlier process of this instance
         seen_at = ledger.holder_seen_at or _ZERO
+        regained_at = self._replica.regained_at
+        if regained_at is not None and (
+            fresh_at - regained_at <= RETURN_PATIENCE
+        ):
+            return False
         return fresh_at - seen_at > self._patience
 
     async def claim(self) -> bool:
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -30,6 +30,7 @@
         self.is_loaded = False
         self.fresh_at: datetime.timedelta | None = None
         self.is_reachable = True
+        self.regained_at: datetime.timedelta | None = None
         self._refreshing: asyncio.Future | None = None
         self.on_news: collections.abc.Callable[[News], None] | None = None
 
@@ -120,6 +121,7 @@
             return
         self.is_reachable = is_reachable
         if is_reachable:
+            self.regained_at = self._clock.monotonic()
             self._log.emit("store_regained")
         else:
             self._log.emit("store_lost", detail=detail)
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -112,6 +112,30 @@
         await self.wait_until(lambda: self.state(self.job_id) == "completed")
         self.check_run_once(self.job_id)
 
+    async def test_holder_outlives_an_outage(self):
+        """A holder that is alive keeps the role, and what it has learnt."""
+        holder = self.holder()
+        epoch = self.nodes_by_name[holder].scheduler.journal.claim.epoch
+        for length in (3, 3.05, 3.1, 3.15, 3.2, 3.25, 3.3, 3.35):
+            self.store.faults.is_down = True
+            await self.pass_time(length)
+            self.store.faults.is_down = False
+            await self.pass_time(2)
+        self.assertGreater(self.store.injected["refused"], 0)
+        scheduler = self.nodes_by_name[holder].scheduler
+        self.assertIsNotNone(scheduler, "replaced without need")
+        self.assertEqual(scheduler.journal.claim.epoch, epoch)
+
+    async def test_holder_lost_in_an_outage_is_replaced(self):
+        """A holder that died meanwhile is replaced soon after the outage."""
+        self.store.faults.is_down = True
+        await self.pass_time(2)
+        self.kill(self.holder())
+        await self.pass_time(2)
+        self.store.faults.is_down = False
+        took = await self.wait_until(self.holder)
+        self.assertLess(took, 2.5)
+
     async def test_ends_in_an_outage_do_not_delay_leases(self):
         """An end that cannot be recorded yet must not stop the renewals."""
         await self.pass_time(2)
