Put jobs that come late behind those that can be in time

Change: within a priority, a job that has not begun and has used three quarters of its slack goes behind the others; unless it is guaranteed, it stops nothing for its own sake once its slack is used up.

--- a/cardamomcroft/scheduling/ordering.py
+++ b/cardamomcroft/scheduling/ordering.py
@@ -1,4 +1,8 @@
-"""Order waiting work: by guarantee, priority and deadline."""
+"""Order waiting work: by guarantee, priority and deadline.
+
+Answers overload: in plain order of deadlines a job that is late already goes
+before those that could still be in time, and makes them late as well.
+"""
 
 import collections.abc
 import datetime
@@ -10,6 +14,9 @@
 LAST_USE = 3
 # Learnt run times change slowly.
 OBJECTIVE_AGE = datetime.timedelta(seconds=1)
+# In overload whoever comes first is close to its limit: what is left of the
+# slack then covers run times that were predicted a little short.
+ORDER_SHARE = 0.75
 
 
 def guaranteed_accounts(
@@ -44,6 +51,27 @@
     return now > state.accepted_at + objective * LAST_USE
 
 
+def refresh_forecast(
+    state: runs.JobState,
+    now: datetime.timedelta,
+    durations: estimates.Durations,
+) -> None:
+    """Work out anew by when a job has to begin, at most once a second."""
+    if now >= state.objective_until:
+        state.objective = durations.objective(state.job)
+        state.slack = state.objective - durations.chain(state.job)
+        state.objective_until = now + OBJECTIVE_AGE
+
+
+def is_behind(
+    state: runs.JobState, now: datetime.timedelta, share: float = 1.0
+) -> bool:
+    """Tell whether a job that has not begun has used up its slack."""
+    if state.job.is_lasting or state.job.timetable or state.has_begun:
+        return False
+    return now > state.accepted_at + state.slack * share
+
+
 def sort_key(
     state: runs.JobState,
     now: datetime.timedelta,
@@ -52,9 +80,7 @@
 ) -> tuple:
     """Return a key that sorts the most urgent job first."""
     queue = state.job.queue
-    if now >= state.objective_until:
-        state.objective = durations.objective(state.job)
-        state.objective_until = now + OBJECTIVE_AGE
+    refresh_forecast(state, now, durations)
     objective = state.objective
     is_guaranteed = queue.priority == 0 and state.job.account in guaranteed
     return (
@@ -62,5 +88,6 @@
         not state.job.is_lasting,
         is_useless(state, now, objective),
         queue.priority,
+        is_behind(state, now, ORDER_SHARE),
         state.accepted_at + objective,
     )
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -329,6 +329,8 @@
         is_urgent = step.job.job.queue.priority == 0
         if step.model.is_filling or not (is_urgent or waited > PATIENCE):
             return
+        if not self._is_guaranteed(step.job) and self._comes_late(step.job):
+            return  # stopping others' work would not bring it in time
         count = self._unplanned(step)
         if step.model.is_gang and count < step.model.width:
             return
@@ -358,6 +360,18 @@
                 for run in choice.victims
             )
 
+    def _is_guaranteed(self, job: runs.JobState) -> bool:
+        return (
+            job.job.queue.priority == 0
+            and job.job.account in self._guaranteed
+        )
+
+    def _comes_late(self, job: runs.JobState) -> bool:
+        now = self._situation.now
+        return ordering.is_useless(
+            job, now, job.objective
+        ) or ordering.is_behind(job, now)
+
     def _hold(self, step: runs.StepState) -> None:
         """Keep less urgent work off the workers that will fit soonest."""
         if step.model.is_lasting or self._unplanned(step) <= 0:
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -149,6 +149,7 @@
     final_state: str = ""
     # What ordering works with, and until when it need not be worked out anew.
     objective: datetime.timedelta = _ZERO
+    slack: datetime.timedelta = _ZERO  # what waiting may take of it
     objective_until: datetime.timedelta = _ZERO
     is_cancelled: bool = False
 
