Let urgent work beyond its guarantee stop other work at a bounded loss

Ruled out: the bound on searches; guaranteed jobs of the same moments began within a second. Change: work of priority 0 may stop any less urgent work; without a guarantee it may cost others twice its own core-seconds at once, four times after 0.9 s. A guarantee is reclaimed without such a bound, as before.

--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -21,6 +21,9 @@
 # Before that, urgent work stops what has cost less than twice as much as it
 # costs itself: a late urgent job wastes its caller's time and its own work.
 EAGER_LOSS = 2.0
+# After that wait, urgent work beyond its account's guarantee may cost four
+# times its own work: it is worth more a core-second than what it stops.
+PRESSED_LOSS = 4.0
 # Bound the cost of rounds while hundreds of jobs wait.
 SEARCHES = 8  # for room a round
 SEARCH_PAUSE = datetime.timedelta(milliseconds=150)
@@ -430,13 +433,15 @@
         """Return the core-seconds that may be thrown away for a step."""
         waited = self._situation.now - step.job.accepted_at
         is_urgent = step.job.job.queue.priority == 0
-        if is_urgent and waited >= PREEMPTION_WAIT:
+        is_pressed = is_urgent and waited >= PREEMPTION_WAIT
+        if is_pressed and self._is_guaranteed(step.job):
             return float("inf")
         expected = self._situation.durations.expected(
             step.job.job.queue.name, step.model
         )
         own = preempting.weight(step.model.demand) * step.model.width
-        return own * expected.total_seconds() * EAGER_LOSS
+        factor = PRESSED_LOSS if is_pressed else EAGER_LOSS
+        return own * expected.total_seconds() * factor
 
 
 def ready_steps(
--- a/cardamomcroft/scheduling/preempting.py
+++ b/cardamomcroft/scheduling/preempting.py
@@ -214,7 +214,7 @@
             return False
         victim_job = run.step.job.job
         if victim_job.queue.priority > priority:
-            return is_guaranteed or victim.is_checkpointing
+            return priority == 0 or victim.is_checkpointing
         # Urgent work beyond its account's guarantee only borrows the room.
         return is_guaranteed and victim_job.account not in self._guaranteed
 
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -61,10 +61,11 @@
         await self.check_begins(step)
         self.assertEqual(self.stops(), 16)
 
-    async def time_to_begin(self) -> float:
+    async def time_to_begin(self, guaranteed: int = 24) -> float:
         """Return how long an urgent job of one large task waits."""
         urgent = harness.make_queue(priority=0)
-        self.nodes_by_name["a"].scheduler._accounts = lambda: {"b": 24}
+        accounts = {"b": guaranteed}
+        self.nodes_by_name["a"].scheduler._accounts = lambda: accounts
         job_id = self.submit(
             harness.make_step(accelerators=8), queue=urgent, account="b"
         )
@@ -74,6 +75,18 @@
         """Little is lost: the urgent job does not wait."""
         self.assertLess(await self.time_to_begin(), 0.6)
 
+    async def test_urgent_work_beyond_its_guarantee_stops_young_work(self):
+        """Little is lost, and the urgent job would come late."""
+        self.assertLess(await self.time_to_begin(guaranteed=0), 0.6)
+
+    async def test_urgent_work_beyond_its_guarantee_spares_old_work(self):
+        """Much would be lost for a job that only borrows."""
+        await self.pass_time(20)
+        urgent = harness.make_queue(priority=0)
+        self.submit(harness.make_step(accelerators=8), queue=urgent)
+        await self.pass_time(4)
+        self.assertEqual(self.stops(), 0)
+
     async def test_old_work_gets_time_to_end(self):
         """Much would be lost: room may become free by itself first."""
         await self.pass_time(20)
