Hand calls on to instances that reach the store

Ruled out: readiness alone; a zone with fewer than half of its instances ready gets all of them, and open connections stay. Change: an instance that lacks the store hands a call on whole, by thrift, to up to three peers, which answer from their own configuration and copy; peers register in the stream of jobs. A lost reply of a change is 504, never 503.

--- a/cardamomcroft/bench/relay.py
+++ b/cardamomcroft/bench/relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from cardamomcroft.settings import instance
+from cardamomcroft.ports import addresses
 
 READ_BYTES = 65_536
 
@@ -15,8 +15,8 @@
         """Take the addresses."""
         self.bytes_out = 0
         self.bytes_in = 0
-        self._listen = instance.split_address(listen)
-        self._target = instance.split_address(target)
+        self._listen = addresses.split_address(listen)
+        self._target = addresses.split_address(target)
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
--- a/cardamomcroft/daemon/serving.py
+++ b/cardamomcroft/daemon/serving.py
@@ -11,6 +11,7 @@
 from cardamomcroft.api import app as apps
 from cardamomcroft.daemon import node as nodes
 from cardamomcroft.peers import rpc
+from cardamomcroft.ports import addresses
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import http
 from cardamomcroft.ports import metrics
@@ -77,7 +78,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await self._runner.setup()
-        host, port = instance.split_address(self._settings.http_listen)
+        host, port = addresses.split_address(self._settings.http_listen)
         site = web.TCPSite(
             self._runner, host, port, ssl_context=self._make_tls()
         )
--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -1,6 +1,7 @@
 """Serve the clients' calls: submit, query, cancel and count."""
 
 import asyncio
+import dataclasses
 import datetime
 import re
 
@@ -9,6 +10,7 @@
 from cardamomcroft.platform import submissions
 from cardamomcroft.ports import base
 from cardamomcroft.ports import store
+from cardamomcroft.relaying import base as relaying
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration
 from cardamomcroft.scheduling import configuration_view
@@ -29,7 +31,7 @@
 TRUSTED_AGE = datetime.timedelta(seconds=2)
 
 
-class Ingress:
+class Ingress(relaying.Answerer):
     """Answer one instance's clients."""
 
     def __init__(
@@ -39,13 +41,15 @@
         config: configuration_view.ConfigurationView,
         clock: base.Clock,
         log: events.Events,
+        forwarder: relaying.Forwarder,
     ) -> None:
-        """Take the instance's roles."""
+        """Take the instance's roles and who reaches the store for it."""
         self._node = node
         self._store = target
         self._config = config
         self._clock = clock
         self._log = log
+        self._forwarder = forwarder
         self.is_leaving = False
         self.in_flight = 0
         self.last_call_at = clock.monotonic()
@@ -69,107 +73,123 @@
         self.in_flight += 1
         began_at = self.last_call_at = self._clock.monotonic()
         try:
-            response = await self._answer(request)
+            call = await _read_call(request)
+            reply = await self._answer_or_forward(call)
         finally:
             self.in_flight -= 1
         took_s = (self._clock.monotonic() - began_at).total_seconds()
-        labels = request.method, response.status
+        labels = request.method, reply.status
         self._log.measures.requests.labels(*labels).observe(took_s)
+        response = _write_reply(reply)
         if self.is_leaving:
             response.force_close()
         return response
 
-    async def _answer(self, request: web.BaseRequest) -> web.Response:
+    async def _answer_or_forward(self, call: relaying.Call) -> relaying.Reply:
+        """Hand a call on when this instance does not reach the store."""
+        if not self._lacks_store():
+            return await self._answer(call, self._forwarder)
+        reply = await self._forwarder.forward(call)
+        if reply is not None:
+            return reply
+        return await self._answer(call, relaying.NoForwarder())
+
+    async def answer(self, call: relaying.Call) -> relaying.Reply:
+        """Return the reply to a call that another instance hands on."""
+        if self._lacks_store():
+            return relaying.Reply(503, lacks_store=True)
+        return await self._answer(call, relaying.NoForwarder())
+
+    def _lacks_store(self) -> bool:
+        """Tell whether what this instance knows may be out of date."""
+        return (
+            self._config.current is None
+            or self._config.is_stale
+            or not self._node.replica.is_loaded
+            or not self._node.replica.is_reachable
+        )
+
+    async def _answer(
+        self, call: relaying.Call, forwarder: relaying.Forwarder
+    ) -> relaying.Reply:
         config = self._config.current
         if config is None:
-            return self._refuse(request, 503, "no configuration")
+            return self._refuse(call, 503, "no configuration")
         if self._config.is_stale:
-            return self._refuse(request, 503, "configuration is stale")
-        host = request.headers.get("Host", "").partition(":")[0]
-        route = config.route(host, request.path)
+            return self._refuse(call, 503, "configuration is stale")
+        route = config.route(call.host, call.path)
         if route is None:
-            return self._refuse(request, 404, "no such queue")
-        account = config.accounts_by_key.get(
-            request.headers.get("Api-Key", "")
-        )
+            return self._refuse(call, 404, "no such queue")
+        account = config.accounts_by_key.get(call.key)
         if account is None and not route.is_public:
-            return self._refuse(request, 401, "unknown key")
-        job_id = request.path[len(route.prefix) :]
-        if request.method == "GET" and not job_id:
-            return self._count(request, route)
+            return self._refuse(call, 401, "unknown key")
+        job_id = call.path[len(route.prefix) :]
+        if call.method == "GET" and not job_id:
+            return self._count(call, route)
         if not JOB_ID.match(job_id):
-            return self._refuse(request, 404, "no job id")
-        if request.method == "POST":
+            return self._refuse(call, 404, "no job id")
+        if call.method == "POST":
             name = account.name if account else ""
-            return await self._submit(request, route, name, job_id)
-        if request.method == "GET":
-            return await self._show(request, job_id)
-        if request.method == "DELETE":
-            return await self._cancel(request, job_id)
-        return self._refuse(request, 405, "method not allowed")
+            return await self._submit(call, forwarder, route, name, job_id)
+        if call.method == "GET":
+            return await self._show(call, job_id)
+        if call.method == "DELETE":
+            return await self._cancel(call, forwarder, job_id)
+        return self._refuse(call, 405, "method not allowed")
 
     def _refuse(
         self,
-        request: web.BaseRequest,
+        call: relaying.Call,
         status: int,
         reason: str,
-        retry_after_s: int | None = None,
-    ) -> web.Response:
+        retry_after_s: int = 0,
+    ) -> relaying.Reply:
         version = self._config.current.version if self._config.current else 0
+        lacks_store = status == 503 and not retry_after_s
+        if lacks_store:
+            retry_after_s = OUTAGE_RETRY_S
         self._log.emit(
             "request_refused",
-            method=request.method,
-            path=request.path,
+            method=call.method,
+            path=call.path,
             status=status,
             reason=reason,
             config_version=version,
+            retry_after_s=retry_after_s,
         )
-        if status == 503 and retry_after_s is None:
-            retry_after_s = OUTAGE_RETRY_S
-        headers = {"Retry-After": str(retry_after_s)} if retry_after_s else {}
-        return web.json_response(
-            {"error": reason}, status=status, headers=headers
-        )
+        return _reply(status, {"error": reason}, retry_after_s, lacks_store)
 
     def _is_trusted(self) -> bool:
         age = self._node.replica.age
         return age is not None and age < TRUSTED_AGE
 
     def _count(
-        self, request: web.BaseRequest, route: configuration.Route
-    ) -> web.Response:
+        self, call: relaying.Call, route: configuration.Route
+    ) -> relaying.Reply:
         if not self._is_trusted():
-            return self._refuse(request, 503, "jobs are stale")
+            return self._refuse(call, 503, "jobs are stale")
         pending = self._node.replica.ledger.pending(route.queue.name)
-        return web.json_response({"Pending": pending})
+        return _reply(200, {"Pending": pending})
 
-    async def _show(
-        self, request: web.BaseRequest, job_id: str
-    ) -> web.Response:
+    async def _show(self, call: relaying.Call, job_id: str) -> relaying.Reply:
         replica = self._node.replica
         if replica.ledger.state(job_id) not in ledgers.FINAL_STATES:
             await replica.refresh(REFRESH_LIMIT)
         state = replica.ledger.state(job_id)
         if state is None:
             if not self._is_trusted():
-                return self._refuse(request, 503, "jobs are stale")
-            return self._refuse(request, 410, "no such job")
-        return web.json_response({"State": state})
-
-    def _deadline(self, request: web.BaseRequest) -> datetime.timedelta:
-        try:
-            patience = datetime.timedelta(
-                milliseconds=float(request.headers["X-Deadline-Ms"])
-            )
-        except (KeyError, ValueError, OverflowError):
-            patience = DEFAULT_PATIENCE
-        return self._clock.monotonic() + patience - ANSWER_MARGIN
+                return self._refuse(call, 503, "jobs are stale")
+            return self._refuse(call, 410, "no such job")
+        return _reply(200, {"State": state})
 
     async def _append(
-        self, request: web.BaseRequest, entry: store.Entry
+        self,
+        call: relaying.Call,
+        forwarder: relaying.Forwarder,
+        entry: store.Entry,
     ) -> store.AppendStatus:
         """Append until the outcome is known or the client gives up."""
-        deadline = self._deadline(request)
+        deadline = self._clock.monotonic() + call.patience - ANSWER_MARGIN
         may_have_run = False
         while True:
             left = deadline - self._clock.monotonic()
@@ -178,7 +198,17 @@
             )
             if result.status is store.AppendStatus.APPENDED:
                 return result.status
-            if result.status is store.AppendStatus.MAY_HAVE_RUN:
+            left = deadline - self._clock.monotonic()
+            # The record is the same wherever it is written, and how often.
+            forwarded = await forwarder.forward(
+                dataclasses.replace(call, patience=left)
+            )
+            if forwarded is not None and forwarded.status == 200:
+                return store.AppendStatus.APPENDED
+            if (
+                forwarded is relaying.OUTCOME_UNKNOWN
+                or result.status is store.AppendStatus.MAY_HAVE_RUN
+            ):
                 may_have_run = True
             elif not may_have_run:
                 return store.AppendStatus.NOT_RUN
@@ -189,23 +219,23 @@
 
     async def _submit(
         self,
-        request: web.BaseRequest,
+        call: relaying.Call,
+        forwarder: relaying.Forwarder,
         route: configuration.Route,
         account: str,
         job_id: str,
-    ) -> web.Response:
-        body = await request.read()
+    ) -> relaying.Reply:
         if self._node.replica.ledger.state(job_id) is not None:
-            return web.json_response({})
+            return _reply(200, {})
         try:
             job = submissions.decode(
-                job_id, route.queue, account, body, self._clock.now()
+                job_id, route.queue, account, call.body, self._clock.now()
             )
         except submissions.SubmissionError as error:
-            return self._refuse(request, 400, str(error))
+            return self._refuse(call, 400, str(error))
         key = ledgers.Kind.SUBMISSION.key(job_id)
         entry = store.Entry(key, codec.encode_job(job))
-        status = await self._append(request, entry)
+        status = await self._append(call, forwarder, entry)
         self._log.emit(
             "job_submitted",
             job_id=job_id,
@@ -214,25 +244,28 @@
             outcome=status.value,
         )
         if status is store.AppendStatus.APPENDED:
-            return web.json_response({})
+            return _reply(200, {})
         if status is store.AppendStatus.NOT_RUN:
-            return self._refuse(request, 503, "store unavailable")
-        return self._refuse(request, 504, "outcome unknown")
+            return self._refuse(call, 503, "store unavailable")
+        return relaying.OUTCOME_UNKNOWN
 
     async def _cancel(
-        self, request: web.BaseRequest, job_id: str
-    ) -> web.Response:
+        self,
+        call: relaying.Call,
+        forwarder: relaying.Forwarder,
+        job_id: str,
+    ) -> relaying.Reply:
         state = self._node.replica.ledger.state(job_id)
         if state is None and not await self._catch_up(job_id):
-            return self._refuse(request, 410, "no such job")
+            return self._refuse(call, 410, "no such job")
         if state in ledgers.FINAL_STATES:
-            return web.json_response({})
+            return _reply(200, {})
         key = ledgers.Kind.CANCELLATION.key(job_id)
-        status = await self._append(request, store.Entry(key, b"1"))
+        status = await self._append(call, forwarder, store.Entry(key, b"1"))
         self._log.emit("cancel_requested", job_id=job_id, outcome=status.value)
         if status is store.AppendStatus.APPENDED:
-            return web.json_response({})
-        return self._refuse(request, 504, "outcome unknown")
+            return _reply(200, {})
+        return relaying.OUTCOME_UNKNOWN
 
     async def _catch_up(self, job_id: str) -> bool:
         """Read up to the end; tell whether the job may exist."""
@@ -241,6 +274,43 @@
         return self._node.replica.ledger.state(job_id) is not None
 
 
+async def _read_call(request: web.BaseRequest) -> relaying.Call:
+    try:
+        patience = datetime.timedelta(
+            milliseconds=float(request.headers["X-Deadline-Ms"])
+        )
+    except (KeyError, ValueError, OverflowError):
+        patience = DEFAULT_PATIENCE
+    return relaying.Call(
+        request.method,
+        request.headers.get("Host", "").partition(":")[0],
+        request.path,
+        request.headers.get("Api-Key", ""),
+        await request.read(),
+        patience,
+    )
+
+
+def _reply(
+    status: int, plain: dict, retry_after_s: int = 0, lacks_store: bool = False
+) -> relaying.Reply:
+    return relaying.Reply(
+        status, codec.dump(plain), retry_after_s, lacks_store
+    )
+
+
+def _write_reply(reply: relaying.Reply) -> web.Response:
+    headers = {}
+    if reply.retry_after_s:
+        headers["Retry-After"] = str(reply.retry_after_s)
+    return web.Response(
+        status=reply.status,
+        body=reply.body,
+        content_type="application/json",
+        headers=headers,
+    )
+
+
 async def settle_calls(ingress: Ingress, clock: base.Clock, limit_s: float):
     """Wait until calls have stopped coming, or for the limit."""
     quiet = datetime.timedelta(seconds=1)
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -1,6 +1,7 @@
 """Run one instance on the users' platform."""
 
 import asyncio
+import collections.abc
 import datetime
 import random
 import signal
@@ -16,7 +17,11 @@
 from cardamomcroft.platform import store as platform_store
 from cardamomcroft.platform import workers
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.relaying import forwarder as forwarders
+from cardamomcroft.relaying import registrar as registrars
+from cardamomcroft.relaying import rpc as relay_rpc
 from cardamomcroft.scheduling import beliefs
+from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration_view
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import measures
@@ -54,6 +59,7 @@
             self._clock, settings.instance, self._measures, log_descriptor
         )
         self._leaving = asyncio.Event()
+        self._node: nodes.Node | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -95,6 +101,12 @@
         except platform_settings.SettingsError as error:
             self._log.emit("settings_invalid", error=str(error))
 
+    def known_peers(self) -> collections.abc.Mapping[str, codec.Peer]:
+        """Return the instances that have registered, this one included."""
+        if self._node is None:
+            return {}
+        return self._node.replica.ledger.peers_by_instance
+
     async def _serve(self, session: aiohttp.ClientSession) -> None:
         settings, clock, log = self._settings, self._clock, self._log
         store = platform_store.HttpStore(
@@ -129,7 +141,31 @@
             settings.config_bound,
         )
         view.on_change = lambda config: setattr(node, "configuration", config)
-        ingress = ingresses.Ingress(node, store, view, clock, log)
+        pool = relay_rpc.make_pool(forwarders.CALL_TIMEOUT)
+        forwarder = forwarders.PeerForwarder(
+            forwarders.Place(settings.instance, settings.data_centre),
+            self.known_peers,
+            pool,
+            clock,
+            log,
+            random.Random(),
+        )
+        self._node = node
+        ingress = ingresses.Ingress(node, store, view, clock, log, forwarder)
+        peers = relay_rpc.make_server(
+            settings.peer_address,
+            ingress,
+            lambda error: log.emit("peer_call_failed", error=repr(error)),
+        )
+        await peers.start()
+        registrar = registrars.Registrar(
+            settings.instance,
+            settings.peer_address,
+            settings.data_centre,
+            store,
+            node.replica,
+            clock,
+        )
         runners = [
             await _listen(ingress.handle_ready, settings.ready_address),
             await _listen(ingress.handle, settings.ingress_address),
@@ -141,6 +177,7 @@
         tasks = [
             asyncio.ensure_future(view.run()),
             asyncio.ensure_future(node.run()),
+            asyncio.ensure_future(registrar.run()),
         ]
         try:
             await self._wait_leaving(tasks)
@@ -150,6 +187,8 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             await node.close()
+            await peers.stop()
+            pool.close()
             for runner in runners:
                 await runner.cleanup()
 
--- a/cardamomcroft/platform/settings.py
+++ b/cardamomcroft/platform/settings.py
@@ -26,6 +26,7 @@
     ingress_address: str  # HOST:PORT for clients
     ready_address: str  # HOST:PORT for the readiness probe
     metrics_address: str  # HOST:PORT for the counters
+    peer_address: str  # HOST:PORT for other instances
     store_address: str
     advice_address: str | None
     config_bound: datetime.timedelta  # until a configuration is in force
@@ -53,6 +54,7 @@
             listen["FrontendAddr"],
             listen["Ready"],
             f"{plain['Ip']}:{METRICS_PORT}",
+            f"{plain['Ip']}:{plain['InternalPorts'][0]}",
             plain["platform"]["Address"],
             plain.get("Advice") or None,
             bounds["ConfigApplyMs"] * _MS,
--- /dev/null
+++ b/cardamomcroft/ports/rpc.py
@@ -0,0 +1,132 @@
+"""Serve and call thrift services with thriftpy2 on the running loop."""
+
+import asyncio
+import collections.abc
+import datetime
+
+from thriftpy2.contrib.aio import client as thrift_client
+from thriftpy2.contrib.aio import processor as thrift_processor
+from thriftpy2.contrib.aio import protocol as thrift_protocol
+from thriftpy2.contrib.aio import socket as thrift_socket
+from thriftpy2.contrib.aio import transport as thrift_transport
+from thriftpy2.transport import TTransportException
+
+from cardamomcroft.ports import addresses
+
+CONNECT_TIMEOUT_MS = 500
+IDLE_TIMEOUT_MS = 60_000
+
+CALL_ERRORS = (
+    OSError,
+    EOFError,
+    TTransportException,
+    asyncio.TimeoutError,
+    asyncio.IncompleteReadError,
+)
+
+
+class UnreachedError(ConnectionError):
+    """Report a call that was never sent."""
+
+
+Reporter = collections.abc.Callable[[Exception], None]
+
+
+def _protocol(stream) -> tuple:
+    factory = thrift_transport.TAsyncBufferedTransportFactory()
+    transport = factory.get_transport(stream)
+    protocols = thrift_protocol.TAsyncBinaryProtocolFactory()
+    return transport, protocols.get_protocol(transport)
+
+
+class Server:
+    """Listen for calls of a service."""
+
+    def __init__(
+        self, address: str, service, handler, report: Reporter
+    ) -> None:
+        """Take who answers and who hears of errors in answering."""
+        host, port = addresses.split_address(address)
+        self._socket = thrift_socket.TAsyncServerSocket(
+            host, port, client_timeout=None
+        )
+        self._processor = thrift_processor.TAsyncProcessor(service, handler)
+        self._report = report
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Listen on the running loop."""
+        self._socket.listen()
+        self._server = await self._socket.accept(self._serve)
+
+    async def _serve(self, stream) -> None:
+        task = asyncio.current_task()
+        self._connections.add(task)
+        transport, protocol = _protocol(stream)
+        try:
+            while True:
+                await self._processor.process(protocol, protocol)
+        except (*CALL_ERRORS, asyncio.CancelledError):
+            pass  # the caller has hung up, or this instance stops
+        except Exception as error:
+            self._report(error)
+        finally:
+            self._connections.discard(task)
+            transport.close()
+
+    async def stop(self) -> None:
+        """Close the listener and the connections."""
+        if self._server is None:
+            return
+        self._server.close()
+        for task in list(self._connections):
+            task.cancel()
+
+
+class Pool:
+    """Call a service over kept connections, one call at a time each."""
+
+    def __init__(self, service, timeout: datetime.timedelta) -> None:
+        """Start without connections."""
+        self._service = service
+        self._timeout = timeout.total_seconds()
+        self._clients: dict[str, thrift_client.TAsyncClient] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    async def _connect(self, address: str) -> thrift_client.TAsyncClient:
+        host, port = addresses.split_address(address)
+        stream = thrift_socket.TAsyncSocket(
+            host,
+            port,
+            socket_timeout=IDLE_TIMEOUT_MS,
+            connect_timeout=CONNECT_TIMEOUT_MS,
+        )
+        transport, protocol = _protocol(stream)
+        await transport.open()
+        return thrift_client.TAsyncClient(self._service, protocol)
+
+    async def call(self, address: str, operation: str, *arguments):
+        """Return the answer; raise UnreachedError or one of CALL_ERRORS."""
+        lock = self._locks.setdefault(address, asyncio.Lock())
+        is_sent = False
+        try:
+            async with asyncio.timeout(self._timeout), lock:
+                client = self._clients.pop(address, None)
+                if client is None:
+                    client = await self._connect(address)
+                is_sent = True
+                answer = await getattr(client, operation)(*arguments)
+                # A call cut short leaves its client out of the pool.
+                self._clients[address] = client
+                return answer
+        except CALL_ERRORS as error:
+            if is_sent:
+                raise
+            raise UnreachedError(f"{address}: {error!r}") from error
+
+    def close(self) -> None:
+        """Close every kept connection."""
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
--- /dev/null
+++ b/cardamomcroft/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Hand clients' calls on to an instance that reaches the store."""
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -238,3 +238,22 @@
 def decode_claim(value: bytes) -> Claim:
     """Read the record of a claim."""
     return Claim(*json.loads(value))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """Say where an instance takes calls from others."""
+
+    address: str  # HOST:PORT
+    data_centre: str
+    seen_at: float  # Unix time of the record
+
+
+def encode_peer(peer: Peer) -> bytes:
+    """Return the record of an instance."""
+    return dump([peer.address, peer.data_centre, peer.seen_at])
+
+
+def decode_peer(value: bytes) -> Peer:
+    """Read the record of an instance."""
+    return Peer(*json.loads(value))
--- a/cardamomcroft/scheduling/expiry.py
+++ b/cardamomcroft/scheduling/expiry.py
@@ -1,13 +1,20 @@
-"""Drop the records of jobs that ended long ago.
+"""Drop the records of ended jobs and of instances that are gone.
 
 Answers months of service: every instance holds every record, and a restart
 reads them all.
 """
 
+import collections.abc
 import datetime
 import heapq
 
+from cardamomcroft.scheduling import codec
+
 MOST_DROPPED = 50  # jobs a round: three small records each in one append
+# Instances register every five minutes; two of their records may get lost.
+REGISTER_PERIOD = datetime.timedelta(minutes=5)
+PEER_LIFETIME = REGISTER_PERIOD * 3
+PEER_PERIOD = datetime.timedelta(minutes=1)
 
 
 class Expiry:
@@ -32,3 +39,27 @@
             heapq.heappop(self._ended)
             due.append(job_id)
         return due
+
+
+class PeerExpiry:
+    """Find instances that have not registered for long."""
+
+    def __init__(self) -> None:
+        """Look at the first round."""
+        self._next_at: datetime.datetime | None = None
+
+    def pop_due(
+        self,
+        peers_by_instance: collections.abc.Mapping[str, codec.Peer],
+        now: datetime.datetime,
+    ) -> list[str]:
+        """Return the instances to forget, at most once a period."""
+        if self._next_at is not None and now < self._next_at:
+            return []
+        self._next_at = now + PEER_PERIOD
+        oldest = (now - PEER_LIFETIME).timestamp()
+        return [
+            name
+            for name, peer in peers_by_instance.items()
+            if peer.seen_at < oldest
+        ]
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -13,7 +13,7 @@
 
 
 class Kind(enum.Enum):
-    """Prefix the keys of a job's or worker's records.
+    """Prefix the keys of a job's, worker's or instance's records.
 
     A submission, a cancellation and progress have different writers, so
     each has a key of its own that no late append of another can overwrite.
@@ -23,6 +23,7 @@
     CANCELLATION = "c/"
     PROGRESS = "p/"
     ASSIGNMENT = "w/"
+    INSTANCE = "i/"
 
     def key(self, name: str) -> str:
         """Return the key of a job or worker."""
@@ -48,6 +49,9 @@
         self.assignments_by_worker: lazy.LazyMap[codec.Assignment] = (
             lazy.LazyMap(lambda _, raw: codec.decode_assignment(raw))
         )
+        self.peers_by_instance: lazy.LazyMap[codec.Peer] = lazy.LazyMap(
+            lambda _, raw: codec.decode_peer(raw)
+        )
         self.claim: codec.Claim | None = None
         self.holder_seen_at: datetime.timedelta | None = None
 
@@ -103,10 +107,15 @@
             if value is not None:
                 self.progress_by_id.put(name, value)
             return False
+        records = (
+            self.peers_by_instance
+            if kind is Kind.INSTANCE
+            else self.assignments_by_worker
+        )
         if value is None:
-            self.assignments_by_worker.drop(name)
+            records.drop(name)
         else:
-            self.assignments_by_worker.put(name, value)
+            records.put(name, value)
         return False
 
     def _forget(self, job_id: str) -> None:
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -365,8 +365,7 @@
 
     def _is_guaranteed(self, job: runs.JobState) -> bool:
         return (
-            job.job.queue.priority == 0
-            and job.job.account in self._guaranteed
+            job.job.queue.priority == 0 and job.job.account in self._guaranteed
         )
 
     def _comes_late(self, job: runs.JobState) -> bool:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -64,6 +64,7 @@
         self._holds = holding.Holds()
         self._reservations = reservations.Reservations()
         self._expiry = expiry.Expiry(terms.retention)
+        self._peer_expiry = expiry.PeerExpiry()
 
     async def run(self) -> None:
         """Decide until the claim is lost."""
@@ -142,12 +143,14 @@
         self._watch.check_lapses()
         self._orders.check_uncertain()
         self._end_jobs()
-        self._drop_old_jobs()
+        self._drop_old_records()
         self._move_suspects()
+        jobs = list(self.beliefs.jobs_by_id.values())
+        now = self._clock.monotonic()
         situation = planning.Situation(
-            list(self.beliefs.jobs_by_id.values()),
+            jobs,
             self.beliefs.workers_by_id,
-            self._clock.monotonic(),
+            now,
             self._clock.now(),
             self._accounts(),
             self._reservations,
@@ -224,8 +227,13 @@
                     del self.beliefs.jobs_by_id[job_id]
                     self._expiry.note_ended(job_id, self._clock.now())
 
-    def _drop_old_jobs(self) -> None:
-        due = self._expiry.pop_due(self._clock.now())
+    def _drop_old_records(self) -> None:
+        now = self._clock.now()
+        peers = self._replica.ledger.peers_by_instance
+        for name in self._peer_expiry.pop_due(peers, now):
+            self.journal.stage(ledgers.Kind.INSTANCE.key(name), None)
+            self._log.emit("peer_dropped", peer=name)
+        due = self._expiry.pop_due(now)
         for job_id in due:
             for kind in ledgers.JOB_KINDS:
                 self.journal.stage(kind.key(job_id), None)
--- a/cardamomcroft/settings/instance.py
+++ b/cardamomcroft/settings/instance.py
@@ -7,6 +7,7 @@
 
 import expression
 
+from cardamomcroft.ports import addresses
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import parsing
 
@@ -118,18 +119,10 @@
 
     def __post_init__(self) -> None:
         """Check the addresses."""
-        split_address(self.http_listen)
-        split_address(self.peer_listen)
+        addresses.split_address(self.http_listen)
+        addresses.split_address(self.peer_listen)
         for address in self.peers.values():
-            split_address(address)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``; raise ValueError when it is not one."""
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"expected host:port, found {address!r}")
-    return host, int(port)
+            addresses.split_address(address)
 
 
 def load_timing(path: pathlib.Path | None) -> Timing:
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -69,6 +69,7 @@
         self.fleet = _StoredFleet(clock, duration)
         self.fleet.service = self.store
         self.address = ""
+        self._clients_by_port: dict[int, str] = {}
         self._runner: web.ServerRunner | None = None
         self._handlers = {
             "/log-append": self._append,
@@ -88,6 +89,18 @@
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
 
+    async def open_for(self, client: str) -> str:
+        """Return a further address, whose caller faults know by name."""
+        before = set(self._runner.addresses)
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        ((host, port),) = set(self._runner.addresses) - before
+        self._clients_by_port[port] = client
+        return f"{host}:{port}"
+
+    def _client(self, request: web.BaseRequest) -> store.StoreClient:
+        _, port = request.transport.get_extra_info("sockname")[:2]
+        return self.store.client(self._clients_by_port.get(port, "http"))
+
     async def close(self) -> None:
         """Stop serving."""
         if self._runner is not None:
@@ -132,7 +145,7 @@
                 query["Producer"], int(query["epoch"]), int(query["Sequence"])
             )
         expected = query.get("Timestamp")
-        answer = await self.store.client("http").append(
+        answer = await self._client(request).append(
             _STREAMS[query["Topic"]],
             _entries(await request.read()),
             _TIMEOUT,
@@ -157,7 +170,7 @@
 
     async def _read(self, request: web.BaseRequest) -> web.Response:
         offset = int(request.query["From"])
-        page = await self.store.client("http").read(
+        page = await self._client(request).read(
             _STREAMS[request.query["Topic"]],
             offset,
             int(request.query.get("WaitMs", 0)) * _MS,
@@ -174,7 +187,7 @@
         return web.Response(body=body)
 
     async def _newest(self, request: web.BaseRequest) -> web.Response:
-        page = await self.store.client("http").newest(
+        page = await self._client(request).newest(
             _STREAMS[request.query["Topic"]], _TIMEOUT
         )
         if isinstance(page, stores.ReadFailure):
--- a/cardamomcroft/standin/service.py
+++ b/cardamomcroft/standin/service.py
@@ -7,10 +7,10 @@
 
 from aiohttp import web
 
+from cardamomcroft.ports import addresses
 from cardamomcroft.ports import http
 from cardamomcroft.ports import messages
 from cardamomcroft.ports import verdict
-from cardamomcroft.settings import instance
 from cardamomcroft.settings import parsing
 from cardamomcroft.standin import instances
 from cardamomcroft.standin import log
@@ -199,7 +199,7 @@
 
 async def serve(app: web.Application, address: str) -> web.AppRunner:
     """Listen on the address and return what stops it."""
-    host, port = instance.split_address(address)
+    host, port = addresses.split_address(address)
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
     await runner.setup()
     await web.TCPSite(runner, host, port).start()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -32,7 +32,7 @@
 
 def make_settings(name: str, store_address: str) -> settings.Settings:
     """Return the settings of an instance on loopback."""
-    addresses = [f"{HOST}:{free_port()}" for _ in range(3)]
+    addresses = [f"{HOST}:{free_port()}" for _ in range(4)]
     return settings.Settings(
         name,
         "dc",
@@ -86,7 +86,8 @@
         self.processes = []
         self.tasks = []
         for name in ("a", "b"):
-            chosen = make_settings(name, self.platform.address)
+            store_address = await self.platform.open_for(name)
+            chosen = make_settings(name, store_address)
             process = main.Process(chosen, self.sink)
             self.processes.append((process, chosen))
             self.tasks.append(asyncio.ensure_future(process.run()))
@@ -210,6 +211,46 @@
 
         await self.wait_for(is_gone, 3)
 
+    async def is_known(self, instance: int) -> bool:
+        """Tell whether an instance knows its peer."""
+        process, _ = self.processes[instance]
+        return len(process.known_peers()) == 2
+
+    async def test_instance_without_the_store_forwards(self):
+        """Its clients submit, see and cancel as if nothing were amiss."""
+        await self.wait_for(lambda: self.is_known(0))
+        self.platform.store.faults.refused_clients.add("a")
+        body = {"Phases": [{"Count": 1, "Cpu": 500, "MemMb": 100}]}
+        for number in range(4):
+            job_id = f"{number:016x}"
+            status, _ = await self.call("POST", f"/scan/{job_id}", body)
+            self.assertEqual(status, 200)
+            await self.wait_for(lambda j=job_id: self.is_completed(j, 0))
+        status, _ = await self.call("DELETE", f"/scan/{job_id}")
+        self.assertEqual(status, 200)
+        self.platform.configure(configuration(2, ["k2"]))
+
+        async def is_refused() -> bool:
+            return (await self.call("GET", "/scan/"))[0] == 401
+
+        await self.wait_for(is_refused, 2)
+        self.assertGreater(self.platform.store.injected["refused"], 0)
+
+    async def test_outage_for_all_is_answered_at_once(self):
+        """Nobody reaches the store: refused, not run, and soon."""
+        await self.wait_for(lambda: self.is_known(0))
+        self.platform.store.faults.is_down = True
+        body = {"Phases": [{"Count": 1, "Cpu": 500, "MemMb": 100}]}
+        began = asyncio.get_running_loop().time()
+        for number in range(3):
+            status, _ = await self.call("POST", f"/scan/{number:016x}", body)
+            self.assertEqual(status, 503)
+        self.assertLess(asyncio.get_running_loop().time() - began, 1)
+        self.platform.store.faults.is_down = False
+        await self.wait_for(lambda: self.is_ready(self.processes[0][1]))
+        await asyncio.sleep(1)
+        self.assertEqual(self.platform.fleet.intervals, [])
+
     async def test_metrics_are_served(self):
         """Counters and histograms come as text."""
         address = self.processes[0][1].metrics_address
--- /dev/null
+++ b/tests/relaying/test_forwarder.py
@@ -0,0 +1,121 @@
+"""Calls are handed on to a peer that reaches the store."""
+
+import datetime
+import os
+import random
+import unittest
+
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import rpc
+from cardamomcroft.relaying import base
+from cardamomcroft.relaying import forwarder
+from cardamomcroft.relaying import rpc as relay_rpc
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import measures
+
+PATIENCE = datetime.timedelta(seconds=3)
+OK = relay_rpc.WIRE.Reply(200, b"{}", 0, False)
+LACKING = relay_rpc.WIRE.Reply(503, b"{}", 0, True)
+
+
+class ScriptedPool:
+    """Answer from a script by address and count the calls."""
+
+    def __init__(self, answers: dict[str, object]) -> None:
+        """Take answers, or errors to raise."""
+        self.answers = answers
+        self.asked: list[str] = []
+
+    async def call(self, address, operation, *arguments):
+        """Return or raise what the script says."""
+        self.asked.append(address)
+        answer = self.answers[address]
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+    """Peers answer, lack the store, fall silent or are gone."""
+
+    def setUp(self):
+        """Open a sink for log lines."""
+        self.sink = os.open(os.devnull, os.O_WRONLY)
+        self.addCleanup(os.close, self.sink)
+        self.clock = clocks.FakeClock()
+
+    def make(self, answers: dict[str, object], near: str = ""):
+        """Return a forwarder and its pool."""
+        pool = ScriptedPool(answers)
+        peers = {
+            name: codec.Peer(name, "near" if name == near else "far", 0.0)
+            for name in answers
+        }
+        log = events.Events(self.clock, "me", measures.Measures(), self.sink)
+        place = forwarder.Place("me", "near")
+        return (
+            forwarder.PeerForwarder(
+                place, lambda: peers, pool, self.clock, log, random.Random(1)
+            ),
+            pool,
+        )
+
+    async def forward(self, target, method: str = "POST"):
+        """Hand on a call."""
+        call = base.Call(method, "h", "/p", "k", b"", PATIENCE)
+        return await target.forward(call)
+
+    async def test_peer_that_lacks_the_store_is_passed_over(self):
+        """The next one answers, and is asked first from then on."""
+        target, pool = self.make({"a": LACKING, "b": OK, "me": OK}, "a")
+        self.assertEqual((await self.forward(target)).status, 200)
+        self.assertEqual(pool.asked, ["a", "b"])
+        await self.clock.advance(forwarder.LACKING_PAUSE * 2)
+        await self.forward(target)
+        self.assertEqual(pool.asked, ["a", "b", "b"])
+
+    async def test_nobody_reaches_the_store(self):
+        """The call was not carried out."""
+        target, pool = self.make(
+            {"a": LACKING, "b": rpc.UnreachedError("gone")}
+        )
+        self.assertIsNone(await self.forward(target))
+        self.assertEqual(sorted(pool.asked), ["a", "b"])
+
+    async def test_lost_reply_leaves_the_outcome_unknown(self):
+        """A change is never called "not run" then; a query is."""
+        answers = {"a": TimeoutError(), "b": LACKING}
+        target, _ = self.make(dict(answers), "a")
+        self.assertIs(await self.forward(target), base.OUTCOME_UNKNOWN)
+        target, _ = self.make(dict(answers), "a")
+        self.assertIsNone(await self.forward(target, "GET"))
+
+    async def test_lost_reply_is_made_sure_of_by_the_next_peer(self):
+        """Changes may be repeated with the same id."""
+        target, _ = self.make({"a": TimeoutError(), "b": OK}, "a")
+        self.assertEqual((await self.forward(target)).status, 200)
+
+    async def test_few_peers_are_asked(self):
+        """A caller is not held while all peers are tried."""
+        target, pool = self.make({f"p{n}": LACKING for n in range(40)})
+        self.assertIsNone(await self.forward(target))
+        self.assertEqual(len(pool.asked), forwarder.TRIES)
+
+    async def test_no_peer_is_asked_without_time(self):
+        """A call whose client is about to give up is not handed on."""
+        target, pool = self.make({"a": OK})
+        call = base.Call("POST", "h", "/p", "k", b"", PATIENCE / 10)
+        self.assertIsNone(await target.forward(call))
+        self.assertEqual(pool.asked, [])
+
+
+class PoolTest(unittest.IsolatedAsyncioTestCase):
+    """Calls over loopback."""
+
+    async def test_call_to_nobody_is_not_sent(self):
+        """A refused connection is told apart from a lost reply."""
+        pool = relay_rpc.make_pool(datetime.timedelta(seconds=1))
+        call = base.Call("GET", "h", "/p", "", b"", PATIENCE)
+        with self.assertRaises(rpc.UnreachedError):
+            await relay_rpc.ask(pool, "127.0.0.1:1", call)
