Play the platform's whole path in bin/demo

Change: three instances and the stand-in of the platform on loopback; a job of a gang and a step after it is submitted where the store is lacking and shown elsewhere. Starting instances moved from the path's tests to standin.cluster.

--- a/cardamomcroft/bench/demo.py
+++ b/cardamomcroft/bench/demo.py
@@ -1,4 +1,4 @@
-"""Show the whole path on loopback in one process."""
+"""Show both whole paths on loopback in one process."""
 
 import asyncio
 import dataclasses
@@ -11,12 +11,14 @@
 
 from cardamomcroft.bench import checks
 from cardamomcroft.bench import local
+from cardamomcroft.bench import platform_demo
 from cardamomcroft.cli import running
 from cardamomcroft.daemon import logs
 from cardamomcroft.settings import directory
 from cardamomcroft.settings import instance
 
 INSTANCES = 3
+JOBS = 2  # one at the stand-alone instances, one on the platform
 
 app = cyclopts.App(name="demo", help="Run the whole path on loopback.")
 
@@ -32,6 +34,7 @@
     violations: int
     gang: dict
     answer: dict
+    platform: platform_demo.PlatformReport
 
 
 async def _submit_gang(
@@ -70,7 +73,7 @@
 
 
 async def run_demo(declarations: pathlib.Path) -> Report:
-    """Run the path once and return what was seen."""
+    """Run both paths once and return what was seen."""
     by_path = directory.load(declarations).ok
     cluster = local.LocalCluster(by_path, INSTANCES, "cardamomcroft")
     await cluster.start()
@@ -88,14 +91,17 @@
     finally:
         await cluster.stop()
     violations = checks.count(cluster.workers)
+    on_platform = await platform_demo.run_platform_demo()
+    completed = [gang.get("phase"), on_platform.state].count("completed")
     return Report(
-        int(gang.get("phase") == "completed"),
+        completed,
         int(answer.get("verdict") == "ran"),
         INSTANCES,
         round(in_force.total_seconds(), 3),
-        sum(violations.values()),
+        sum(violations.values()) + on_platform.tasks_run_twice,
         gang,
         answer,
+        on_platform,
     )
 
 
@@ -105,7 +111,7 @@
     declarations: pathlib.Path = pathlib.Path("examples/guild"),
     json_output: bool = False,
 ) -> None:
-    """Run the demo and print both answers.
+    """Run the demo and print what clients saw.
 
     Parameters
     ----------
@@ -120,7 +126,7 @@
         print(json.dumps(dataclasses.asdict(report)))
     else:
         _print(report)
-    whole = report.jobs_completed == 1 and report.requests_answered == 1
+    whole = report.jobs_completed == JOBS and report.requests_answered == 1
     sys.exit(0 if whole and not report.violations else 1)
 
 
@@ -138,6 +144,12 @@
         f"request {answer['request_id']} sent to entry-3: "
         f"{answer['verdict']}: {answer['answer']!r}"
     )
+    print(
+        f"on the platform: job {platform_demo.JOB} submitted at "
+        f"{platform_demo.NAMES[1]}, which lacks the store: "
+        f"{report.platform.state} at {platform_demo.NAMES[2]}, "
+        f"{report.platform.tasks_run} tasks run once"
+    )
     print(f"violations: {report.violations}")
 
 
--- /dev/null
+++ b/cardamomcroft/standin/cluster.py
@@ -0,0 +1,96 @@
+"""Run whole instances on loopback against the stand-in of the platform."""
+
+import asyncio
+import datetime
+import os
+import socket
+
+import aiohttp
+
+from cardamomcroft.platform import main
+from cardamomcroft.platform import settings
+from cardamomcroft.standin import platform
+
+HOST = "127.0.0.1"
+PROBE_PAUSE_S = 0.02
+_S = datetime.timedelta(seconds=1)
+
+
+def free_address() -> str:
+    """Return an address that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
+def make_settings(name: str, store_address: str) -> settings.Settings:
+    """Return the settings of an instance, with the bounds of small sites."""
+    return settings.Settings(
+        instance=name,
+        data_centre="dc",
+        ingress_address=free_address(),
+        ready_address=free_address(),
+        metrics_address=free_address(),
+        peer_address=free_address(),
+        store_address=store_address,
+        advice_address=None,
+        config_bound=2 * _S,
+        max_lease=10 * _S,
+        stop_bound=0.2 * _S,
+        grace=6 * _S,
+        drain=2 * _S,
+        heartbeat=1.5 * _S,
+        remote_factor=3.0,
+        checkpoint=2 * _S,
+        restore=0.6 * _S,
+        reclaim=2.7 * _S,
+        gang_timeout=3 * _S,
+        retention=120 * _S,
+    )
+
+
+class Cluster:
+    """Start instances, and end them with everything they hold."""
+
+    def __init__(
+        self, target: platform.PlatformServer, descriptor: int | None = None
+    ) -> None:
+        """Take the platform and where log lines go; nowhere without one."""
+        self._platform = target
+        self._sink = os.open(os.devnull, os.O_WRONLY)
+        self._descriptor = self._sink if descriptor is None else descriptor
+        self.processes_by_name: dict[str, main.Process] = {}
+        self.settings_by_name: dict[str, settings.Settings] = {}
+        self.tasks_by_name: dict[str, asyncio.Task] = {}
+
+    async def start(self, name: str) -> None:
+        """Start an instance; faults of the store know it by its name."""
+        store_address = await self._platform.open_for(name)
+        chosen = make_settings(name, store_address)
+        process = main.Process(chosen, self._descriptor)
+        self.processes_by_name[name] = process
+        self.settings_by_name[name] = chosen
+        self.tasks_by_name[name] = asyncio.ensure_future(process.run())
+
+    async def is_ready(
+        self, session: aiohttp.ClientSession, name: str
+    ) -> bool:
+        """Ask an instance's readiness probe."""
+        try:
+            address = self.settings_by_name[name].ready_address
+            async with session.get(f"http://{address}/readyz") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    def url(self, name: str, path: str) -> str:
+        """Return where clients reach a path at an instance."""
+        return f"http://{self.settings_by_name[name].ingress_address}{path}"
+
+    async def close(self) -> None:
+        """End every instance."""
+        tasks = list(self.tasks_by_name.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        os.close(self._sink)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,58 +2,24 @@
 
 import asyncio
 import datetime
-import os
-import socket
 import unittest
 
 import aiohttp
 
-from cardamomcroft.platform import main
-from cardamomcroft.platform import settings
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.standin import cluster
 from cardamomcroft.standin import platform
 
-HOST = "127.0.0.1"
+NAMES = ("a", "b")
 KEY = {"Api-Key": "k1", "Host": "jobs.example"}
 JOB = "00000000000000aa"
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 def seconds(number: float) -> datetime.timedelta:
     """Return a duration."""
     return datetime.timedelta(seconds=number)
 
 
-def make_settings(name: str, store_address: str) -> settings.Settings:
-    """Return the settings of an instance on loopback."""
-    addresses = [f"{HOST}:{free_port()}" for _ in range(4)]
-    return settings.Settings(
-        name,
-        "dc",
-        *addresses,
-        store_address,
-        None,
-        seconds(2),
-        seconds(10),
-        seconds(0.2),
-        seconds(6),
-        seconds(2),
-        seconds(1.5),
-        3.0,
-        seconds(2),
-        seconds(0.6),
-        seconds(2.7),
-        seconds(3),
-        seconds(120),
-    )
-
-
 def configuration(version: int, keys: list[str]) -> dict:
     """Return a configuration with one queue and one account."""
     route = {
@@ -82,27 +48,18 @@
         self.platform.configure(configuration(1, ["k1"]))
         for worker_id in ("w1", "w2"):
             self.platform.add_worker(worker_id)
-        self.sink = os.open(os.devnull, os.O_WRONLY)
-        self.processes = []
-        self.tasks = []
-        for name in ("a", "b"):
-            store_address = await self.platform.open_for(name)
-            chosen = make_settings(name, store_address)
-            process = main.Process(chosen, self.sink)
-            self.processes.append((process, chosen))
-            self.tasks.append(asyncio.ensure_future(process.run()))
+        self.cluster = cluster.Cluster(self.platform)
+        for name in NAMES:
+            await self.cluster.start(name)
         self.session = aiohttp.ClientSession()
-        for _, chosen in self.processes:
-            await self.wait_for(lambda c=chosen: self.is_ready(c))
+        for name in NAMES:
+            await self.wait_for(lambda n=name: self.is_ready(n))
 
     async def asyncTearDown(self):
         """Stop everything."""
         await self.session.close()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.cluster.close()
         await self.platform.close()
-        os.close(self.sink)
 
     async def wait_for(self, condition, limit: float = 10) -> None:
         """Wait until an awaited condition holds."""
@@ -111,22 +68,17 @@
             self.assertLess(asyncio.get_running_loop().time(), until)
             await asyncio.sleep(0.02)
 
-    async def is_ready(self, chosen: settings.Settings) -> bool:
+    async def is_ready(self, name: str) -> bool:
         """Ask the readiness probe."""
-        try:
-            url = f"http://{chosen.ready_address}/readyz"
-            async with self.session.get(url) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
+        return await self.cluster.is_ready(self.session, name)
 
     async def call(
         self, method: str, path: str, body=None, headers=KEY, instance=0
     ) -> tuple[int, dict]:
         """Call an instance as a client does."""
-        address = self.processes[instance][1].ingress_address
+        url = self.cluster.url(NAMES[instance], path)
         async with self.session.request(
-            method, f"http://{address}{path}", json=body, headers=headers
+            method, url, json=body, headers=headers
         ) as response:
             return response.status, await response.json()
 
@@ -213,8 +165,8 @@
 
     async def is_known(self, instance: int) -> bool:
         """Tell whether an instance knows its peer."""
-        process, _ = self.processes[instance]
-        return len(process.known_peers()) == 2
+        process = self.cluster.processes_by_name[NAMES[instance]]
+        return len(process.known_peers()) == len(NAMES)
 
     async def test_instance_without_the_store_forwards(self):
         """Its clients submit, see and cancel as if nothing were amiss."""
@@ -247,13 +199,13 @@
             self.assertEqual(status, 503)
         self.assertLess(asyncio.get_running_loop().time() - began, 1)
         self.platform.store.faults.is_down = False
-        await self.wait_for(lambda: self.is_ready(self.processes[0][1]))
+        await self.wait_for(lambda: self.is_ready("a"))
         await asyncio.sleep(1)
         self.assertEqual(self.platform.fleet.intervals, [])
 
     async def test_metrics_are_served(self):
         """Counters and histograms come as text."""
-        address = self.processes[0][1].metrics_address
+        address = self.cluster.settings_by_name["a"].metrics_address
         url = f"http://{address}/metrics"
         async with self.session.get(url) as response:
             text = await response.text()
@@ -262,13 +214,12 @@
 
     async def test_planned_stop_answers_what_it_has_read(self):
         """A leaving instance is not ready but still answers."""
-        process, chosen = self.processes[0]
-        process.leave()
+        self.cluster.processes_by_name["a"].leave()
 
         async def is_out() -> bool:
-            return not await self.is_ready(chosen)
+            return not await self.is_ready("a")
 
         await self.wait_for(is_out, 1)
         status, _ = await self.call("GET", "/scan/")
         self.assertEqual(status, 200)
-        await asyncio.wait_for(self.tasks[0], 6)
+        await asyncio.wait_for(self.cluster.tasks_by_name["a"], 6)
