Refuse jobs that would begin too late, with a time to return

Change: the scheduler publishes in its claim how long the work that waits would fill all workers, by queue; an ingress refuses a job that would begin after three times its objective and says when the backlog is short enough. Nothing is refused while no work waits, or on a forecast older than 2 s.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -14,8 +14,10 @@
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration
 from cardamomcroft.scheduling import configuration_view
+from cardamomcroft.scheduling import drain
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import ledger as ledgers
+from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import node as nodes
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
@@ -233,6 +235,9 @@
             )
         except submissions.SubmissionError as error:
             return self._refuse(call, 400, str(error))
+        refusal = await self._refuse_hopeless(call, job)
+        if refusal is not None:
+            return refusal
         key = ledgers.Kind.SUBMISSION.key(job_id)
         entry = store.Entry(key, codec.encode_job(job))
         status = await self._append(call, forwarder, entry)
@@ -249,6 +254,21 @@
             return self._refuse(call, 503, "store unavailable")
         return relaying.OUTCOME_UNKNOWN
 
+    async def _refuse_hopeless(
+        self, call: relaying.Call, job: models.Job
+    ) -> relaying.Reply | None:
+        """Refuse a job that would begin too late, unless it is known."""
+        replica = self._node.replica
+        wait = replica.expected_wait(job.queue.name)
+        retry_after_s = drain.retry_after_s(job, wait)
+        if retry_after_s is None:
+            return None
+        await replica.refresh(REFRESH_LIMIT)
+        if replica.ledger.state(job.job_id) is not None:
+            return _reply(200, {})
+        reason = f"would wait for {wait.total_seconds():.0f} s"
+        return self._refuse(call, 503, reason, retry_after_s)
+
     async def _cancel(
         self,
         call: relaying.Call,
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -11,6 +11,9 @@
 from cardamomcroft.scheduling import ledger
 
 READ_TIMEOUT = datetime.timedelta(seconds=1)  # 240 ms at a slow store
+# A scheduler is heard of every 0.4 s; an older forecast refuses nobody.
+FORECAST_AGE = datetime.timedelta(seconds=2)
+_MS = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
 
 News = list[tuple[ledger.Kind, str]]
@@ -41,6 +44,15 @@
             return None
         return self._clock.monotonic() - self.fresh_at
 
+    def expected_wait(self, queue: str) -> datetime.timedelta:
+        """Return the scheduler's forecast for a queue; zero if it is old."""
+        claim, seen_at = self.ledger.claim, self.ledger.holder_seen_at
+        if claim is None or seen_at is None:
+            return _ZERO
+        if self._clock.monotonic() - seen_at > FORECAST_AGE:
+            return _ZERO
+        return claim.drain_ms_by_queue.get(queue, 0) * _MS
+
     async def refresh(self, limit: datetime.timedelta) -> None:
         """Bring the copy up to this moment, if the store is quick."""
         catching_up = self._catch_up(self._clock.monotonic())
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import beliefs as beliefs_module
 from cardamomcroft.scheduling import directory as directories
+from cardamomcroft.scheduling import drain
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import expiry
 from cardamomcroft.scheduling import headroom as headrooms
@@ -63,6 +64,8 @@
         self._headroom = headrooms.Headroom()
         self._holds = holding.Holds()
         self._reservations = reservations.Reservations()
+        self._forecast = drain.Forecast()
+        journal.describe_load = lambda: self._forecast.wait_ms_by_queue
         self._expiry = expiry.Expiry(terms.retention)
         self._peer_expiry = expiry.PeerExpiry()
 
@@ -147,6 +150,12 @@
         self._move_suspects()
         jobs = list(self.beliefs.jobs_by_id.values())
         now = self._clock.monotonic()
+        self._forecast.refresh(
+            jobs,
+            self.beliefs.workers_by_id.values(),
+            self.beliefs.durations,
+            now,
+        )
         situation = planning.Situation(
             jobs,
             self.beliefs.workers_by_id,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -203,6 +203,35 @@
         await asyncio.sleep(1)
         self.assertEqual(self.platform.fleet.intervals, [])
 
+    async def test_flood_is_told_when_to_return(self):
+        """Jobs that would begin too late are refused, and never run."""
+        self.platform.fleet.duration = seconds(30)
+        phase = {"Count": 200, "Cpu": 500, "MemMb": 100, "Gpu": 8}
+        body = {"Phases": [phase | {"EstimateMs": 1000}]}
+        status, _ = await self.call("POST", f"/scan/{JOB}", body)
+        self.assertEqual(status, 200)  # the workers have room
+        late = "00000000000000bb"
+
+        async def is_refused() -> bool:
+            # The one that has been accepted stays accepted.
+            self.assertEqual(
+                (await self.call("POST", f"/scan/{JOB}", body))[0], 200
+            )
+            url = self.cluster.url("b", f"/scan/{late}")
+            async with self.session.post(
+                url, json=body, headers=KEY
+            ) as response:
+                self.after_s = int(response.headers.get("Retry-After", 0))
+                return response.status == 503
+
+        status, _ = await self.call("GET", f"/scan/{late}")
+        self.assertEqual(status, 410)
+        await asyncio.sleep(2)
+        self.assertTrue(await is_refused())
+        self.assertGreater(self.after_s, 60 // 2)
+        status, _ = await self.call("GET", f"/scan/{late}")
+        self.assertEqual(status, 410)
+
     async def test_metrics_are_served(self):
         """Counters and histograms come as text."""
         address = self.cluster.settings_by_name["a"].metrics_address
