Ask a reborn worker what it runs before starting its tasks elsewhere

Ruled out: the token and the expected id; both were right. Change: a new incarnation is asked for its list, a few milliseconds; what it lists goes on, what it lacks starts elsewhere; out of reach, it is waited for until no lease can last.

--- a/cardamomcroft/scheduling/beliefs.py
+++ b/cardamomcroft/scheduling/beliefs.py
@@ -27,6 +27,15 @@
     run_base: int  # run numbers of this term start above it
     retention: datetime.timedelta  # of ended jobs' records
 
+    @property
+    def longest_grant(self) -> datetime.timedelta:
+        """Return how long a worker out of reach may go on running.
+
+        A scheduler without the store extends leases for a while, and the
+        last of them has to run out on the slowest clock.
+        """
+        return self.max_grant_age + self.lease / runs.CLOCK_RATE
+
 
 class Beliefs:
     """Hold jobs, runs and workers; stage their records in the journal."""
--- a/cardamomcroft/scheduling/inheriting.py
+++ b/cardamomcroft/scheduling/inheriting.py
@@ -49,11 +49,7 @@
     worker = runs.Worker(address, known.born_ms)
     worker.is_recorded = True
     worker.has_inventory = False
-    # The earlier scheduler may extend leases for that long after its last
-    # record, and the last of them then has to run out.
-    terms = beliefs.terms
-    longest = terms.max_grant_age + terms.lease / runs.CLOCK_RATE
-    worker.lapses_at = beliefs.clock.monotonic() + longest
+    worker.lapses_at = beliefs.clock.monotonic() + beliefs.terms.longest_grant
     return worker
 
 
--- a/cardamomcroft/scheduling/watching.py
+++ b/cardamomcroft/scheduling/watching.py
@@ -56,13 +56,35 @@
         worker.note_clock(listing.clock_ms, now)
 
     def _note_rebirth(self, worker: runs.Worker, born_ms: int) -> None:
-        """Drop what an earlier incarnation ran."""
+        """Ask the new incarnation what it runs.
+
+        It answers to the same id, so that a start may have reached it before
+        it was known of; what the earlier one ran is missing from its list.
+        """
         self._log.emit(
             "worker_reborn",
             worker_id=worker.worker_id,
             born_ms=born_ms,
             runs=len(worker.runs_by_task),
         )
+        self._forget_incarnation(worker, born_ms)
+        if not worker.runs_by_task:
+            return
+        now = self._clock.monotonic()
+        for run in worker.runs_by_task.values():
+            if run.phase in (runs.Phase.AT_WORK, runs.Phase.INHERITED):
+                run.phase = runs.Phase.INHERITED
+                run.settled_at = now
+        worker.has_inventory = False
+        worker.lapses_at = now + self._beliefs.terms.longest_grant
+        self.ensure(worker)
+
+    def _note_replaced(self, worker: runs.Worker) -> None:
+        """Give up what ran on a worker whose address another one has."""
+        self._forget_incarnation(worker, worker.born_ms)
+        self._lose_runs(worker, "worker replaced")
+
+    def _forget_incarnation(self, worker: runs.Worker, born_ms: int) -> None:
         fresh = runs.Worker(worker.address, born_ms)
         worker.born_ms = born_ms
         for name in ("seen", "durable", "told", "lease_ms", "lapses_at"):
@@ -70,7 +92,6 @@
         worker.reset_clock()
         worker.has_inventory = True
         worker.unreachable_since = None
-        self._lose_runs(worker, "worker reborn")
 
     def _lose_runs(self, worker: runs.Worker, reason: str) -> None:
         for run in list(worker.runs_by_task.values()):
@@ -181,7 +202,7 @@
                 runs=len(worker.runs_by_task),
             )
         if result.status is fleet.OrderStatus.OTHER_INCARNATION:
-            self._note_rebirth(worker, worker.born_ms)
+            self._note_replaced(worker)
         await self._clock.sleep(RETRY_PAUSE)
 
     async def _wait_durable(self, worker: runs.Worker) -> None:
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -147,6 +147,7 @@
         self.workers_by_id: dict[str, FakeWorker] = {}
         self.steps_by_job: dict[str, tuple[models.Step, ...]] = {}
         self.intervals: list[Interval] = []
+        self.doubled: list[str] = []  # tasks started beside a run of theirs
         self.durations_by_job: dict[str, datetime.timedelta] = {}
         # Runs on one worker end this far apart when stopped together.
         self.stop_steps = datetime.timedelta(milliseconds=40)
@@ -180,6 +181,17 @@
         self.workers_by_id[worker_id] = FakeWorker(self, listing)
         return listing
 
+    def restart(self, worker_id: str) -> fleet.Listing:
+        """Replace a worker by its next incarnation, which knows nothing."""
+        old = self.workers_by_id[worker_id]
+        for task in list(old.runs_by_task):
+            old.end(task, fleet.End.LAPSED)
+        listing = self.add(worker_id, old.listing.accelerators)
+        listing = dataclasses.replace(listing, born_ms=old.listing.born_ms + 1)
+        self.workers_by_id[worker_id].listing = listing
+        self.injected["reborn"] += 1
+        return listing
+
     def gang_present_at(
         self, group: str, number: int, width: int
     ) -> datetime.timedelta | None:
@@ -251,6 +263,11 @@
         step = self.steps_of(job_id)[int(step_number)]
         if not step.demand.fits(worker.free()):
             return fleet.OrderResult(Status.NO_ROOM, clock_ms)
+        known = worker.runs_by_task.get(order.task)
+        if known is not None and known.number == order.run:
+            return fleet.OrderResult(Status.DONE, clock_ms)
+        if known is not None:
+            self.doubled.append(order.task)
         width = step.width if step.is_gang else 0
         worker.runs_by_task[order.task] = FakeRun(
             order.run, self.clock.monotonic(), step.demand, width
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -108,7 +108,13 @@
 
     def add_worker(self, worker_id: str) -> None:
         """Register a worker of the service ``svc``."""
-        listing = self.fleet.add(worker_id)
+        self._register(worker_id, self.fleet.add(worker_id))
+
+    def restart_worker(self, worker_id: str) -> None:
+        """Let a worker crash and start again under its id."""
+        self._register(worker_id, self.fleet.restart(worker_id))
+
+    def _register(self, worker_id: str, listing: fleets.Listing) -> None:
         entry = {
             "Service": listing.service,
             "Address": self.address,
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -1,6 +1,7 @@
 """Accepted jobs run whole, once, whoever schedules."""
 
 from cardamomcroft.ports import fleet
+from cardamomcroft.ports import store
 from tests.scheduling import harness
 
 
@@ -186,6 +187,57 @@
         await task
 
 
+class RebirthTest(harness.SchedulingTestCase):
+    """A worker crashes and starts again under its id."""
+
+    async def asyncSetUp(self):
+        """Start one node with two workers."""
+        await super().asyncSetUp()
+        self.add_workers(2)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+
+    def announce(self, worker_id: str, listing: fleet.Listing) -> None:
+        """Put the entry of a new incarnation into the directory."""
+        self.listings[worker_id] = listing
+        self.store.put(store.Stream.SERVERS, worker_id, b"again")
+
+    async def test_run_of_the_new_incarnation_is_kept(self):
+        """A start that it took before its entry came does not run twice."""
+        listings = {
+            worker_id: self.fleet.restart(worker_id)
+            for worker_id in ("w1", "w2")
+        }
+        job_id = self.submit(harness.make_step(width=4))
+        await self.wait_until(lambda: len(self.fleet.running()) == 4)
+        for worker_id, listing in listings.items():
+            self.announce(worker_id, listing)
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.check_run_once(job_id)
+        self.assertEqual(len(self.fleet.intervals), 4)
+
+    async def test_runs_of_the_old_incarnation_start_again(self):
+        """What was lost with it is missing from the new one's list."""
+        job_id = self.submit(harness.make_step(width=4))
+        await self.wait_until(lambda: len(self.fleet.running()) == 4)
+        for worker_id in ("w1", "w2"):
+            self.announce(worker_id, self.fleet.restart(worker_id))
+        took = await self.wait_until(lambda: len(self.fleet.running()) == 4)
+        self.assertLess(took, 1)
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.check_run_once(job_id)
+
+    async def test_unreachable_new_incarnation_may_run(self):
+        """Its runs are given up only when no lease can last."""
+        listing = self.fleet.restart("w1")
+        job_id = self.submit(harness.make_step(width=16))
+        await self.wait_until(lambda: len(self.fleet.running()) == 16)
+        self.fleet.workers_by_id["w1"].is_cut = True
+        self.announce("w1", listing)
+        await self.wait_until(lambda: self.state(job_id) == "completed", 60)
+        self.assertGreater(self.fleet.injected["unreachable"], 0)
+
+
 class LostAnswerTest(harness.SchedulingTestCase):
     """Answers are lost after the effect."""
 
