--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -150,9 +150,6 @@
         self._move_suspects()
         jobs = list(self.beliefs.jobs_by_id.values())
         now = self._clock.monotonic()
-        self._headroom.note_load(
-            (job.job for job in jobs if job.job.queue.priority == 0), now
-        )
         self._forecast.refresh(
             jobs,
             self.beliefs.workers_by_id.values(),
