--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -39,7 +39,7 @@
 # Before the platform kills the process: a handover and closing connections.
 STOP_MARGIN_S = 2.0
 CLOSE_LIMIT_S = 0.3
-VERSION = "0.2.0"
+VERSION = "0.3.0"
 WRONG_USE = 2
 
 
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,234 @@
+"""Draw faults from a seed and inject them from outside the processes."""
+
+import asyncio
+import collections
+import collections.abc
+import json
+import random
+import signal
+
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import ledger
+from cardamomcroft.standin import platform
+from soak import clients
+from soak import instances as processes
+from soak import proxy
+
+LONGEST_S = 4.0
+RESTART_S = 0.5  # the platform restarts ended processes after a short delay
+LINK_MODES = (
+    proxy.Mode.DELAYED,
+    proxy.Mode.REFUSED,
+    proxy.Mode.SILENT,
+    proxy.Mode.NO_ANSWERS,
+    proxy.Mode.STALE,
+)
+Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
+
+class Faults:
+    """Harm processes, links, the store and the workers."""
+
+    def __init__(
+        self,
+        target: platform.PlatformServer,
+        cluster: list[processes.Instance],
+        callers: clients.Callers,
+        rng: random.Random,
+    ) -> None:
+        """Take what may be harmed."""
+        self._platform = target
+        self._instances = cluster
+        self._callers = callers
+        self._rng = rng
+        self._version = 1
+        self._busy: set[str] = set()  # instances being harmed
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.reborn: set[str] = set()
+        self.slow_stops: list[float] = []
+        self.kinds: dict[str, Action] = {
+            "kill": self._kill,
+            "kill_holder": self._kill_holder,
+            "freeze": self._freeze,
+            "freeze_holder": self._freeze_holder,
+            "planned_stop": self._planned_stop,
+            "hang_up": self._hang_up,
+            "kill_all": self._kill_all,
+            "harm_link": self._harm_link,
+            "reset_link": self._reset_link,
+            "store_down": self._store_down,
+            "store_slow": self._store_slow,
+            "store_answers_lost": self._store_answers_lost,
+            "history_dropped": self._history_dropped,
+            "worker_cut": self._worker_cut,
+            "worker_hangs": self._worker_hangs,
+            "worker_fails": self._worker_fails,
+            "worker_reborn": self._worker_reborn,
+            "start_answers_lost": self._start_answers_lost,
+            "configuration": self._configuration,
+        }
+
+    def holder(self) -> processes.Instance:
+        """Return the instance whose claim is the newest in the store."""
+        records = self._platform.store.records_by_stream[store.Stream.JOBS]
+        for record in reversed(records):
+            if record.key == ledger.CLAIM_KEY and record.value:
+                name = codec.decode_claim(record.value).holder.split(" ")[0]
+                for instance in self._instances:
+                    if instance.name == name:
+                        return instance
+        return self._rng.choice(self._instances)
+
+    async def inject(self, kind: str) -> None:
+        """Inject one fault and undo it; count it."""
+        self.counts[kind] += 1
+        await self.kinds[kind]()
+
+    def _any(self) -> processes.Instance:
+        return self._rng.choice(self._instances)
+
+    def _worker(self):
+        names = sorted(self._platform.fleet.workers_by_id)
+        return self._platform.fleet.workers_by_id[self._rng.choice(names)]
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(self._rng.uniform(0.3, LONGEST_S))
+
+    async def _restart(self, instance: processes.Instance) -> None:
+        await asyncio.sleep(RESTART_S)
+        await instance.start()
+
+    async def _on_process(self, instance, harm) -> None:
+        """Harm one process at a time in one way."""
+        if instance.name in self._busy:
+            return
+        self._busy.add(instance.name)
+        try:
+            await harm(instance)
+        finally:
+            self._busy.discard(instance.name)
+
+    async def _kill_one(self, instance: processes.Instance) -> None:
+        await instance.kill()
+        await self._restart(instance)
+
+    async def _freeze_one(self, instance: processes.Instance) -> None:
+        await instance.freeze(self._rng.uniform(0.5, LONGEST_S))
+
+    async def _stop_one(self, instance: processes.Instance) -> None:
+        took_s = await instance.stop()
+        if took_s >= processes.GRACE_S:
+            self.slow_stops.append(took_s)
+        await self._restart(instance)
+
+    async def _kill(self) -> None:
+        await self._on_process(self._any(), self._kill_one)
+
+    async def _kill_holder(self) -> None:
+        await self._on_process(self.holder(), self._kill_one)
+
+    async def _freeze(self) -> None:
+        await self._on_process(self._any(), self._freeze_one)
+
+    async def _freeze_holder(self) -> None:
+        await self._on_process(self.holder(), self._freeze_one)
+
+    async def _planned_stop(self) -> None:
+        await self._on_process(self._any(), self._stop_one)
+
+    async def _hang_up(self) -> None:
+        instance = self._any()
+        instance.write_settings()
+        instance.send(signal.SIGHUP)
+
+    async def _kill_all(self) -> None:
+        await asyncio.gather(
+            *(
+                self._on_process(instance, self._kill_one)
+                for instance in self._instances
+            )
+        )
+
+    async def _harm_link(self) -> None:
+        link = self._any().link
+        mode = self._rng.choice(LINK_MODES)
+        self.counts[f"link_{mode.value}"] += 1
+        link.harm(mode)
+        await self._pause()
+        link.harm(proxy.Mode.CLEAR)
+
+    async def _reset_link(self) -> None:
+        self._any().link.reset()
+
+    async def _store_down(self) -> None:
+        self._platform.store.faults.is_down = True
+        await self._pause()
+        self._platform.store.faults.is_down = False
+
+    async def _store_slow(self) -> None:
+        faults = self._platform.store.faults
+        usual = faults.delay
+        faults.delay = usual * 40
+        await self._pause()
+        faults.delay = usual
+
+    async def _store_answers_lost(self) -> None:
+        self._platform.store.faults.lose_answers += 3
+
+    async def _history_dropped(self) -> None:
+        self._platform.store.faults.expire_reads += 2
+
+    async def _worker_cut(self) -> None:
+        worker = self._worker()
+        worker.is_cut = True
+        await self._pause()
+        worker.is_cut = False
+
+    async def _worker_hangs(self) -> None:
+        worker = self._worker()
+        worker.hangs = True
+        await self._pause()
+        worker.hangs = False
+
+    async def _worker_fails(self) -> None:
+        worker = self._worker()
+        worker.fails_everything = True
+        await asyncio.sleep(1)
+        worker.fails_everything = False
+
+    async def _worker_reborn(self) -> None:
+        worker_id = self._worker().listing.address.worker_id
+        self.reborn.add(worker_id)
+        self._platform.restart_worker(worker_id)
+
+    async def _start_answers_lost(self) -> None:
+        self._worker().lose_start_answers += 2
+
+    async def _configuration(self) -> None:
+        self._version += 1
+        self._platform.configure(make_configuration(self._version))
+
+
+def make_configuration(version: int) -> dict:
+    """Return a configuration with three queues and one account."""
+    routes = [
+        platform.make_route(
+            f"q{priority}",
+            "/scan/" if priority == 1 else f"/q{priority}/",
+            priority,
+            attempts=1000,
+        )
+        for priority in range(3)
+    ]
+    account = {
+        "Name": "t",
+        "ApiKeys": [clients.KEY, f"spare-{version}"],
+        "Guaranteed": {"Gpu": 8},
+    }
+    return {"Version": version, "Routes": routes, "Tenants": [account]}
+
+
+def describe(counts: collections.Counter[str]) -> str:
+    """Return the faults and their number as one line."""
+    return json.dumps(dict(sorted(counts.items())))
--- /dev/null
+++ b/soak/instances.py
@@ -0,0 +1,128 @@
+"""Run instances as processes, and signal only those."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+
+import yaml
+
+from cardamomcroft.platform import settings as platform_settings
+from soak import proxy
+
+GRACE_S = 6
+INGRESS_PORT = 8521
+READY_PORT = 8523
+PEER_PORT = 7000
+BOUNDS = {
+    "ConfigApplyMs": 2000,
+    "MaxHoldMs": 10_000,
+    "StopTimeoutMs": 200,
+    "GraceS": GRACE_S,
+    "DrainMs": 2000,
+    "RemoteFactor": 3,
+    "CheckpointS": 2,
+    "RestoreMs": 600,
+    "ReclaimMs": 2700,
+    "GangTimeoutMs": 3000,
+    "status_s": 120,
+}
+
+
+class Instance:
+    """Own one instance's process, its link to the store and its log."""
+
+    def __init__(
+        self, name: str, ip: str, link: proxy.Link, folder: pathlib.Path
+    ) -> None:
+        """Write the settings file; the process starts later."""
+        self.name = name
+        self.ip = ip
+        self.link = link
+        self._settings = folder / f"{name}.yaml"
+        self.log = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self.is_planned_stop = False
+        self.is_frozen = False
+        self.write_settings()
+
+    def write_settings(self) -> None:
+        """Write the file that the platform would write."""
+        plain = {
+            "NodeName": self.name,
+            "Zone": "dc",
+            "Ip": self.ip,
+            "ListenAddrs": {
+                "FrontendAddr": f"{self.ip}:{INGRESS_PORT}",
+                "Ready": f"{self.ip}:{READY_PORT}",
+            },
+            "InternalPorts": [PEER_PORT, PEER_PORT + 15],
+            "HeartbeatMs": 1500,
+            "Bounds": BOUNDS,
+            "platform": {"Address": self.link.address},
+        }
+        self._settings.write_text(yaml.safe_dump(plain))
+
+    @property
+    def url(self) -> str:
+        """Return where clients reach it."""
+        return f"http://{self.ip}:{INGRESS_PORT}"
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process is there."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.is_planned_stop = False
+        self.is_frozen = False
+        environment = os.environ | {
+            platform_settings.PATH_VARIABLE: str(self._settings)
+        }
+        with self.log.open("ab") as sink:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cardamomcroft.platform.main",
+                stdout=sink,
+                stderr=sink,
+                env=environment,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Signal the process, if it is there."""
+        if self.is_running:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process without notice."""
+        self.send(signal.SIGKILL)
+        await self.wait()
+
+    async def stop(self) -> float:
+        """Stop as planned; return the seconds that it took."""
+        self.is_planned_stop = True
+        began = asyncio.get_running_loop().time()
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.wait(), GRACE_S)
+        except TimeoutError:
+            await self.kill()
+        return asyncio.get_running_loop().time() - began
+
+    async def wait(self) -> None:
+        """Wait for the process to end."""
+        if self._process is not None:
+            await self._process.wait()
+
+    async def freeze(self, seconds: float) -> None:
+        """Let the process stand still for a while."""
+        self.is_frozen = True
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.send(signal.SIGCONT)
+        self.is_frozen = False
