Revoke keys in the soak and try them afterwards

Cause: the soak changed configurations but never took a key away. Change: the callers' key is replaced under load; after ConfigApplyMs and half a second every instance is asked with the old one, and must not serve it.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -56,14 +56,19 @@
         )
 
     async def call(
-        self, method: str, path: str, body: dict | None = None, instance=None
+        self,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        instance=None,
+        key: str | None = None,
     ) -> tuple[int, dict]:
         """Return a status and body; 0 without a whole answer."""
         instance = instance or self._rng.choice(self._instances)
         was_whole = instance.is_running and not instance.is_frozen
         headers = {
             "Host": platform.HOST_NAME,
-            "Api-Key": self.key,
+            "Api-Key": key or self.key,
             "X-Deadline-Ms": str(round(DEADLINE_S * 1000)),
         }
         try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,8 @@
 
 LONGEST_S = 4.0
 RESTART_S = 0.5  # the platform restarts ended processes after a short delay
+# ConfigApplyMs of the instances' settings, and a call's way.
+IN_FORCE_S = processes.BOUNDS["ConfigApplyMs"] / 1000 + 0.5
 LINK_MODES = (
     proxy.Mode.DELAYED,
     proxy.Mode.REFUSED,
@@ -47,6 +49,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.reborn: set[str] = set()
         self.slow_stops: list[float] = []
+        self.served_void_keys: list[str] = []
         self.kinds: dict[str, Action] = {
             "kill": self._kill,
             "kill_holder": self._kill_holder,
@@ -67,6 +70,7 @@
             "worker_reborn": self._worker_reborn,
             "start_answers_lost": self._start_answers_lost,
             "configuration": self._configuration,
+            "revoke_key": self._revoke_key,
         }
 
     def holder(self) -> processes.Instance:
@@ -207,11 +211,26 @@
 
     async def _configuration(self) -> None:
         self._version += 1
-        self._platform.configure(make_configuration(self._version))
+        plain = make_configuration(self._version, self._callers.key)
+        self._platform.configure(plain)
+
+    async def _revoke_key(self) -> None:
+        """Replace the callers' key, and try the old one when it is void."""
+        self._version += 1
+        old, new = self._callers.key, f"key-{self._version}"
+        self._platform.configure(make_configuration(self._version, new))
+        self._callers.key = new
+        await asyncio.sleep(IN_FORCE_S)
+        for instance in self._instances:
+            status, _ = await self._callers.call(
+                "GET", "/scan/", instance=instance, key=old
+            )
+            if status == 200:
+                self.served_void_keys.append(f"{instance.name}: {old}")
 
 
-def make_configuration(version: int) -> dict:
-    """Return a configuration with three queues and one account."""
+def make_configuration(version: int, key: str) -> dict:
+    """Return a configuration with three queues and one account's key."""
     routes = [
         platform.make_route(
             f"q{priority}",
@@ -223,7 +242,7 @@
     ]
     account = {
         "Name": "t",
-        "ApiKeys": [clients.KEY, f"spare-{version}"],
+        "ApiKeys": [key],
         "Guaranteed": {"Gpu": 8},
     }
     return {"Version": version, "Routes": routes, "Tenants": [account]}
--- a/soak/main.py
+++ b/soak/main.py
@@ -110,7 +110,9 @@
 
     async def _set_up(self) -> None:
         await self._platform.listen()
-        self._platform.configure(faults_module.make_configuration(1))
+        self._platform.configure(
+            faults_module.make_configuration(1, clients.KEY)
+        )
         for number in range(self._size.workers):
             self._platform.add_worker(f"w{number}")
         # A block of loopback addresses of this process's own: ports are
@@ -201,6 +203,7 @@
         jobs = list(callers.by_id.values())
         violations = checks.check(jobs, self._platform.fleet, faults.reborn)
         violations["cut_at_planned_stop"] = callers.cut_at_planned_stops
+        violations["void_key_served"] = faults.served_void_keys
         violations["slow_stop"] = [str(s) for s in faults.slow_stops]
         missing = []
         if length_s >= FULL_CENSUS_S:
