Test how instances register and are forgotten

Cause: the registrar and the expiry of peers had no test of their own. Change: tests/relaying/test_registrar.py; no code changed.

--- /dev/null
+++ b/tests/relaying/test_registrar.py
@@ -0,0 +1,82 @@
+"""Instances know each other from the stream of jobs."""
+
+import asyncio
+
+from cardamomcroft.ports import store
+from cardamomcroft.relaying import registrar
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import expiry
+from cardamomcroft.scheduling import ledger as ledgers
+from tests.scheduling import harness
+
+
+class RegistrarTest(harness.SchedulingTestCase):
+    """One node schedules; instances register beside it."""
+
+    async def asyncSetUp(self):
+        """Start the node and wait for its role."""
+        await super().asyncSetUp()
+        self.node = self.start_node("a")
+        await self.wait_until(self.holder)
+        self.registering: list[asyncio.Task] = []
+
+    async def asyncTearDown(self):
+        """Stop registering."""
+        for task in self.registering:
+            task.cancel()
+        await super().asyncTearDown()
+
+    def register(self, name: str) -> None:
+        """Let an instance register from now on."""
+        target = registrar.Registrar(
+            name,
+            f"{name}:7000",
+            "dc",
+            self.store.client(name),
+            self.node.replica,
+            self.clock,
+        )
+        self.registering.append(asyncio.ensure_future(target.run()))
+
+    def known(self) -> set[str]:
+        """Return the instances that the node knows."""
+        return set(self.node.replica.ledger.peers_by_instance)
+
+    async def test_instances_become_known(self):
+        """Soon after they have started."""
+        self.register("b")
+        await self.wait_until(lambda: self.known() == {"b"}, 2)
+        peer = self.node.replica.ledger.peers_by_instance["b"]
+        self.assertEqual(peer.address, "b:7000")
+
+    async def test_registration_waits_for_the_store(self):
+        """An outage at the start delays it and no more."""
+        self.store.faults.refused_clients.add("b")
+        self.register("b")
+        await self.pass_time(3)
+        self.assertEqual(self.known(), set())
+        self.store.faults.refused_clients.clear()
+        await self.wait_until(lambda: self.known() == {"b"}, 2)
+        self.assertGreater(self.store.injected["refused"], 0)
+
+
+class PeerExpiryTest(harness.SchedulingTestCase):
+    """An instance is gone for good."""
+
+    async def test_gone_instance_is_forgotten(self):
+        """Its record is dropped after three missed registrations."""
+        node = self.start_node("a")
+        await self.wait_until(self.holder)
+        old = self.clock.now() - expiry.PEER_LIFETIME
+        for name, seen_at in (
+            ("gone", old - expiry.PEER_PERIOD),
+            ("here", self.clock.now()),
+        ):
+            peer = codec.Peer("x:1", "dc", seen_at.timestamp())
+            self.store.put(
+                store.Stream.JOBS,
+                ledgers.Kind.INSTANCE.key(name),
+                codec.encode_peer(peer),
+            )
+        await self.pass_time(expiry.PEER_PERIOD.total_seconds() + 2)
+        self.assertEqual(set(node.replica.ledger.peers_by_instance), {"here"})
