Let the stand-in's workers break off a gang that lost a member

The third member had been lost with its worker, and the stand-in let the other two end well; the workers' protocol breaks them off, and one good end stands for all members. Ruled out: the scheduler; it took the two ends for what the protocol says. Change: a member that ends otherwise than well ends the others as broken. The daemon's code is unchanged.

--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -65,7 +65,9 @@
 
     def end(self, task: str, end: fleet.End) -> None:
         """End a run and list it."""
-        run = self.runs_by_task.pop(task)
+        run = self.runs_by_task.pop(task, None)
+        if run is None:
+            return  # it ended with another member of its gang
         self.highest_by_task[task] = run.number
         self.ends += 1
         self.finished.append(
@@ -82,6 +84,8 @@
                 end,
             )
         )
+        if run.width and end is not fleet.End.DONE:
+            self._world.break_gang(task.rpartition(".")[0], run.number)
 
     def percent(self, task: str, run: FakeRun) -> int:
         """Return how far a run is; a worker that hangs shows no progress."""
@@ -208,6 +212,15 @@
             self._gangs[key] = self.clock.monotonic()
         return self._gangs[key]
 
+    def break_gang(self, group: str, number: int) -> None:
+        """End the other members of a gang that lost one."""
+        for worker in self.workers_by_id.values():
+            for task, run in list(worker.runs_by_task.items()):
+                is_member = task.rpartition(".")[0] == group
+                if is_member and worker.runs_by_task.get(task) is run:
+                    if run.number == number:
+                        worker.end(task, fleet.End.GANG_BROKEN)
+
     def advance(self) -> None:
         """Let every worker notice the time."""
         for worker in self.workers_by_id.values():
