Let the stand-in's gangs end well together

Ruled out: the scheduler; it had been told of a good end. Change: one member's end is that of all, well or broken off. The daemon's code is unchanged. Measured: test_one_good_end_is_that_of_all fails on the parent and passes.

--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -84,8 +84,8 @@
                 end,
             )
         )
-        if run.width and end is not fleet.End.DONE:
-            self._world.break_gang(task.rpartition(".")[0], run.number)
+        if run.width:
+            self._world.end_gang(task.rpartition(".")[0], run.number, end)
 
     def percent(self, task: str, run: FakeRun) -> int:
         """Return how far a run is; a worker that hangs shows no progress."""
@@ -212,14 +212,15 @@
             self._gangs[key] = self.clock.monotonic()
         return self._gangs[key]
 
-    def break_gang(self, group: str, number: int) -> None:
-        """End the other members of a gang that lost one."""
+    def end_gang(self, group: str, number: int, end: fleet.End) -> None:
+        """End the other members with one: well together, or broken off."""
+        is_done = end is fleet.End.DONE
+        others = fleet.End.DONE if is_done else fleet.End.GANG_BROKEN
         for worker in self.workers_by_id.values():
             for task, run in list(worker.runs_by_task.items()):
                 is_member = task.rpartition(".")[0] == group
-                if is_member and worker.runs_by_task.get(task) is run:
-                    if run.number == number:
-                        worker.end(task, fleet.End.GANG_BROKEN)
+                if is_member and run.number == number:
+                    worker.end(task, others)
 
     def advance(self) -> None:
         """Let every worker notice the time."""
--- a/tests/standin/test_fleet.py
+++ b/tests/standin/test_fleet.py
@@ -44,6 +44,13 @@
         self.fake.advance()
         self.assertEqual(self.ends(), [fleet.End.DONE] * 3)
 
+    async def test_one_good_end_is_that_of_all(self):
+        """A worker that crashes a moment later takes none back."""
+        await self.clock.advance(harness.seconds(2.1))
+        self.fake.workers_by_id["w1"].advance()
+        self.fake.restart("w2")
+        self.assertEqual(self.ends(), [fleet.End.DONE] * 3)
+
     async def test_no_member_ends_well_without_the_others(self):
         """One worker crashes: the others' members are broken off."""
         await self.clock.advance(harness.seconds(1))
