Remove dead code of the soak; restore the store's usual delay for certain

Cause: the last read of the diff: faults.describe was called by nobody, and two overlapping store_slow faults would have taken the slow delay for the usual one and left the store slow for the rest of a trial. Ruled out: an effect on trials played; it needs the kind drawn twice within 4 s, and a kind comes again only after all the others. Change: both delays follow the stand-in's constant; describe is gone.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import collections.abc
-import json
 import random
 import signal
 
@@ -11,6 +10,7 @@
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import ledger
 from cardamomcroft.standin import platform
+from cardamomcroft.standin import store as standin_store
 from soak import clients
 from soak import instances as processes
 from soak import proxy
@@ -172,10 +172,9 @@
 
     async def _store_slow(self) -> None:
         faults = self._platform.store.faults
-        usual = faults.delay
-        faults.delay = usual * 40
+        faults.delay = standin_store.ROUND_TRIP * 40
         await self._pause()
-        faults.delay = usual
+        faults.delay = standin_store.ROUND_TRIP
 
     async def _store_answers_lost(self) -> None:
         self._platform.store.faults.lose_answers += 3
@@ -246,8 +245,3 @@
         "Guaranteed": {"Gpu": 8},
     }
     return {"Version": version, "Routes": routes, "Tenants": [account]}
-
-
-def describe(counts: collections.Counter[str]) -> str:
-    """Return the faults and their number as one line."""
-    return json.dumps(dict(sorted(counts.items())))
