Log how far a failed store call came

Change: the detail of a failed call names the call, its duration and the bytes that had arrived; each failed load of the jobs writes jobs_load_failed; cardamomcroft_received_bytes_total counts the bytes of response bodies. No decision changes.

--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -32,6 +32,11 @@
 )
 
 
+def _describe(error: Exception) -> str:
+    """Return the error with the notes that say how far its call came."""
+    return "; ".join([repr(error), *getattr(error, "__notes__", ())])
+
+
 def encode_entries(
     entries: collections.abc.Sequence[store.Entry],
 ) -> bytes:
@@ -96,18 +101,30 @@
             total=timeout.total_seconds(), sock_connect=CONNECT_TIMEOUT_S
         )
         began_at = self._clock.monotonic()
+        call = path.partition("?")[0]
         outcome = "failed"
+        received = bytearray()
         try:
             async with self._session.request(
                 method, self._base + path, data=body, timeout=limit
             ) as response:
-                raw = await response.read()
+                async for part in response.content.iter_any():
+                    received += part
                 outcome = str(response.status)
-                return response.status, raw
+                return response.status, bytes(received)
+        except _CALL_ERRORS as error:
+            took_s = (self._clock.monotonic() - began_at).total_seconds()
+            error.add_note(
+                f"{call} failed after {took_s:.2f} s,"
+                f" {len(received)} bytes received"
+            )
+            raise
         finally:
-            call = path.partition("?")[0]
             took = self._clock.monotonic() - began_at
             self._metrics.record_call("store", call, outcome, took)
+            self._metrics.received.labels("store", call, outcome).inc(
+                len(received)
+            )
 
     async def append(
         self, stream, entries, timeout, expected_end=None, writer=None
@@ -128,11 +145,11 @@
             return _decode_append_result(status, raw)
         except _CONNECT_ERRORS as error:
             return store.Appended(
-                store.AppendStatus.NOT_RUN, detail=repr(error)
+                store.AppendStatus.NOT_RUN, detail=_describe(error)
             )
         except _CALL_ERRORS as error:
             return store.Appended(
-                store.AppendStatus.MAY_HAVE_RUN, detail=repr(error)
+                store.AppendStatus.MAY_HAVE_RUN, detail=_describe(error)
             )
 
     async def read(
@@ -149,7 +166,9 @@
             if status == 200:
                 return decode_page(offset, raw)
         except _CALL_ERRORS as error:
-            return store.ReadFailure(store.ReadStatus.UNAVAILABLE, repr(error))
+            return store.ReadFailure(
+                store.ReadStatus.UNAVAILABLE, _describe(error)
+            )
         if status == 410:
             return store.ReadFailure(store.ReadStatus.EXPIRED)
         return store.ReadFailure(
@@ -176,7 +195,7 @@
                 page = [_decode_newest_record(item) for item in data["items"]]
             except _CALL_ERRORS as error:
                 return store.ReadFailure(
-                    store.ReadStatus.UNAVAILABLE, repr(error)
+                    store.ReadStatus.UNAVAILABLE, _describe(error)
                 )
             records.extend(page)
             if first_end is None:
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -33,6 +33,12 @@
             buckets=_BUCKETS_S,
             registry=registry,
         )
+        self.received = prometheus_client.Counter(
+            "cardamomcroft_received_bytes",
+            "Bytes of response bodies, also of calls that failed",
+            ("target", "call", "outcome"),
+            registry=registry,
+        )
         self.requests = prometheus_client.Histogram(
             "cardamomcroft_request_seconds",
             "Clients' requests",
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -108,6 +108,7 @@
         sent_at = self._clock.monotonic()
         page = await self._store.newest(store.Stream.JOBS, READ_TIMEOUT)
         if isinstance(page, store.ReadFailure):
+            self._log.emit("jobs_load_failed", detail=page.detail)
             self._set_reachable(False, page.detail)
             return False
         self._set_reachable(True)
