--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -4,6 +4,7 @@
 that the daemon's adapter can be tested and shown without the users' bench.
 """
 
+import asyncio
 import base64
 import dataclasses
 import datetime
@@ -41,6 +42,10 @@
     fleets.End.GANG_INCOMPLETE: "alone",
 }
 HOST_NAME = "jobs.example"  # clients' Host header
+# Limits of a page of the newest records, as the protocol states them.
+MAX_NEWEST_RECORDS = 500
+MAX_NEWEST_BYTES = 1_000_000
+LINK_PERIOD_S = 0.02  # between two pieces of a throttled response
 _MS = datetime.timedelta(milliseconds=1)
 _TIMEOUT = datetime.timedelta(seconds=1)
 
@@ -87,6 +92,7 @@
         self.fleet.service = self.store
         self.address = ""
         self._clients_by_port: dict[int, str] = {}
+        self.link_rates_by_client: dict[str, int] = {}  # in bytes a second
         self._runner: web.ServerRunner | None = None
         self._handlers = {
             "/log-append": self._append,
@@ -118,9 +124,12 @@
         self._clients_by_port[port] = client
         return f"{host}:{port}"
 
-    def _store_client(self, request: web.BaseRequest) -> store.StoreClient:
+    def _client_name(self, request: web.BaseRequest) -> str:
         _, port = request.transport.get_extra_info("sockname")[:2]
-        return self.store.client(self._clients_by_port.get(port, "http"))
+        return self._clients_by_port.get(port, "http")
+
+    def _store_client(self, request: web.BaseRequest) -> store.StoreClient:
+        return self.store.client(self._client_name(request))
 
     async def close(self) -> None:
         """Stop serving."""
@@ -162,7 +171,11 @@
         handler = self._handlers.get(request.path)
         if handler is None:
             return web.Response(status=404)
-        return await handler(request)
+        response = await handler(request)
+        rate = self.link_rates_by_client.get(self._client_name(request))
+        if rate is None:
+            return response
+        return await _send_slowly(request, response, rate)
 
     async def _append(self, request: web.BaseRequest) -> web.Response:
         query = request.query
@@ -219,16 +232,27 @@
         )
         if isinstance(page, stores.ReadFailure):
             return web.Response(status=503)
-        items = [
+        after = request.query.get("After", "")
+        left = sorted(
+            (record for record in page.records if record.key > after),
+            key=lambda record: record.key,
+        )
+        items, size = [], 0
+        for record in left[:MAX_NEWEST_RECORDS]:
+            size += len(record.value)
+            if items and size > MAX_NEWEST_BYTES:
+                break
+            value = base64.b64encode(record.value).decode()
+            items.append(
+                {"Key": record.key, "Value": value, "Offset": record.offset}
+            )
+        has_more = len(items) < len(left)
+        return web.json_response(
             {
-                "Key": record.key,
-                "Value": base64.b64encode(record.value).decode(),
-                "Offset": record.offset,
+                "items": items,
+                "HasMore": has_more,
+                "EndOffset": page.end_offset,
             }
-            for record in page.records
-        ]
-        return web.json_response(
-            {"items": items, "HasMore": False, "EndOffset": page.end_offset}
         )
 
     async def _start(self, request: web.BaseRequest) -> web.Response:
@@ -285,6 +309,21 @@
         )
 
 
+async def _send_slowly(
+    request: web.BaseRequest, response: web.Response, bytes_per_s: int
+) -> web.StreamResponse:
+    """Send a response at the rate of a slow link."""
+    slow = web.StreamResponse(status=response.status)
+    await slow.prepare(request)
+    size = max(1, round(bytes_per_s * LINK_PERIOD_S))
+    body = response.body or b""
+    for start in range(0, len(body), size):
+        await slow.write(body[start : start + size])
+        await asyncio.sleep(LINK_PERIOD_S)
+    await slow.write_eof()
+    return slow
+
+
 def _worker_address(request: web.BaseRequest) -> fleets.Address:
     return fleets.Address(request.headers["X-Expected-Instance"], "")
 
