Load a stream over any link that makes progress

Cause: a call to the store had a total time-out (1 s), so that a page of up to 1 MB (1.4 MB encoded) could not get through a link that carries 0.6 MB/s; each failure dropped the bytes and all earlier pages, and the next try began again. Besides, two loads could overlap (a client's query starts a second one while the instance loads); the one that ended last replaced a ledger that had been read on, and the page then under way was applied behind a gap that nobody read again.

Change: the time-out of a call limits how long no data may arrive; the transfer has an upper limit of its own, from the size of a page and a minimum rate. Store.newest returns one page; scheduling.loading.Load keeps the pages across failures and reads the stream on between them, so that a long load does not fall out of the store's history. The jobs' replica, the workers' directory and the configuration load by it. Concurrent updates share one load, and a page read for a ledger that was replaced meanwhile is dropped.

--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -14,6 +14,11 @@
 from cardamomcroft.scheduling import metrics
 
 CONNECT_TIMEOUT_S = 0.4  # two attempts fit into one second
+# A page of the newest records with its encoding. A link of 10 Mbit/s carries
+# at least a tenth of that for the store beside everything else.
+MAX_PAGE_BYTES = 1_400_000
+MIN_BYTES_PER_S = 125_000
+READ_PAGE_KB = 512  # above the largest record; a lost page costs less
 TOPICS = {
     store.Stream.JOBS: "keyed.jobs",
     store.Stream.SERVERS: "keyed.servers",
@@ -71,7 +76,8 @@
         record_offset += 1
     # The next read continues after the last record returned, as a long
     # backlog comes in several pages.
-    return store.Page(tuple(records), record_offset if records else end_offset)
+    next_offset = record_offset if records else end_offset
+    return store.Page(tuple(records), next_offset, next_offset < end_offset)
 
 
 class HttpStore(store.Store):
@@ -97,8 +103,13 @@
         timeout: datetime.timedelta,
         body: bytes | None = None,
     ) -> tuple[int, bytes]:
+        """Call the store; allow time for a transfer that makes progress."""
+        silence_s = timeout.total_seconds()
+        size = MAX_PAGE_BYTES if body is None else len(body)
         limit = aiohttp.ClientTimeout(
-            total=timeout.total_seconds(), sock_connect=CONNECT_TIMEOUT_S
+            total=silence_s + size / MIN_BYTES_PER_S,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=silence_s,
         )
         began_at = self._clock.monotonic()
         call = path.partition("?")[0]
@@ -159,7 +170,7 @@
         wait_ms = round(wait.total_seconds() * 1000)
         path = (
             f"/log-read?Topic={TOPICS[stream]}&part=0&From={offset}"
-            f"&WaitMs={wait_ms}"
+            f"&WaitMs={wait_ms}&MaxKb={READ_PAGE_KB}"
         )
         try:
             status, raw = await self._call("GET", path, timeout + wait)
@@ -175,34 +186,28 @@
             store.ReadStatus.UNAVAILABLE, f"status {status}"
         )
 
-    async def newest(self, stream, timeout) -> store.Page | store.ReadFailure:
-        """Return the newest record of each key."""
-        records: list[store.Record] = []
-        first_end: int | None = None
-        after = ""
-        while True:
-            query = {"Topic": TOPICS[stream], "part": 0}
-            if after:
-                query["After"] = after
-            path = "/log-newest?" + urllib.parse.urlencode(query)
-            try:
-                status, raw = await self._call("GET", path, timeout)
-                if status != 200:
-                    return store.ReadFailure(
-                        store.ReadStatus.UNAVAILABLE, f"status {status}"
-                    )
-                data = json.loads(raw)
-                page = [_decode_newest_record(item) for item in data["items"]]
-            except _CALL_ERRORS as error:
+    async def newest(
+        self, stream, after, timeout
+    ) -> store.Page | store.ReadFailure:
+        """Return the newest records of the keys after a key."""
+        query = {"Topic": TOPICS[stream], "part": 0}
+        if after:
+            query["After"] = after
+        path = "/log-newest?" + urllib.parse.urlencode(query)
+        try:
+            status, raw = await self._call("GET", path, timeout)
+            if status != 200:
                 return store.ReadFailure(
-                    store.ReadStatus.UNAVAILABLE, _describe(error)
+                    store.ReadStatus.UNAVAILABLE, f"status {status}"
                 )
-            records.extend(page)
-            if first_end is None:
-                first_end = data["EndOffset"]
-            if not data["HasMore"] or not page:
-                return store.Page(tuple(records), first_end)
-            after = page[-1].key
+            data = json.loads(raw)
+            records = tuple(map(_decode_newest_record, data["items"]))
+            has_more = bool(data["HasMore"] and records)
+            return store.Page(records, data["EndOffset"], has_more)
+        except _CALL_ERRORS as error:
+            return store.ReadFailure(
+                store.ReadStatus.UNAVAILABLE, _describe(error)
+            )
 
 
 def _decode_newest_record(item: dict) -> store.Record:
--- a/cardamomcroft/ports/store.py
+++ b/cardamomcroft/ports/store.py
@@ -34,10 +34,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
-    """The records read and the end of the stream at the time."""
+    """The records read and the offset after them.
+
+    Without more, the offset is the end of the stream at the time.
+    """
 
     records: tuple[Record, ...]
     end_offset: int
+    has_more: bool = False  # the store had more than fits a page
 
 
 class AppendStatus(enum.Enum):
@@ -98,7 +102,11 @@
         expected_end: int | None = None,
         writer: Writer | None = None,
     ) -> Appended:
-        """Append all entries or none, if the end and the writer allow it."""
+        """Append all entries or none, if the end and the writer allow it.
+
+        The time-out is for the answer; a large append gets additional time
+        for its transfer.
+        """
 
     @abc.abstractmethod
     async def read(
@@ -108,14 +116,17 @@
         wait: datetime.timedelta,
         timeout: datetime.timedelta,
     ) -> Page | ReadFailure:
-        """Return records from the offset on; wait if there are none yet."""
+        """Return records from the offset on; wait if there are none yet.
+
+        The time-out limits how long no data may arrive, not the transfer.
+        """
 
     @abc.abstractmethod
     async def newest(
-        self, stream: Stream, timeout: datetime.timedelta
+        self, stream: Stream, after: str, timeout: datetime.timedelta
     ) -> Page | ReadFailure:
-        """Return the newest record of each key.
+        """Return the newest records of the keys after a key, in their order.
 
-        The end offset is that of the first page, so that reading on from it
-        replays all changes made while the pages were read.
+        The end offset is that of the stream: reading on from it replays all
+        changes made since. The time-out is as in ``read``.
         """
--- a/cardamomcroft/scheduling/configuration_view.py
+++ b/cardamomcroft/scheduling/configuration_view.py
@@ -7,6 +7,7 @@
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import configuration
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import loading
 
 # An unresponsive connection costs one wait and one time-out, together less
 # than the two seconds within which a version has to be in force.
@@ -37,6 +38,8 @@
         self._decode = decode
         self._key = key
         self._max_age = max_age
+        self._load: loading.Load | None = None
+        self._load_began_at: datetime.timedelta | None = None
         self._offset: int | None = None
         self.current: configuration.Configuration | None = None
         self.read_at: datetime.timedelta | None = None
@@ -62,25 +65,40 @@
                 await self._clock.sleep(RETRY_PAUSE)
 
     async def _update(self) -> bool:
-        sent_at = self._clock.monotonic()
-        stream = store.Stream.OPERATOR
         if self._offset is None:
-            page = await self._store.newest(stream, READ_TIMEOUT)
-        else:
-            page = await self._store.read(
-                stream, self._offset, POLL_WAIT, READ_TIMEOUT
-            )
+            return await self._proceed_load()
+        sent_at = self._clock.monotonic()
+        page = await self._store.read(
+            store.Stream.OPERATOR, self._offset, POLL_WAIT, READ_TIMEOUT
+        )
         if isinstance(page, store.ReadFailure):
             if page.status is store.ReadStatus.EXPIRED:
                 self._offset = None
             return False
+        self._apply(page)
+        now = self._clock.monotonic()
+        self.read_at = sent_at if page.records else now
+        return True
+
+    async def _proceed_load(self) -> bool:
+        if self._load is None:
+            self._load = loading.Load(
+                self._store, store.Stream.OPERATOR, READ_TIMEOUT
+            )
+            self._load_began_at = self._clock.monotonic()
+        page = await self._load.proceed()
+        if isinstance(page, store.ReadFailure):
+            return False
+        self._load = None
+        self._apply(page)
+        self.read_at = self._load_began_at
+        return True
+
+    def _apply(self, page: store.Page) -> None:
         for record in page.records:
             if record.key == self._key and record.value:
                 self._apply_record(record)
-        waited = self._offset is not None and not page.records
-        self.read_at = self._clock.monotonic() if waited else sent_at
         self._offset = page.end_offset
-        return True
 
     def _apply_record(self, record: store.Record) -> None:
         try:
--- a/cardamomcroft/scheduling/directory.py
+++ b/cardamomcroft/scheduling/directory.py
@@ -7,6 +7,7 @@
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import loading
 
 READ_TIMEOUT = datetime.timedelta(seconds=1)
 POLL_WAIT = datetime.timedelta(seconds=1)
@@ -35,6 +36,7 @@
         self._clock = clock
         self._log = log
         self._decode = decode
+        self._load: loading.Load | None = None
         self._offset: int | None = None
         self.listings_by_id: dict[str, fleet.Listing] = {}
         # From this time on, a missing entry means that the worker is gone.
@@ -55,7 +57,7 @@
     async def update(self) -> bool:
         """Read once; return whether the store answered."""
         if self._offset is None:
-            return await self._load()
+            return await self._proceed_load()
         page = await self._store.read(
             store.Stream.SERVERS, self._offset, POLL_WAIT, READ_TIMEOUT
         )
@@ -66,13 +68,19 @@
             self._apply_record(record)
         if page.records and self.on_change:
             self.on_change()
-        await self._clock.sleep(BATCH_PAUSE)
+        if not page.has_more:
+            await self._clock.sleep(BATCH_PAUSE)
         return True
 
-    async def _load(self) -> bool:
-        page = await self._store.newest(store.Stream.SERVERS, READ_TIMEOUT)
+    async def _proceed_load(self) -> bool:
+        if self._load is None:
+            self._load = loading.Load(
+                self._store, store.Stream.SERVERS, READ_TIMEOUT
+            )
+        page = await self._load.proceed()
         if isinstance(page, store.ReadFailure):
             return False
+        self._load = None
         self.listings_by_id = {}
         for record in page.records:
             self._apply_record(record)
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -9,6 +9,7 @@
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import ledger
+from cardamomcroft.scheduling import loading
 
 READ_TIMEOUT = datetime.timedelta(seconds=1)  # a slow store takes 240 ms
 # A scheduler renews every 0.4 s; an older forecast refuses no jobs.
@@ -34,6 +35,8 @@
         self.fresh_at: datetime.timedelta | None = None
         self.is_reachable = True
         self.store_regained_at: datetime.timedelta | None = None
+        self._load: loading.Load | None = self._make_load()
+        self._loading: asyncio.Future | None = None
         self._refreshing: asyncio.Future | None = None
         self.on_updates: collections.abc.Callable[[Updates], None] | None = (
             None
@@ -74,20 +77,28 @@
             if not await asyncio.shield(self._refreshing):
                 return
 
+    def _make_load(self) -> loading.Load:
+        return loading.Load(self._store, store.Stream.JOBS, READ_TIMEOUT)
+
     async def update(self, wait: datetime.timedelta = _ZERO) -> bool:
-        """Read once; return whether the store answered."""
-        if not self.is_loaded:
-            return await self._load()
+        """Read a page; return whether the store answered."""
+        if self._load is not None and not await self._finish_load():
+            return False
         sent_at = self._clock.monotonic()
+        target = self.ledger
         page = await self._store.read(
-            store.Stream.JOBS, self.ledger.end_offset, wait, READ_TIMEOUT
+            store.Stream.JOBS, target.end_offset, wait, READ_TIMEOUT
         )
         if isinstance(page, store.ReadFailure):
             if page.status is store.ReadStatus.EXPIRED:
-                return await self._load()
+                self._load = self._load or self._make_load()
+                return await self._finish_load()
             self._set_reachable(False, page.detail)
             return False
         self._set_reachable(True)
+        if target is not self.ledger:
+            # A load has replaced the ledger, which may end before this page.
+            return True
         now = self._clock.monotonic()
         # An empty answer to a long poll is as of the end of the wait.
         waited = not page.records and now - sent_at >= wait
@@ -104,28 +115,40 @@
         if updates and self.on_updates:
             self.on_updates(updates)
 
-    async def _load(self) -> bool:
-        sent_at = self._clock.monotonic()
-        page = await self._store.newest(store.Stream.JOBS, READ_TIMEOUT)
+    async def _finish_load(self) -> bool:
+        """Join the load under way or go on with it."""
+        if self._loading is None or self._loading.done():
+            self._loading = asyncio.ensure_future(self._proceed())
+        return await asyncio.shield(self._loading)
+
+    async def _proceed(self) -> bool:
+        load = self._load
+        if load is None:
+            return True
+        page = await load.proceed()
         if isinstance(page, store.ReadFailure):
-            self._log.emit("jobs_load_failed", detail=page.detail)
+            self._log.emit(
+                "jobs_load_failed",
+                detail=page.detail or page.status.value,
+                records=load.record_count,
+            )
             self._set_reachable(False, page.detail)
             return False
         self._set_reachable(True)
+        self._load = None
+        self._replace_ledger(page)
+        return True
+
+    def _replace_ledger(self, page: store.Page) -> None:
         previous = self.ledger
         self.ledger = ledger.Ledger()
-        ordered = sorted(page.records, key=lambda record: record.offset)
-        updates = self.ledger.apply(
-            store.Page(tuple(ordered), page.end_offset),
-            self._clock.monotonic(),
-        )
+        updates = self.ledger.apply(page, self._clock.monotonic())
         if previous.claim == self.ledger.claim and previous.holder_seen_at:
             self.ledger.holder_seen_at = previous.holder_seen_at
         self.is_loaded = True
-        self._record_freshness(sent_at)
         self._log.emit(
             "jobs_loaded",
-            records=len(ordered),
+            records=len(page.records),
             end_offset=page.end_offset,
         )
         known = previous.jobs_by_id.keys(), previous.cancelled_ids
@@ -136,7 +159,6 @@
         ]
         if new_updates and self.on_updates:
             self.on_updates(new_updates)
-        return True
 
     def _set_reachable(self, is_reachable: bool, detail: str = "") -> None:
         if is_reachable == self.is_reachable:
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -42,8 +42,6 @@
     fleets.End.GANG_INCOMPLETE: "alone",
 }
 HOST_NAME = "jobs.example"  # clients' Host header
-# Limits of a page of the newest records, as the protocol states them.
-MAX_NEWEST_RECORDS = 500
 MAX_NEWEST_BYTES = 1_000_000
 LINK_PERIOD_S = 0.02  # between two pieces of a throttled response
 _MS = datetime.timedelta(milliseconds=1)
@@ -171,8 +169,8 @@
         handler = self._handlers.get(request.path)
         if handler is None:
             return web.Response(status=404)
-        response = await handler(request)
         rate = self.link_rates_by_client.get(self._client_name(request))
+        response = await handler(request)
         if rate is None:
             return response
         return await _send_slowly(request, response, rate)
@@ -219,7 +217,10 @@
         if isinstance(page, stores.ReadFailure):
             is_expired = page.status is stores.ReadStatus.EXPIRED
             return web.Response(status=410 if is_expired else 503)
-        body = struct.pack(">QQ", page.end_offset, 0)
+        end = len(
+            self.store.records_by_stream[_STREAMS[request.query["Topic"]]]
+        )
+        body = struct.pack(">QQ", end, 0)
         for record in page.records:
             key = record.key.encode()
             raw = bytes([len(key)]) + key + (record.value or b"")
@@ -228,17 +229,14 @@
 
     async def _newest(self, request: web.BaseRequest) -> web.Response:
         page = await self._store_client(request).newest(
-            _STREAMS[request.query["Topic"]], _TIMEOUT
+            _STREAMS[request.query["Topic"]],
+            request.query.get("After", ""),
+            _TIMEOUT,
         )
         if isinstance(page, stores.ReadFailure):
             return web.Response(status=503)
-        after = request.query.get("After", "")
-        left = sorted(
-            (record for record in page.records if record.key > after),
-            key=lambda record: record.key,
-        )
         items, size = [], 0
-        for record in left[:MAX_NEWEST_RECORDS]:
+        for record in page.records:
             size += len(record.value)
             if items and size > MAX_NEWEST_BYTES:
                 break
@@ -246,7 +244,7 @@
             items.append(
                 {"Key": record.key, "Value": value, "Offset": record.offset}
             )
-        has_more = len(items) < len(left)
+        has_more = page.has_more or len(items) < len(page.records)
         return web.json_response(
             {
                 "items": items,
--- a/cardamomcroft/standin/store.py
+++ b/cardamomcroft/standin/store.py
@@ -6,6 +6,7 @@
 from cardamomcroft.ports import base
 from cardamomcroft.ports import store
 
+MAX_PAGE_RECORDS = 500
 POLL_INTERVAL = datetime.timedelta(milliseconds=20)
 ROUND_TRIP = datetime.timedelta(milliseconds=5)
 
@@ -31,6 +32,7 @@
         """Create empty streams."""
         self.clock = clock
         self.faults = Faults()
+        self.page_records = MAX_PAGE_RECORDS
         self.injected: dict[str, int] = {}
         self.records_by_stream: dict[store.Stream, list[store.Record]] = {
             stream: [] for stream in store.Stream
@@ -138,16 +140,28 @@
                 return store.ReadFailure(store.ReadStatus.EXPIRED)
             records = service.records_by_stream[stream]
             if len(records) > offset or service.clock.monotonic() >= until:
-                return store.Page(tuple(records[offset:]), len(records))
+                end = min(offset + service.page_records, len(records))
+                page = tuple(records[offset:end])
+                return store.Page(page, end, end < len(records))
             await service.clock.sleep(POLL_INTERVAL)
 
-    async def newest(self, stream, timeout) -> store.Page | store.ReadFailure:
-        """Return the newest record of each key that is not deleted."""
+    async def newest(
+        self, stream, after, timeout
+    ) -> store.Page | store.ReadFailure:
+        """Return the newest records of the keys after a key."""
         service = self._service
         await service.clock.sleep(service.faults.delay)
         if service.is_refused(self._name):
             return store.ReadFailure(store.ReadStatus.UNAVAILABLE)
         records = service.records_by_stream[stream]
         newest = {record.key: record for record in records}
-        kept = tuple(r for r in newest.values() if r.value is not None)
-        return store.Page(kept, len(records))
+        kept = sorted(
+            (
+                record
+                for record in newest.values()
+                if record.value is not None and record.key > after
+            ),
+            key=lambda record: record.key,
+        )
+        page = tuple(kept[: service.page_records])
+        return store.Page(page, len(records), len(page) < len(kept))
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -37,7 +37,9 @@
         """A page shorter than the stream ends after its last record."""
         body = struct.pack(">QQ", 99, 0)
         body += platform_store.encode_entries([store.Entry("a", b"1")])
-        self.assertEqual(platform_store.decode_page(10, body).end_offset, 11)
+        page = platform_store.decode_page(10, body)
+        self.assertEqual(page.end_offset, 11)
+        self.assertTrue(page.has_more)
 
     def test_empty_page_ends_at_the_stream(self):
         """A page without records ends at the end of the stream."""
--- a/tests/scheduling/test_replica.py
+++ b/tests/scheduling/test_replica.py
@@ -1,5 +1,6 @@
 """Replicas of the job stream never return to older records."""
 
+import asyncio
 import datetime
 import os
 import unittest
@@ -37,28 +38,89 @@
         self.assertEqual(copy.end_offset, 2)
 
 
-class RefreshTest(unittest.IsolatedAsyncioTestCase):
-    """A refresh reads the records that the copy lacks."""
+class SlowLoads(store.Store):
+    """Deliver each page of newest records only when it is released."""
+
+    def __init__(self, target: store.Store) -> None:
+        """Delay the pages of another store."""
+        self._target = target
+        self.held: list[asyncio.Event] = []
+
+    async def append(self, *arguments, **options) -> store.Appended:
+        """Append without a delay."""
+        return await self._target.append(*arguments, **options)
+
+    async def read(self, *arguments) -> store.Page | store.ReadFailure:
+        """Read without a delay."""
+        return await self._target.read(*arguments)
+
+    async def newest(self, *arguments) -> store.Page | store.ReadFailure:
+        """Take the page now and deliver it at its release."""
+        page = await self._target.newest(*arguments)
+        released = asyncio.Event()
+        self.held.append(released)
+        await released.wait()
+        return page
+
+
+class ReplicaTestCase(unittest.IsolatedAsyncioTestCase):
+    """Run replicas of a fake store by a fake clock."""
 
     async def asyncSetUp(self):
-        """Load a copy from the fake store."""
+        """Create the store."""
         self.clock = clocks.FakeClock()
         self.service = standin_store.StoreService(self.clock)
         sink = os.open(os.devnull, os.O_WRONLY)
         self.addCleanup(os.close, sink)
-        log = events.Events(self.clock, "a", metrics.Metrics(), sink)
-        client = self.service.client("a")
-        self.copy = replica.Replica(client, self.clock, log)
-        await self.finish(self.copy.update())
+        self.log = events.Events(self.clock, "a", metrics.Metrics(), sink)
 
     async def finish(self, awaitable) -> float:
         """Advance the clock until the call returns; return the seconds."""
-        task = harness.asyncio.ensure_future(awaitable)
+        task = asyncio.ensure_future(awaitable)
         began = self.clock.monotonic()
         while not task.done():
             await self.clock.advance(datetime.timedelta(milliseconds=5))
         return (self.clock.monotonic() - began).total_seconds()
 
+    def put_progress(self, job_id: str) -> None:
+        """Append a record of a job."""
+        key = ledger.Kind.PROGRESS.key(job_id)
+        self.service.put(store.Stream.JOBS, key, progress(0, "x").value)
+
+
+class LoadTest(ReplicaTestCase):
+    """Records appended while a copy is loaded are not missed."""
+
+    async def test_overlapping_loads_leave_no_gap(self):
+        """A load that ends last does not hide records read before."""
+        slow = SlowLoads(self.service.client("a"))
+        copy = replica.Replica(slow, self.clock, self.log)
+        loads = [asyncio.ensure_future(copy.update()) for _ in range(2)]
+        await self.clock.advance(harness.seconds(0.1))
+        slow.held[0].set()
+        await self.finish(asyncio.shield(loads[0]))
+        self.put_progress("a")
+        await self.finish(copy.update())
+        self.put_progress("b")
+        read = asyncio.ensure_future(copy.update())
+        await self.clock.settle()
+        for released in slow.held:
+            released.set()
+        await self.finish(asyncio.gather(read, *loads))
+        await self.finish(copy.update())
+        self.assertEqual(set(copy.ledger.progress_by_id), {"a", "b"})
+
+
+class RefreshTest(ReplicaTestCase):
+    """A refresh reads the records that the copy lacks."""
+
+    async def asyncSetUp(self):
+        """Load a copy from the fake store."""
+        await super().asyncSetUp()
+        client = self.service.client("a")
+        self.copy = replica.Replica(client, self.clock, self.log)
+        await self.finish(self.copy.update())
+
     async def test_refresh_reads_new_records(self):
         """A record appended just before the refresh is read."""
         await self.clock.advance(harness.seconds(0.2))
@@ -68,9 +130,7 @@
 
     async def test_refresh_sees_what_was_acknowledged_just_before(self):
         """A read under way, sent before the record, does not suffice."""
-        earlier = harness.asyncio.ensure_future(
-            self.copy.refresh(harness.seconds(1))
-        )
+        earlier = asyncio.ensure_future(self.copy.refresh(harness.seconds(1)))
         await self.clock.settle()
         self.service.put(store.Stream.JOBS, f"p/{JOB}", progress(0, "x").value)
         await self.finish(self.copy.refresh(harness.seconds(1)))
@@ -79,9 +139,7 @@
 
     async def test_long_poll_does_not_age_the_copy(self):
         """A long poll that ends after a later read keeps that read's time."""
-        poll = harness.asyncio.ensure_future(
-            self.copy.update(harness.seconds(1))
-        )
+        poll = asyncio.ensure_future(self.copy.update(harness.seconds(1)))
         await self.clock.advance(harness.seconds(0.3))
         await self.finish(self.copy.refresh(harness.seconds(1)))
         fresh_at = self.copy.fresh_at
