Count a copy as fresh only when a read reached the stream's end

What callers could see: 410 'no such job' for an accepted job, or a count of pending jobs that lacks accepted ones, at an instance that catches up after more than one page (1 MB) of changes; a configuration counted as current although newer versions were not read yet.

Cause: decode_page continues after the last record of a page, but the page did not say that the stream goes on, and every answered read counted as a read of everything acknowledged before it.

Change: a page says whether the store has more; freshness waits for the last page, a follower reads the next page at once, and a refresh goes on until the copy is current or its time is over.

--- a/cardamomcroft/scheduling/configuration_view.py
+++ b/cardamomcroft/scheduling/configuration_view.py
@@ -76,8 +76,9 @@
                 self._offset = None
             return False
         self._apply(page)
-        now = self._clock.monotonic()
-        self.read_at = sent_at if page.records else now
+        if not page.has_more:
+            now = self._clock.monotonic()
+            self.read_at = sent_at if page.records else now
         return True
 
     async def _proceed_load(self) -> bool:
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -88,6 +88,8 @@
                 await self._clock.sleep(RETRY_PAUSE)
             elif self.scheduler is not None:
                 await self._clock.sleep(HOLDER_POLL_PAUSE)
+            elif self.replica.is_behind:
+                continue
             elif self._candidate.is_vacant():
                 await self._candidate.claim()
             else:
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -35,6 +35,7 @@
         self.fresh_at: datetime.timedelta | None = None
         self.is_reachable = True
         self.store_regained_at: datetime.timedelta | None = None
+        self.is_behind = False  # the last read did not reach the end
         self._load: loading.Load | None = self._make_load()
         self._loading: asyncio.Future | None = None
         self._refreshing: asyncio.Future | None = None
@@ -100,9 +101,11 @@
             # A load has replaced the ledger, which may end before this page.
             return True
         now = self._clock.monotonic()
-        # An empty answer to a long poll is as of the end of the wait.
-        waited = not page.records and now - sent_at >= wait
-        self._record_freshness(sent_at + wait if waited else sent_at)
+        self.is_behind = page.has_more
+        if not page.has_more:
+            # An empty answer to a long poll is as of the end of the wait.
+            waited = not page.records and now - sent_at >= wait
+            self._record_freshness(sent_at + wait if waited else sent_at)
         self._apply(page, now)
         return True
 
--- a/tests/scheduling/test_replica.py
+++ b/tests/scheduling/test_replica.py
@@ -110,6 +110,20 @@
         await self.finish(copy.update())
         self.assertEqual(set(copy.ledger.progress_by_id), {"a", "b"})
 
+    async def test_page_short_of_the_end_is_not_fresh(self):
+        """A job beyond the page that was read is not taken for unknown."""
+        copy = replica.Replica(self.service.client("a"), self.clock, self.log)
+        await self.finish(copy.update())
+        self.service.page_records = 2
+        for number in range(5):
+            self.put_progress(str(number))
+        fresh_at = copy.fresh_at
+        await self.finish(copy.update())
+        self.assertEqual(copy.fresh_at, fresh_at)
+        await self.finish(copy.refresh(harness.seconds(1)))
+        self.assertGreater(copy.fresh_at, fresh_at)
+        self.assertEqual(len(copy.ledger.progress_by_id), 5)
+
 
 class RefreshTest(ReplicaTestCase):
     """A refresh reads the records that the copy lacks."""
