Bound the wait of a cancellation while the jobs are loaded

What callers would see: a DELETE at an instance that loads the jobs over a slow link gets no answer until the load ends, seconds after its deadline.

Cause: Ingress._may_exist waited for Replica.update(), which was bounded by the total time-out of one read until loads were allowed to take longer; it also took any answered read for a current copy.

Change: it refreshes within REFRESH_TIMEOUT like a query; a job that may exist is cancelled as before. The stand-in ends a slow response quietly when its client has given up.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -296,8 +296,8 @@
         return relaying.OUTCOME_UNKNOWN
 
     async def _may_exist(self, job_id: str) -> bool:
-        """Update the replica; return whether the job may exist."""
-        if not await self._node.replica.update():
+        """Refresh the replica; return whether the job may exist."""
+        if not await self._node.replica.refresh(REFRESH_TIMEOUT):
             return True
         return self._node.replica.ledger.state(job_id) is not None
 
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import datetime
 import json
@@ -315,10 +316,11 @@
     await slow.prepare(request)
     size = max(1, round(bytes_per_s * LINK_PERIOD_S))
     body = response.body or b""
-    for start in range(0, len(body), size):
-        await slow.write(body[start : start + size])
-        await asyncio.sleep(LINK_PERIOD_S)
-    await slow.write_eof()
+    with contextlib.suppress(ConnectionResetError):  # the client gave up
+        for start in range(0, len(body), size):
+            await slow.write(body[start : start + size])
+            await asyncio.sleep(LINK_PERIOD_S)
+        await slow.write_eof()
     return slow
 
 
--- a/tests/platform/test_slow_link.py
+++ b/tests/platform/test_slow_link.py
@@ -21,6 +21,8 @@
 JOBS = 400  # their records fill two pages of 0.4 MB or more each
 PAYLOAD = "x" * 1000
 READY_LIMIT_S = 15.0
+VERY_SLOW_BYTES_PER_S = 30_000  # a load takes half a minute
+CLIENT_TIMEOUT_S = 3.0
 
 
 class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -79,3 +81,34 @@
         async with self.session.get(url, headers=test_path.KEY) as response:
             self.assertEqual(response.status, 200)
             self.assertEqual(await response.json(), {"State": "completed"})
+
+    async def test_calls_are_answered_in_time_during_a_load(self):
+        """A load that takes longer than clients wait holds up no call."""
+        self.platform.link_rates_by_client[SLOW] = VERY_SLOW_BYTES_PER_S
+        await self.cluster.start(SLOW)
+        loop = asyncio.get_running_loop()
+        url = self.cluster.url(SLOW, f"/scan/{JOBS:016x}")
+        statuses_by_method = {}
+        for method in ("DELETE", "GET"):
+            status = None
+            while status is None:
+                began = loop.time()
+                status = await self.call_when_up(method, url)
+                self.assertLess(loop.time() - began, CLIENT_TIMEOUT_S)
+            statuses_by_method[method] = status
+        self.assertFalse(await self.cluster.is_ready(self.session, SLOW))
+        self.assertEqual(statuses_by_method, {"DELETE": 200, "GET": 503})
+
+    async def call_when_up(self, method: str, url: str) -> int | None:
+        """Return a call's status; None until the configuration is loaded."""
+        try:
+            async with self.session.request(
+                method, url, headers=test_path.KEY
+            ) as response:
+                text = await response.text()
+                if "configuration" in text:
+                    return None
+                return response.status
+        except aiohttp.ClientConnectorError:
+            await asyncio.sleep(0.05)
+            return None
