Refuse pages of the store that skip records or are truncated

What callers could see: 410 'no such job' for an accepted job whose record a copy skipped.

Cause: decode_page numbered the records from the first retained offset when it was beyond the requested one, so that deleted records went unnoticed; a page cut within a record gave its last record short, one cut within a length raised struct.error, which no caller handles.

Before: both new tests of tests.platform.test_wire fail; after: they pass.

Change: a page that begins later counts as expired, so the copy is loaded anew; a truncated one is a failed read.

--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -14,9 +14,8 @@
 from cardamomcroft.scheduling import metrics
 
 CONNECT_TIMEOUT_S = 0.4  # two attempts fit into one second
-# A page of the newest records with its encoding. A link of 10 Mbit/s carries
-# at least a tenth of that for the store beside everything else.
-MAX_PAGE_BYTES = 1_400_000
+MAX_PAGE_BYTES = 1_400_000  # 1 MB of newest records in base64
+# A fifth of the slowest link: polls and forwarded calls share it.
 MIN_BYTES_PER_S = 125_000
 READ_PAGE_KB = 512  # above the largest record; a lost page costs less
 TOPICS = {
@@ -60,24 +59,38 @@
     return store.Record(offset, key, raw[key_end:] or None)
 
 
-def decode_page(offset: int, body: bytes) -> store.Page:
-    """Decode a page: end offset, first retained offset, then the records."""
-    end_offset, first_offset = _OFFSETS.unpack_from(body)
-    records = []
-    position = _OFFSETS.size
-    record_offset = max(offset, first_offset)
+def decode_page(offset: int, body: bytes) -> store.Page | store.ReadFailure:
+    """Decode a page: end offset, first retained offset, then the records.
+
+    Raise ValueError if the page is truncated.
+    """
+    try:
+        end_offset, first_offset = _OFFSETS.unpack_from(body)
+        raw_records = tuple(_split(body[_OFFSETS.size :]))
+    except struct.error as error:
+        raise ValueError(f"page of {len(body)} bytes is truncated") from error
+    if first_offset > offset:
+        return store.ReadFailure(store.ReadStatus.EXPIRED)
+    records = tuple(
+        _decode_record(number, raw)
+        for number, raw in enumerate(raw_records, offset)
+        if raw
+    )
+    # The next read continues after the last record returned, as a long
+    # backlog comes in several pages.
+    next_offset = offset + len(raw_records) if raw_records else end_offset
+    return store.Page(records, next_offset, next_offset < end_offset)
+
+
+def _split(body: bytes) -> collections.abc.Iterator[bytes]:
+    position = 0
     while position < len(body):
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
-        raw = body[position : position + length]
-        if raw:
-            records.append(_decode_record(record_offset, raw))
+        if position + length > len(body):
+            raise struct.error("record exceeds the page")
+        yield body[position : position + length]
         position += length
-        record_offset += 1
-    # The next read continues after the last record returned, as a long
-    # backlog comes in several pages.
-    next_offset = record_offset if records else end_offset
-    return store.Page(tuple(records), next_offset, next_offset < end_offset)
 
 
 class HttpStore(store.Store):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -41,6 +41,21 @@
         self.assertEqual(page.end_offset, 11)
         self.assertTrue(page.has_more)
 
+    def test_page_that_starts_later_is_expired(self):
+        """Records deleted before the page are not skipped silently."""
+        body = struct.pack(">QQ", 99, 11)
+        body += platform_store.encode_entries([store.Entry("a", b"1")])
+        failure = platform_store.decode_page(10, body)
+        self.assertIs(failure.status, store.ReadStatus.EXPIRED)
+
+    def test_truncated_page_is_refused(self):
+        """No part of a page is taken for the whole, wherever it ends."""
+        body = struct.pack(">QQ", 11, 0)
+        body += platform_store.encode_entries([store.Entry("a", b"1")])
+        for length in (len(body) - 1, 17, 15):
+            with self.assertRaises(ValueError):
+                platform_store.decode_page(10, body[:length])
+
     def test_empty_page_ends_at_the_stream(self):
         """A page without records ends at the end of the stream."""
         page = platform_store.decode_page(10, struct.pack(">QQ", 10, 0))
