Keep the stand-in quiet when a client gives up

A client that ended a call over a slow link, or during a long poll, made the stand-in of the platform print a traceback: it looked up the client's address after the answer was ready, and wrote on to a closed connection.

Change: the address is read before the handler runs, and a connection reset while a slow response is sent ends the response.

--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -171,8 +171,9 @@
         handler = self._handlers.get(request.path)
         if handler is None:
             return web.Response(status=404)
-        response = await handler(request)
+        # A client that gives up meanwhile takes its address away.
         rate = self.link_rates_by_client.get(self._client_name(request))
+        response = await handler(request)
         if rate is None:
             return response
         return await _send_slowly(request, response, rate)
@@ -317,10 +318,13 @@
     await slow.prepare(request)
     size = max(1, round(bytes_per_s * LINK_PERIOD_S))
     body = response.body or b""
-    for start in range(0, len(body), size):
-        await slow.write(body[start : start + size])
-        await asyncio.sleep(LINK_PERIOD_S)
-    await slow.write_eof()
+    try:
+        for start in range(0, len(body), size):
+            await slow.write(body[start : start + size])
+            await asyncio.sleep(LINK_PERIOD_S)
+        await slow.write_eof()
+    except ConnectionResetError:
+        pass  # the client has given up
     return slow
 
 
