Keep the instances' records in a stream of their own

Cause: peers were records i/INSTANCE of the stream of jobs. An instance that could not load the jobs knew no peers, and did not register either. What made forwarding necessary also prevented it.

Change: Stream.INSTANCES (keyed.instances), key = instance. relaying.peer_view loads and follows it independently of the replica: load, retry on failure, long poll of 20 s, pause of 5 s after each page; a failed or expired read loads again, and the peers known stay until the load has succeeded. A record that cannot be decoded is logged and leaves the last valid one. relaying.registrar registers once that is loaded, every 5 minutes as before, and drops the records of instances that have not registered for 15 minutes; the scheduler no longer does. The deletion is conditional on the end of the stream that the view has read: after an outage longer than 15 minutes each instance finds all others too old, and unconditional deletions would remove records that had just been renewed. Ledgers ignore old i/ records, and nobody deletes them any more.

Not verified: whether the users' platform accepts a conditional append without a writer (the stand-in does). If it refuses, registration still succeeds and gone records stay.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -18,6 +18,7 @@
 from cardamomcroft.platform import workers
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.relaying import forwarder as forwarders
+from cardamomcroft.relaying import peer_view
 from cardamomcroft.relaying import registrar as registrars
 from cardamomcroft.relaying import rpc as relay_rpc
 from cardamomcroft.scheduling import cluster_state
@@ -60,7 +61,7 @@
             self._clock, settings.instance, self._metrics, log_descriptor
         )
         self._leaving = asyncio.Event()
-        self._node: nodes.Node | None = None
+        self._peers: peer_view.PeerView | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -104,9 +105,9 @@
 
     def known_peers(self) -> collections.abc.Mapping[str, codec.Peer]:
         """Return the registered instances, including this one."""
-        if self._node is None:
+        if self._peers is None:
             return {}
-        return self._node.replica.ledger.peers_by_instance
+        return self._peers.peers_by_instance
 
     async def _serve(self, session: aiohttp.ClientSession) -> None:
         settings, clock, log = self._settings, self._clock, self._log
@@ -142,6 +143,7 @@
             settings.config_bound,
         )
         view.on_change = lambda config: setattr(node, "configuration", config)
+        self._peers = peer_view.PeerView(store, clock, log)
         pool = relay_rpc.make_pool(forwarders.CALL_TIMEOUT)
         forwarder = forwarders.PeerForwarder(
             forwarders.Origin(settings.instance, settings.data_centre),
@@ -151,7 +153,6 @@
             log,
             random.Random(),
         )
-        self._node = node
         ingress = ingresses.Ingress(node, store, view, clock, log, forwarder)
         peers = relay_rpc.make_server(
             settings.peer_address,
@@ -164,8 +165,9 @@
             settings.peer_address,
             settings.data_centre,
             store,
-            node.replica,
+            self._peers,
             clock,
+            log,
         )
         runners = [
             await _listen(ingress.handle_ready, settings.ready_address),
@@ -178,6 +180,7 @@
         tasks = [
             asyncio.ensure_future(view.run()),
             asyncio.ensure_future(node.run()),
+            asyncio.ensure_future(self._peers.run()),
             asyncio.ensure_future(registrar.run()),
         ]
         try:
--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -18,6 +18,7 @@
     store.Stream.JOBS: "keyed.jobs",
     store.Stream.SERVERS: "keyed.servers",
     store.Stream.OPERATOR: "keyed.op",
+    store.Stream.INSTANCES: "keyed.instances",
 }
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
--- a/cardamomcroft/ports/store.py
+++ b/cardamomcroft/ports/store.py
@@ -13,6 +13,7 @@
     JOBS = "jobs"
     SERVERS = "servers"
     OPERATOR = "operator"
+    INSTANCES = "instances"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/scheduling/expiry.py
+++ b/cardamomcroft/scheduling/expiry.py
@@ -1,20 +1,13 @@
-"""Drop the records of ended jobs and of instances that are gone.
+"""Drop the records of ended jobs.
 
-Every instance holds every record and reads all of them at a restart, so both
+Every instance holds every record and reads all of them at a restart, so they
 would grow over months of service.
 """
 
-import collections.abc
 import datetime
 import heapq
 
-from cardamomcroft.scheduling import codec
-
 MAX_DROPPED_JOBS = 50  # per round: three small records each in one append
-# Instances register every five minutes; two of their records may get lost.
-REGISTER_PERIOD = datetime.timedelta(minutes=5)
-PEER_LIFETIME = REGISTER_PERIOD * 3
-PEER_CHECK_PERIOD = datetime.timedelta(minutes=1)
 
 
 class Expiry:
@@ -39,27 +32,3 @@
             heapq.heappop(self._ended)
             due.append(job_id)
         return due
-
-
-class PeerExpiry:
-    """Check for instances that have not registered for too long."""
-
-    def __init__(self) -> None:
-        # None until the first round, which always checks.
-        self._next_at: datetime.datetime | None = None
-
-    def pop_due(
-        self,
-        peers_by_instance: collections.abc.Mapping[str, codec.Peer],
-        now: datetime.datetime,
-    ) -> list[str]:
-        """Return the instances to drop; check at most once a period."""
-        if self._next_at is not None and now < self._next_at:
-            return []
-        self._next_at = now + PEER_CHECK_PERIOD
-        oldest = (now - PEER_LIFETIME).timestamp()
-        return [
-            name
-            for name, peer in peers_by_instance.items()
-            if peer.seen_at < oldest
-        ]
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -9,11 +9,13 @@
 from cardamomcroft.scheduling import models
 
 CLAIM_KEY = "claim"
+# Version 0.3.0 kept the instances' records in this stream.
+OLD_INSTANCE_PREFIX = "i/"
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
 class Kind(enum.Enum):
-    """Key prefixes of the records of jobs, workers and instances.
+    """Key prefixes of the records of jobs and workers.
 
     Submissions, cancellations and progress have different writers, so each
     has its own key, which a late append of another writer cannot overwrite.
@@ -23,10 +25,9 @@
     CANCELLATION = "c/"
     PROGRESS = "p/"
     ASSIGNMENT = "w/"
-    INSTANCE = "i/"
 
     def key(self, name: str) -> str:
-        """Return the key of a job, worker or instance."""
+        """Return the key of a job or worker."""
         return self.value + name
 
 
@@ -49,9 +50,6 @@
         self.assignments_by_worker: lazy.LazyMap[codec.Assignment] = (
             lazy.LazyMap(lambda _, raw: codec.decode_assignment(raw))
         )
-        self.peers_by_instance: lazy.LazyMap[codec.Peer] = lazy.LazyMap(
-            lambda _, raw: codec.decode_peer(raw)
-        )
         self.claim: codec.Claim | None = None
         self.holder_seen_at: datetime.timedelta | None = None
 
@@ -70,6 +68,8 @@
             if record.key == CLAIM_KEY:
                 self._fold_claim(record, now)
                 continue
+            if record.key.startswith(OLD_INSTANCE_PREFIX):
+                continue
             kind, name = Kind(record.key[:2]), record.key[2:]
             if kind in (Kind.PROGRESS, Kind.ASSIGNMENT):
                 self.holder_seen_at = now
@@ -107,15 +107,10 @@
             if value is not None:
                 self.progress_by_id.put(name, value)
             return False
-        records = (
-            self.peers_by_instance
-            if kind is Kind.INSTANCE
-            else self.assignments_by_worker
-        )
         if value is None:
-            records.drop(name)
+            self.assignments_by_worker.drop(name)
         else:
-            records.put(name, value)
+            self.assignments_by_worker.put(name, value)
         return False
 
     def _delete_job(self, job_id: str) -> None:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -75,7 +75,6 @@
         self._forecast = queue_waits.Forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._expiry = expiry.Expiry(parameters.retention)
-        self._peer_expiry = expiry.PeerExpiry()
 
     async def run(self) -> None:
         """Run scheduling rounds until the claim is lost."""
@@ -250,12 +249,7 @@
                     self._expiry.record_ended(job_id, self._clock.now())
 
     def _delete_expired_records(self) -> None:
-        now = self._clock.now()
-        peers = self._replica.ledger.peers_by_instance
-        for name in self._peer_expiry.pop_due(peers, now):
-            self.journal.stage(ledgers.Kind.INSTANCE.key(name), None)
-            self._log.emit("peer_dropped", peer=name)
-        due = self._expiry.pop_due(now)
+        due = self._expiry.pop_due(self._clock.now())
         for job_id in due:
             for kind in ledgers.JOB_KINDS:
                 self.journal.stage(kind.key(job_id), None)
--- a/tests/scheduling/test_replica.py
+++ b/tests/scheduling/test_replica.py
@@ -36,6 +36,21 @@
         self.assertEqual(copy.progress_by_id[JOB].state, "completed")
         self.assertEqual(copy.end_offset, 2)
 
+    def test_old_records_of_instances_are_ignored(self):
+        """Records that version 0.3.0 kept in this stream harm nothing."""
+        copy = ledger.Ledger()
+        peer = codec.encode_peer(codec.Peer("x:1", "dc", 0.0))
+        records = (
+            store.Record(0, "i/gone", peer),
+            store.Record(1, "i/gone", None),
+            progress(2, "running"),
+            store.Record(3, "i/here", peer),
+        )
+        self.assertEqual(copy.apply(store.Page(records, 4), ZERO), [])
+        self.assertEqual(copy.progress_by_id[JOB].state, "running")
+        self.assertEqual(copy.end_offset, 4)
+        self.assertEqual(len(copy.assignments_by_worker), 0)
+
 
 class RefreshTest(unittest.IsolatedAsyncioTestCase):
     """A refresh reads the records that the copy lacks."""
