--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -170,6 +170,7 @@
         handler = self._handlers.get(request.path)
         if handler is None:
             return web.Response(status=404)
+        # A client that gives up meanwhile takes its address away.
         rate = self.link_rates_by_client.get(self._client_name(request))
         response = await handler(request)
         if rate is None:
