Delete an ended job's submission before its other records

Nothing is seen while a batch is atomic.

Cause: ledger.JOB_KINDS deleted cancellation and progress first, and the ledger dropped both by itself when the submission went. An instance that had followed the stream therefore forgot records that the store still kept, and nothing ever deleted them.

Change: the submission goes first. The ledger mirrors the newest record of each key, whether it was followed or loaded, so that leftovers are known: progress or a cancellation without a submission. A scheduler lists them at its start and drops them after the retention; not at once, since a client's DELETE may be stored before a submission that is still under way.

During an upgrade, an instance with this change that reads an earlier scheduler's deletion in two pages may show a job that ended minutes ago as queued until its next read, instead of unknown.

--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -30,7 +30,9 @@
         return self.value + name
 
 
-JOB_KINDS = (Kind.CANCELLATION, Kind.PROGRESS, Kind.SUBMISSION)
+# In the order of their deletion: what remains after a crash between two
+# appends has no submission, so that no scheduler runs the job again.
+JOB_KINDS = (Kind.SUBMISSION, Kind.PROGRESS, Kind.CANCELLATION)
 
 
 class Ledger:
@@ -52,6 +54,11 @@
         self.peers_by_instance: lazy.LazyMap[codec.Peer] = lazy.LazyMap(
             lambda _, raw: codec.decode_peer(raw)
         )
+        self._maps_by_kind: dict[Kind, lazy.LazyMap] = {
+            Kind.PROGRESS: self.progress_by_id,
+            Kind.ASSIGNMENT: self.assignments_by_worker,
+            Kind.INSTANCE: self.peers_by_instance,
+        }
         self.claim: codec.Claim | None = None
         self.holder_seen_at: datetime.timedelta | None = None
 
@@ -91,7 +98,7 @@
     def _fold(self, kind: Kind, name: str, value: bytes | None) -> bool:
         if kind is Kind.SUBMISSION:
             if value is None:
-                self._delete_job(name)
+                self.jobs_by_id.drop(name)
                 return False
             if name in self.jobs_by_id:
                 return False
@@ -99,29 +106,22 @@
             return True
         if kind is Kind.CANCELLATION:
             if value is None:
-                return False  # dropped with its submission
+                self.cancelled_ids.discard(name)
+                return False
             is_new = name not in self.cancelled_ids
             self.cancelled_ids.add(name)
             return is_new
-        if kind is Kind.PROGRESS:
-            if value is not None:
-                self.progress_by_id.put(name, value)
-            return False
-        records = (
-            self.peers_by_instance
-            if kind is Kind.INSTANCE
-            else self.assignments_by_worker
-        )
+        records = self._maps_by_kind[kind]
         if value is None:
             records.drop(name)
         else:
             records.put(name, value)
         return False
 
-    def _delete_job(self, job_id: str) -> None:
-        self.jobs_by_id.drop(job_id)
-        self.progress_by_id.drop(job_id)
-        self.cancelled_ids.discard(job_id)
+    def leftover_ids(self) -> set[str]:
+        """Return the ids whose records have lost their submission."""
+        named = self.progress_by_id.keys() | self.cancelled_ids
+        return named - self.jobs_by_id.keys()
 
     def state(self, job_id: str) -> str | None:
         """Return a job's state; None if the job is unknown."""
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -75,6 +75,9 @@
         self._forecast = queue_waits.Forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._expiry = expiry.Expiry(parameters.retention)
+        # Not dropped at once: a late submission may still follow its
+        # cancellation.
+        self._leftovers = expiry.Expiry(parameters.retention)
         self._peer_expiry = expiry.PeerExpiry()
 
     async def run(self) -> None:
@@ -82,6 +85,8 @@
         cluster = self.cluster
         for job_id in self._replica.ledger.jobs_by_id:
             self._admit(job_id)
+        for job_id in self._replica.ledger.leftover_ids():
+            self._leftovers.record_ended(job_id, self._clock.now())
         for worker in inheriting.inherit(cluster, self._replica.ledger):
             self._poller.ensure_polling(worker)
         self.journal.on_claim_lost = cluster.wake
@@ -256,6 +261,11 @@
             self.journal.stage(ledgers.Kind.INSTANCE.key(name), None)
             self._log.emit("peer_dropped", peer=name)
         due = self._expiry.pop_due(now)
+        due += [
+            job_id
+            for job_id in self._leftovers.pop_due(now)
+            if job_id not in self._replica.ledger.jobs_by_id
+        ]
         for job_id in due:
             for kind in ledgers.JOB_KINDS:
                 self.journal.stage(kind.key(job_id), None)
--- a/tests/scheduling/test_expiry.py
+++ b/tests/scheduling/test_expiry.py
@@ -52,3 +52,70 @@
         await self.pass_time(4)
         self.assertIsNone(self.state(ended))
         self.assertEqual(self.state(lasting), "running")
+
+    async def end_job_and_lose_its_submission(self) -> str:
+        """End a job and delete its submission, as before a crash."""
+        job_id = self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running())
+        self.cancel(job_id)
+        await self.wait_until(lambda: self.state(job_id) == "cancelled")
+        await self.wait_until(lambda: not self.fleet.running())
+        key = ledgers.Kind.SUBMISSION.key(job_id)
+        self.store.put(store.Stream.JOBS, key, None)
+        await self.pass_time(1)
+        return job_id
+
+    async def check_leftovers_are_dropped(self, job_id: str) -> None:
+        """Check that no record of a job stays and that no task starts."""
+        started = len(self.fleet.intervals)
+        self.assertIn(ledgers.Kind.PROGRESS.key(job_id), self.kept_keys())
+        self.assertIn(ledgers.Kind.CANCELLATION.key(job_id), self.kept_keys())
+        await self.wait_until(self.holder)
+        await self.pass_time(RETENTION_S + 2)
+        for kind in ledgers.JOB_KINDS:
+            self.assertNotIn(kind.key(job_id), self.kept_keys())
+        self.assertEqual(len(self.fleet.intervals), started)
+        self.assertEqual(self.fleet.running(), [])
+
+    async def test_submission_is_deleted_before_what_keeps_its_job_ended(self):
+        """A crash between two deletions leaves no submission behind."""
+        job_id = self.submit(harness.make_step())
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        await self.pass_time(RETENTION_S + 2)
+        deleted = [
+            record.key
+            for record in self.store.records_by_stream[store.Stream.JOBS]
+            if record.value is None
+        ]
+        self.assertEqual(deleted[0], ledgers.Kind.SUBMISSION.key(job_id))
+        self.assertEqual(len(deleted), len(ledgers.JOB_KINDS))
+
+    async def test_follower_drops_leftovers_of_a_crashed_deletion(self):
+        """A successor that saw the submission go drops the other records."""
+        job_id = await self.end_job_and_lose_its_submission()
+        self.kill(self.holder())
+        await self.check_leftovers_are_dropped(job_id)
+
+    async def test_new_instance_drops_leftovers_of_a_crashed_deletion(self):
+        """A successor that never saw the submission does so too."""
+        job_id = await self.end_job_and_lose_its_submission()
+        for name in ("a", "b"):
+            self.kill(name)
+        self.start_node("c")
+        await self.check_leftovers_are_dropped(job_id)
+
+    async def test_late_submission_finds_its_cancellation(self):
+        """A cancellation that precedes its submission is not lost."""
+        job_id = f"{9:016x}"
+        self.cancel(job_id)
+        await self.pass_time(1)
+        self.kill(self.holder())
+        await self.wait_until(self.holder)
+        await self.pass_time(5)
+        while self.submit(harness.make_step()) != job_id:
+            pass
+        await self.pass_time(2)
+        self.assertEqual(self.state(job_id), "cancelled")
+        started = {i.task.split(".")[0] for i in self.fleet.intervals}
+        started |= {task.split(".")[0] for task, _ in self.fleet.running()}
+        self.assertNotIn(job_id, started)
