Append what the scheduler stages in parts of bounded size

What callers would see: after an outage of the store, or over a link of 10 Mbit/s, accepted jobs neither start nor end, although an instance holds the scheduler's role and renews its workers' leases for a while.

On a link of 10 Mbit/s, 0.9 s carry 1.1 MB; over 2 MB the store refuses the call.

The batch grows further with longer checkpoints; it cannot grow without bound, since a key is staged once.

Change: a flush is appended in parts of at most 128 KiB (a larger record goes alone), each under its own sequence number. Commits return when the last part of their flush is durable. A part without progress or assignments carries the claim, since followers take only these as a sign of life. A changed or released claim goes with the last part. confirmed_at is the time of the last part that the store took, as before of the last batch.

A part of a flush can now be lost in a crash. What is staged together: - an end (progress) and the next run on its worker (assignment without the ended task): if the assignment alone is durable, a successor runs the task again. A flush is therefore sorted: submissions, progress, cancellations (deletions all), instances, assignments. Staging order alone is not enough, as a key that is staged again moves to the end. - starts of a gang or of several workers: sent only after the whole flush. Sorting was chosen over groups that stay in one append: a job's tasks end on many workers, so the groups would join into one as large as before.

The stand-in store now refuses what exceeds the protocol's limits (a record of 256 KiB, a call of 2 MB), can limit a client's upload rate and can refuse a client after a number of appends. Over HTTP it answers 413.

On a link of less than about 1.2 Mbit/s a part takes longer than its time-out.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -127,14 +127,14 @@
             self.stage_progress(step.job)
 
     def stage_progress(self, job: runs.JobState) -> None:
-        """Stage the record of a job's progress for the next batch."""
+        """Stage the record of a job's progress for the next flush."""
         ended_at = self.clock.now().timestamp() if job.final_state else 0.0
         value = codec.encode_progress(job.progress(ended_at))
         key = ledgers.Kind.PROGRESS.key(job.job.job_id)
         self.journal.stage(key, value)
 
     def stage_assignment(self, worker: runs.Worker) -> None:
-        """Stage the record of a worker's runs for the next batch."""
+        """Stage the record of a worker's runs for the next flush."""
         key = ledgers.Kind.ASSIGNMENT.key(worker.worker_id)
         worker.has_assignment_record = True
         value = codec.encode_assignment(worker.assignment())
--- a/cardamomcroft/scheduling/journal.py
+++ b/cardamomcroft/scheduling/journal.py
@@ -1,4 +1,4 @@
-"""Write the scheduler's records in batches, fenced by its epoch."""
+"""Write the scheduler's records in order, fenced by its epoch."""
 
 import asyncio
 import collections.abc
@@ -16,10 +16,40 @@
 RENEWAL_INTERVAL = datetime.timedelta(milliseconds=400)
 APPEND_TIMEOUT = datetime.timedelta(milliseconds=900)
 RETRY_PAUSE = datetime.timedelta(milliseconds=120)
+# 0.1 s on a link of 10 Mbit/s, which leaves most of APPEND_TIMEOUT to a slow
+# store; a fifteenth of what the store takes in one call.
+MAX_APPEND_BYTES = 131_072
+ENTRY_OVERHEAD_BYTES = 5  # lengths of record and key
+# A crash between two appends leaves a part of a flush, in this order. An
+# assignment without a task that has ended must not precede the record of its
+# end, or a successor would run the task again.
+KIND_ORDER = (
+    *ledger.JOB_KINDS,
+    ledger.Kind.INSTANCE,
+    ledger.Kind.ASSIGNMENT,
+)
+
+
+def _kind_of(entry: store.Entry) -> ledger.Kind:
+    return ledger.Kind(entry.key[:2])
+
+
+def _split(entries: list[store.Entry]) -> list[list[store.Entry]]:
+    """Return the parts to append one by one; at least one, maybe empty."""
+    parts: list[list[store.Entry]] = [[]]
+    size = 0
+    for entry in entries:
+        added = len(entry.key) + len(entry.value or b"") + ENTRY_OVERHEAD_BYTES
+        if parts[-1] and size + added > MAX_APPEND_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(entry)
+        size += added
+    return parts
 
 
 class Journal:
-    """Append staged records in order; report the loss of the claim."""
+    """Append staged records in parts; report the loss of the claim."""
 
     def __init__(
         self,
@@ -44,7 +74,7 @@
         self.on_claim_lost: collections.abc.Callable[[], None] | None = None
 
     def stage(self, key: str, value: bytes | None) -> None:
-        """Add a record to the next batch, replacing one of the same key."""
+        """Add a record to the next flush, replacing one of the same key."""
         self._staged.pop(key, None)
         self._staged[key] = value
 
@@ -70,29 +100,46 @@
         entries = [
             store.Entry(key, value) for key, value in self._staged.items()
         ]
+        entries.sort(key=lambda entry: KIND_ORDER.index(_kind_of(entry)))
         self._staged = {}
         waiters, self._waiters = self._waiters, []
-        self._renew_claim(entries)
-        self._sequence += 1
-        done = await self._append_until_known(entries)
+        done = await self._append_all(entries, self._next_claim())
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(done)
         if not done:
             self.lose_claim("fenced")
 
-    def _renew_claim(self, entries: list[store.Entry]) -> None:
-        claim = codec.Claim(
+    def _next_claim(self) -> codec.Claim:
+        return codec.Claim(
             "" if self._is_released else self.claim.holder,
             self.claim.epoch,
             self.claim.term,
             self.forecast_waits(),
         )
-        if not entries or claim != self.claim:
+
+    async def _append_all(
+        self, entries: list[store.Entry], claim: codec.Claim
+    ) -> bool:
+        """Append in parts; only the last one may release the claim."""
+        *earlier, last = _split(entries)
+        for part in earlier:
+            if not await self._append_part(part, self.claim):
+                return False
+        return await self._append_part(last, claim)
+
+    async def _append_part(
+        self, entries: list[store.Entry], claim: codec.Claim
+    ) -> bool:
+        if self.is_claim_lost:
+            return False
+        kinds = {_kind_of(entry) for entry in entries}
+        if claim != self.claim or not kinds & ledger.HOLDER_KINDS:
             self.claim = claim
-            entries.append(
-                store.Entry(ledger.CLAIM_KEY, codec.encode_claim(claim))
-            )
+            value = codec.encode_claim(claim)
+            entries.append(store.Entry(ledger.CLAIM_KEY, value))
+        self._sequence += 1
+        return await self._append_until_known(entries)
 
     async def _append_until_known(self, entries: list[store.Entry]) -> bool:
         writer = store.Writer(WRITER, self.claim.epoch, self._sequence)
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -33,6 +33,8 @@
 # In the order of their deletion: what remains after a crash between two
 # appends has no submission, so that no scheduler runs the job again.
 JOB_KINDS = (Kind.SUBMISSION, Kind.PROGRESS, Kind.CANCELLATION)
+# Written by the holder alone, so that they show that it is alive.
+HOLDER_KINDS = frozenset({Kind.PROGRESS, Kind.ASSIGNMENT})
 
 
 class Ledger:
@@ -78,7 +80,7 @@
                 self._fold_claim(record, now)
                 continue
             kind, name = Kind(record.key[:2]), record.key[2:]
-            if kind in (Kind.PROGRESS, Kind.ASSIGNMENT):
+            if kind in HOLDER_KINDS:
                 self.holder_seen_at = now
             if self._fold(kind, name, record.value):
                 updates.append((kind, name))
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -206,7 +206,8 @@
         if answer.status is status.OUT_OF_SEQUENCE:
             body = {"Reason": "seq", "Sequence": answer.expected_sequence}
             return web.json_response(body, status=409)
-        return web.Response(status=503)
+        is_too_large = answer.detail == store.TOO_LARGE
+        return web.Response(status=413 if is_too_large else 503)
 
     async def _read(self, request: web.BaseRequest) -> web.Response:
         offset = int(request.query["From"])
--- a/cardamomcroft/standin/store.py
+++ b/cardamomcroft/standin/store.py
@@ -1,5 +1,6 @@
 """In-memory stand-in for the platform's store, with fault injection."""
 
+import collections.abc
 import dataclasses
 import datetime
 
@@ -8,6 +9,11 @@
 
 POLL_INTERVAL = datetime.timedelta(milliseconds=20)
 ROUND_TRIP = datetime.timedelta(milliseconds=5)
+# The protocol's RecordBytes and RequestBytes.
+MAX_RECORD_BYTES = 262_144
+MAX_REQUEST_BYTES = 2_000_000
+LENGTH_BYTES = 4  # precede each record of a request
+TOO_LARGE = "too large"
 
 _Status = store.AppendStatus
 
@@ -22,6 +28,19 @@
     drop_appends: int = 0  # appends neither applied nor answered
     expire_reads: int = 0  # reads answered as if the records were deleted
     delay: datetime.timedelta = ROUND_TRIP
+    upload_bytes_per_s: int | None = None  # rate of each client's link
+    appends_left_by_client: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )  # further ones are refused
+
+
+def _record_bytes(entry: store.Entry) -> int:
+    return 1 + len(entry.key.encode()) + len(entry.value or b"")
+
+
+def request_bytes(entries: collections.abc.Iterable[store.Entry]) -> int:
+    """Return the size of an append's body."""
+    return sum(LENGTH_BYTES + _record_bytes(entry) for entry in entries)
 
 
 class StoreService:
@@ -59,7 +78,16 @@
         records.append(store.Record(len(records), key, value))
 
     def append(self, stream, entries, expected_end, writer) -> store.Appended:
-        """Append if ``expected_end`` and the writer's sequence match."""
+        """Append if ``expected_end`` and the writer's sequence match.
+
+        What exceeds the store's limits is refused.
+        """
+        if (
+            any(_record_bytes(entry) > MAX_RECORD_BYTES for entry in entries)
+            or request_bytes(entries) > MAX_REQUEST_BYTES
+        ):
+            self.count_fault("too_large")
+            return store.Appended(_Status.NOT_RUN, detail=TOO_LARGE)
         records = self.records_by_stream[stream]
         if expected_end is not None and expected_end != len(records):
             return store.Appended(_Status.CONFLICT, end_offset=len(records))
@@ -107,7 +135,9 @@
         """Append all entries or none."""
         service = self._service
         await service.clock.sleep(service.faults.delay)
-        if service.is_refused(self._name):
+        if not await self._upload(entries, timeout):
+            return store.Appended(_Status.MAY_HAVE_RUN, detail="slow link")
+        if service.is_refused(self._name) or self._has_no_append_left():
             return store.Appended(_Status.NOT_RUN, detail="refused")
         if service.faults.drop_appends:
             service.faults.drop_appends -= 1
@@ -122,6 +152,28 @@
             return store.Appended(_Status.MAY_HAVE_RUN, detail="lost")
         return answer
 
+    async def _upload(self, entries, timeout: datetime.timedelta) -> bool:
+        """Send a body over the link; return whether it arrived in time."""
+        service = self._service
+        rate = service.faults.upload_bytes_per_s
+        if rate is None:
+            return True
+        size = request_bytes(entries)
+        needed = datetime.timedelta(seconds=size / rate)
+        await service.clock.sleep(min(needed, timeout))
+        if needed > timeout:
+            service.count_fault("upload_given_up")
+        return needed <= timeout
+
+    def _has_no_append_left(self) -> bool:
+        service = self._service
+        left = service.faults.appends_left_by_client.get(self._name)
+        if left:
+            service.faults.appends_left_by_client[self._name] = left - 1
+        if left == 0:
+            service.count_fault("refused")
+        return left == 0
+
     async def read(
         self, stream, offset, wait, timeout
     ) -> store.Page | store.ReadFailure:
