Refuse a submission that the store can never take

What callers saw: a submission whose record is over the store's limit of 256 KiB was answered 503 with Retry-After 1, at each try and for ever.

Cause: the store refuses the append with a 4xx, which counts as NOT_RUN like a 503, and the ingress answers NOT_RUN as an outage.

Change: the ingress compares the record's size with the limit before it appends and answers 413 with both numbers. A body over aiohttp's limit of 1 MiB was answered 413 already, without a log line and not as JSON; it now has the same form. The limit is on the encoded record: a character outside ASCII takes six bytes or more.

Not changed: another 4xx of the store still counts as NOT_RUN (platform/store.py, _decode_append_result).

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -29,6 +29,8 @@
 # Reserved for the reply to reach the client before its timeout.
 ANSWER_MARGIN = datetime.timedelta(milliseconds=300)
 OUTAGE_RETRY_AFTER_S = 1
+# The store's RecordBytes: it would refuse a larger submission at each try.
+MAX_RECORD_BYTES = 262_144
 # The protocol allows pending counts to be up to two seconds old.
 MAX_REPLICA_AGE = datetime.timedelta(seconds=2)
 
@@ -75,8 +77,7 @@
         self.in_flight += 1
         began_at = self.last_call_at = self._clock.monotonic()
         try:
-            call = await _read_call(request)
-            reply = await self._answer_or_forward(call)
+            reply = await self._read_and_answer(request)
         finally:
             self.in_flight -= 1
         took_s = (self._clock.monotonic() - began_at).total_seconds()
@@ -87,6 +88,20 @@
             response.force_close()
         return response
 
+    async def _read_and_answer(
+        self, request: web.BaseRequest
+    ) -> relaying.Reply:
+        call = _make_call(request)
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            limit = request.client_max_size
+            reason = f"body is over the limit of {limit} bytes"
+            return self._refuse(call, 413, reason)
+        return await self._answer_or_forward(
+            dataclasses.replace(call, body=body)
+        )
+
     async def _answer_or_forward(self, call: relaying.Call) -> relaying.Reply:
         """Answer the call, or forward it if this instance lacks the store."""
         if not self._lacks_store():
@@ -243,11 +258,12 @@
             )
         except submissions.SubmissionError as error:
             return self._refuse(call, 400, str(error))
-        refusal = await self._refuse_late(call, job)
-        if refusal is not None:
-            return refusal
         key = ledgers.Kind.SUBMISSION.key(job_id)
         entry = store.Entry(key, codec.encode_job(job))
+        refusal = self._refuse_oversized(call, entry)
+        refusal = refusal or await self._refuse_late(call, job)
+        if refusal is not None:
+            return refusal
         status = await self._append(call, forwarder, entry)
         self._log.emit(
             "job_submitted",
@@ -262,6 +278,18 @@
             return self._refuse(call, 503, "store unavailable")
         return relaying.OUTCOME_UNKNOWN
 
+    def _refuse_oversized(
+        self, call: relaying.Call, entry: store.Entry
+    ) -> relaying.Reply | None:
+        size = 1 + len(entry.key) + len(entry.value)  # 1: the key's length
+        if size <= MAX_RECORD_BYTES:
+            return None
+        reason = (
+            f"job's record of {size} bytes is over the limit of"
+            f" {MAX_RECORD_BYTES} bytes"
+        )
+        return self._refuse(call, 413, reason)
+
     async def _refuse_late(
         self, call: relaying.Call, job: models.Job
     ) -> relaying.Reply | None:
@@ -302,7 +330,8 @@
         return self._node.replica.ledger.state(job_id) is not None
 
 
-async def _read_call(request: web.BaseRequest) -> relaying.Call:
+def _make_call(request: web.BaseRequest) -> relaying.Call:
+    """Return a call without its body."""
     try:
         timeout = datetime.timedelta(
             milliseconds=float(request.headers["X-Deadline-Ms"])
@@ -314,7 +343,7 @@
         request.headers.get("Host", "").partition(":")[0],
         request.path,
         request.headers.get("Api-Key", ""),
-        await request.read(),
+        b"",
         timeout,
     )
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -9,6 +9,7 @@
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.standin import cluster
 from cardamomcroft.standin import platform
+from cardamomcroft.standin import store as standin_store
 
 NAMES = ("a", "b")
 KEY = {"Api-Key": "k1", "Host": platform.HOST_NAME}
@@ -138,6 +139,22 @@
         status, _ = await self.call("POST", path, body)
         self.assertEqual(status, 503)
 
+    async def test_submission_too_large_to_store_is_refused_for_good(self):
+        """The client is told the limit instead of to come again."""
+        phases = [{"Count": 1, "Cpu": 500, "MemMb": 100}]
+        path = f"/scan/{JOB}"
+        for size in (standin_store.MAX_RECORD_BYTES, 1_500_000):
+            body = {"Spec": "x" * size, "Phases": phases}
+            status, data = await self.call("POST", path, body)
+            self.assertEqual(status, 413)
+            self.assertRegex(data["error"], r"over the limit of \d+ bytes")
+        status, _ = await self.call("GET", path)
+        self.assertEqual(status, 410)
+        self.assertEqual(self.platform.store.injected, {})
+        body = {"Spec": "x" * 250_000, "Phases": phases}
+        status, _ = await self.call("POST", path, body)
+        self.assertEqual(status, 200)
+
     async def test_revoked_key_is_refused_everywhere(self):
         """Both instances apply a new configuration within its bound."""
         self.platform.configure(configuration(2, ["k2"]))
