--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -31,7 +31,12 @@
         return self.value + name
 
 
-JOB_KINDS = (Kind.CANCELLATION, Kind.PROGRESS, Kind.SUBMISSION)
+# In the order of their deletion: what remains after a crash between two
+# appends has no submission, so that no scheduler runs the job again.
+JOB_KINDS = (Kind.SUBMISSION, Kind.PROGRESS, Kind.CANCELLATION)
+LEFTOVER_KINDS = (Kind.PROGRESS, Kind.CANCELLATION)
+# Written by the holder alone, so that they show that it is alive.
+HOLDER_KINDS = frozenset({Kind.PROGRESS, Kind.ASSIGNMENT})
 
 
 class Ledger:
@@ -50,6 +55,10 @@
         self.assignments_by_worker: lazy.LazyMap[codec.Assignment] = (
             lazy.LazyMap(lambda _, raw: codec.decode_assignment(raw))
         )
+        self._maps_by_kind: dict[Kind, lazy.LazyMap] = {
+            Kind.PROGRESS: self.progress_by_id,
+            Kind.ASSIGNMENT: self.assignments_by_worker,
+        }
         self.claim: codec.Claim | None = None
         self.holder_seen_at: datetime.timedelta | None = None
 
@@ -71,7 +80,7 @@
             if record.key.startswith(OLD_INSTANCE_PREFIX):
                 continue
             kind, name = Kind(record.key[:2]), record.key[2:]
-            if kind in (Kind.PROGRESS, Kind.ASSIGNMENT):
+            if kind in HOLDER_KINDS:
                 self.holder_seen_at = now
             if self._fold(kind, name, record.value):
                 updates.append((kind, name))
@@ -91,7 +100,7 @@
     def _fold(self, kind: Kind, name: str, value: bytes | None) -> bool:
         if kind is Kind.SUBMISSION:
             if value is None:
-                self._delete_job(name)
+                self.jobs_by_id.drop(name)
                 return False
             if name in self.jobs_by_id:
                 return False
@@ -99,24 +108,22 @@
             return True
         if kind is Kind.CANCELLATION:
             if value is None:
-                return False  # dropped with its submission
+                self.cancelled_ids.discard(name)
+                return False
             is_new = name not in self.cancelled_ids
             self.cancelled_ids.add(name)
             return is_new
-        if kind is Kind.PROGRESS:
-            if value is not None:
-                self.progress_by_id.put(name, value)
-            return False
+        records = self._maps_by_kind[kind]
         if value is None:
-            self.assignments_by_worker.drop(name)
+            records.drop(name)
         else:
-            self.assignments_by_worker.put(name, value)
+            records.put(name, value)
         return False
 
-    def _delete_job(self, job_id: str) -> None:
-        self.jobs_by_id.drop(job_id)
-        self.progress_by_id.drop(job_id)
-        self.cancelled_ids.discard(job_id)
+    def leftover_ids(self) -> set[str]:
+        """Return the ids whose records have lost their submission."""
+        named = self.progress_by_id.keys() | self.cancelled_ids
+        return named - self.jobs_by_id.keys()
 
     def state(self, job_id: str) -> str | None:
         """Return a job's state; None if the job is unknown."""
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -75,12 +75,17 @@
         self._forecast = queue_waits.Forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._expiry = expiry.Expiry(parameters.retention)
+        # Not dropped at once: a late submission may still follow its
+        # cancellation.
+        self._leftovers = expiry.Expiry(parameters.retention)
 
     async def run(self) -> None:
         """Run scheduling rounds until the claim is lost."""
         cluster = self.cluster
         for job_id in self._replica.ledger.jobs_by_id:
             self._admit(job_id)
+        for job_id in self._replica.ledger.leftover_ids():
+            self._leftovers.record_ended(job_id, self._clock.now())
         for worker in inheriting.inherit(cluster, self._replica.ledger):
             self._poller.ensure_polling(worker)
         self.journal.on_claim_lost = cluster.wake
@@ -249,12 +254,25 @@
                     self._expiry.record_ended(job_id, self._clock.now())
 
     def _delete_expired_records(self) -> None:
-        due = self._expiry.pop_due(self._clock.now())
-        for job_id in due:
-            for kind in ledgers.JOB_KINDS:
+        now = self._clock.now()
+        self._delete_records(self._expiry.pop_due(now), ledgers.JOB_KINDS)
+        jobs_by_id = self._replica.ledger.jobs_by_id
+        leftovers = [
+            job_id
+            for job_id in self._leftovers.pop_due(now)
+            if job_id not in jobs_by_id
+        ]
+        # A submission may be accepted at this very moment.
+        self._delete_records(leftovers, ledgers.LEFTOVER_KINDS)
+
+    def _delete_records(
+        self, job_ids: list[str], kinds: tuple[ledgers.Kind, ...]
+    ) -> None:
+        for job_id in job_ids:
+            for kind in kinds:
                 self.journal.stage(kind.key(job_id), None)
-        if due:
-            self._log.emit("jobs_dropped", count=len(due), job_ids=due)
+        if job_ids:
+            self._log.emit("jobs_dropped", count=len(job_ids), job_ids=job_ids)
 
     def _stop_remaining_runs(self, job: runs.JobState) -> None:
         for run in job.runs:
