Take a state for complete only at the end of the log

A job could run to its end twice after a restart: the instance that loaded the log forgot the result of a finished member.

Cause: each page set the time at which the state was confirmed, also a full page with more records behind it and a page that showed a gap. So the lease renewer acted on the state as of the first page, where the job was not known yet, and had the worker forget its result.

Evidence: of the three tests in tests/log/test_replica.py all failed before; the one with an instance that reads 501 of its log's records saw two runs of the job and one finished_twice.

Change: only a page that reaches the end confirms the state and ends the catching up.

--- a/cardamomcroft/log/replica.py
+++ b/cardamomcroft/log/replica.py
@@ -54,11 +54,13 @@
         await self._changed.wait()
 
     def load(self, state: models.State) -> bool:
-        """Adopt the state of a snapshot; return whether it was newer."""
+        """Adopt the state of a snapshot; return whether it was newer.
+
+        The log may hold records after it, so the replica has not caught up.
+        """
         if state.applied <= self.state.applied:
             return False
         self.state = state
-        self.caught_up = True
         self._notify()
         return True
 
@@ -83,16 +85,16 @@
             self._metrics.increment("log.read_failed")
             return False
         self.reachable = True
-        self.confirmed_at = self._clock.monotonic()
         return await self._handle_page(page.ok)
 
     async def _handle_page(self, page: messages.LogPage) -> bool:
         if page.first > self.state.applied + 1:
             return await self._recover_from_gap(page.first)
         self.apply_page(page)
-        self.caught_up = (
-            self.caught_up or len(page.payloads) < MAX_PAGE_RECORDS
-        )
+        # A full page may be followed by records that change its meaning.
+        if len(page.payloads) < MAX_PAGE_RECORDS:
+            self.caught_up = True
+            self.confirmed_at = self._clock.monotonic()
         return True
 
     def apply_page(self, page: messages.LogPage) -> None:
--- a/cardamomcroft/peers/exchange.py
+++ b/cardamomcroft/peers/exchange.py
@@ -185,10 +185,10 @@
         )
         if page.is_ok() and page.ok.payloads:
             self._replica.apply_page(page.ok)
-            if self._replica.state.applied >= best.digest.applied:
-                self._replica.caught_up = True
-            return
-        await self.load_snapshot(best.peer_address)
+        else:
+            await self.load_snapshot(best.peer_address)
+        if self._replica.state.applied >= best.digest.applied:
+            self._replica.caught_up = True
 
     async def load_snapshot(self, address: str) -> bool:
         """Load a peer's whole state; return whether it was newer."""
