Date a confirmed state by the start of its read

An owner could have acted on a claim that a newer one had replaced, for as long as a page was under way and a self-lease after that.

Cause: the state counted as confirmed at the time when the page had arrived. Until now the time-out of a read bounds the error at the long poll and a second; a page may take longer once slow transfers are allowed.

Change: the state is confirmed as of the start of the read. A quiet log confirms it once a long poll, so its age stays under twice the long poll, which the settings already keep below the self-lease.

--- a/cardamomcroft/log/replica.py
+++ b/cardamomcroft/log/replica.py
@@ -73,6 +73,7 @@
 
     async def poll(self, wait: datetime.timedelta) -> bool:
         """Read and apply one page; return whether this succeeded."""
+        asked_at = self._clock.monotonic()
         page = await self._log.read(
             self.state.applied + 1, MAX_PAGE_RECORDS, wait
         )
@@ -85,18 +86,29 @@
             self._metrics.increment("log.read_failed")
             return False
         self.reachable = True
-        return await self._handle_page(page.ok)
+        return await self._handle_page(page.ok, asked_at)
 
-    async def _handle_page(self, page: messages.LogPage) -> bool:
+    async def _handle_page(
+        self, page: messages.LogPage, asked_at: datetime.timedelta
+    ) -> bool:
         if page.first > self.state.applied + 1:
             return await self._recover_from_gap(page.first)
         self.apply_page(page)
         # A full page may be followed by records that change its meaning.
         if len(page.payloads) < MAX_PAGE_RECORDS:
             self.caught_up = True
-            self.confirmed_at = self._clock.monotonic()
+            self._confirm(asked_at)
         return True
 
+    def _confirm(self, asked_at: datetime.timedelta) -> None:
+        """Count the state as complete as of a read's start.
+
+        The page may miss what was appended while it was under way.
+        """
+        earlier = self.confirmed_at
+        if earlier is None or asked_at > earlier:
+            self.confirmed_at = asked_at
+
     def apply_page(self, page: messages.LogPage) -> None:
         """Apply the records of a page that follow the applied offset."""
         for index, payload in enumerate(page.payloads):
--- a/tests/log/test_replica.py
+++ b/tests/log/test_replica.py
@@ -1,5 +1,6 @@
 """Test what a replica that has read only a part of the log shows."""
 
+import asyncio
 import datetime
 import unittest
 
@@ -23,9 +24,10 @@
 SELF_LEASE = harness.seconds(5)
 
 
-class PartlyReadableLog(log.StandinLog):
-    """A log that cannot be read beyond an offset."""
+class SlowLog(log.StandinLog):
+    """A log whose pages take ``transfer`` to arrive; reads can be cut."""
 
+    transfer = datetime.timedelta()
     readable_end = 1_000_000
 
     async def read(
@@ -34,7 +36,10 @@
         """Return records from the offset on, up to the readable end."""
         if offset >= self.readable_end:
             return self._unavailable()
-        return await super().read(offset, limit, wait)
+        page = await super().read(offset, limit, wait)
+        if self.transfer:
+            await self._clock.sleep(self.transfer)
+        return page
 
 
 class PartialStateTest(unittest.IsolatedAsyncioTestCase):
@@ -43,24 +48,23 @@
     async def asyncSetUp(self) -> None:
         """Follow an empty log with one replica."""
         self.clock = clocks.FakeClock()
-        self.log = PartlyReadableLog(self.clock)
+        self.log = SlowLog(self.clock)
         self.replica = replicas.Replica(
             self.log,
             self.clock,
             metrics.MemoryMetrics(),
             harness.seconds(2),
         )
-        self.freshness = freshnesses.Freshness(
-            self.replica,
-            members.Membership(
-                "entry-1",
-                harness.REGION,
-                self.clock,
-                harness.seconds(3),
-                harness.seconds(20),
-            ),
+        membership = members.Membership(
+            "entry-1",
+            harness.REGION,
             self.clock,
-            SELF_LEASE,
+            harness.seconds(3),
+            harness.seconds(20),
+        )
+        membership.add_seed("entry-2", "entry-2:1")  # never answers
+        self.freshness = freshnesses.Freshness(
+            self.replica, membership, self.clock, SELF_LEASE
         )
 
     def record(self, number: int, body: records.Body) -> records.Record:
@@ -108,13 +112,23 @@
         self.assertIn(harness.REGION, self.replica.state.claims)
         self.assertTrue(self.freshness.is_fresh())
 
+    async def test_page_is_only_as_fresh_as_its_request(self):
+        """A claim made during a slow transfer is not in the page."""
+        await self.append_claims(1)
+        self.log.transfer = SELF_LEASE + harness.seconds(1)
+        await self.clock.advance(harness.seconds(1))
+        reader = asyncio.ensure_future(self.replica.poll(NO_WAIT))
+        await self.clock.advance(self.log.transfer)
+        self.assertTrue(await reader)
+        self.assertFalse(self.freshness.is_fresh())
+
 
 class LoadingInstanceTest(harness.ClusterCase):
     """Start an instance that cannot read the log to its end."""
 
     async def test_no_result_is_forgotten_while_the_log_is_loaded(self):
         """The new instance knows the fleet but not yet the job."""
-        self.cluster.log = PartlyReadableLog(self.cluster.clock)
+        self.cluster.log = SlowLog(self.cluster.clock)
         await self.cluster.ready()
         filler = [
             records.encode(
