Deny a job only when the log was read to its end

A caller that asked an instance without the log for a job accepted at another instance was told 404, "no job".

Cause: the instance refreshed its copy for an unknown job, but denied the job whether or not the refresh had reached the end of the log. The same happened while an instance was still loading.

Evidence: OutageTest.test_accepted_job_is_not_denied_without_the_log got 404 before.

Change: when the refresh fails or takes too long and the job is still unknown, the answer to GET and DELETE is 503 unavailable with Retry-After.

--- a/cardamomcroft/api/jobs.py
+++ b/cardamomcroft/api/jobs.py
@@ -4,6 +4,7 @@
 import uuid
 
 from aiohttp import web
+import expression
 
 from cardamomcroft.api import auth
 from cardamomcroft.api import bodies
@@ -92,33 +93,45 @@
     return errors.refuse(verdict.Reason.CONFLICT, applied.reason)
 
 
-async def _find_visible_job(request: web.Request) -> models.Job | None:
-    """Return a job that the caller may see, or None.
+async def _find_visible_job(
+    request: web.Request,
+) -> expression.Result[models.Job, verdict.Failure]:
+    """Return a job that the caller may see.
 
-    If this replica does not know the job yet, it is refreshed first.
+    If this replica does not know the job yet, it is refreshed first; that
+    there is no such job is said only as of the end of the log.
     """
     context = request.app[contexts.CONTEXT]
     job_id = request.match_info["job_id"]
     if job_id not in context.replica.state.jobs:
-        await clocks.within(
+        refreshed = await clocks.within(
             context.clock, settings.APPLY_TIMEOUT, context.replica.refresh()
         )
+        is_current = refreshed is not None and refreshed.is_ok()
+        if not is_current and job_id not in context.replica.state.jobs:
+            return expression.Error(_not_known_yet(job_id))
     job = context.replica.state.jobs.get(job_id)
     if job is None or not request[contexts.IDENTITY].may_see(job.account):
-        return None
-    return job
+        return expression.Error(
+            verdict.not_run(verdict.Reason.NOT_FOUND, f"no job {job_id}")
+        )
+    return expression.Ok(job)
 
 
-def _not_found(request: web.Request) -> web.Response:
-    job_id = request.match_info["job_id"]
-    return errors.refuse(verdict.Reason.NOT_FOUND, f"no job {job_id}")
+def _not_known_yet(job_id: str) -> verdict.Failure:
+    return verdict.not_run(
+        verdict.Reason.UNAVAILABLE,
+        f"job {job_id} is not known here and the platform log "
+        "cannot be read to its end",
+        appenders.RETRY_AFTER,
+    )
 
 
 async def status(request: web.Request) -> web.Response:
     """Return a job, after waiting up to ``wait_s`` for its end."""
-    job = await _find_visible_job(request)
-    if job is None:
-        return _not_found(request)
+    found = await _find_visible_job(request)
+    if found.is_error():
+        return errors.respond(found.error)
     try:
         wait_s = float(request.query.get("wait_s", "0"))
     except ValueError:
@@ -132,7 +145,7 @@
             400,
         )
     context = request.app[contexts.CONTEXT]
-    job = await _wait_for_end(context, job, wait_s)
+    job = await _wait_for_end(context, found.ok, wait_s)
     return web.json_response(bodies.job_to_dict(job))
 
 
@@ -167,13 +180,13 @@
 
 async def cancel(request: web.Request) -> web.Response:
     """Request cancellation; the job's status shows when it has ended."""
-    job = await _find_visible_job(request)
-    if job is None:
-        return _not_found(request)
+    found = await _find_visible_job(request)
+    if found.is_error():
+        return errors.respond(found.error)
     context = request.app[contexts.CONTEXT]
     identity = request[contexts.IDENTITY]
     outcome = await context.appender.confirm(
-        records.JobCancelled(job.job_id, identity.name),
+        records.JobCancelled(found.ok.job_id, identity.name),
         appenders.Priority.OPERATOR,
         SUBMIT_TIMEOUT,
     )
@@ -181,7 +194,7 @@
         return errors.respond(outcome.error)
     if not outcome.ok.accepted:
         return errors.refuse(verdict.Reason.CONFLICT, outcome.ok.reason)
-    job = context.replica.state.jobs[job.job_id]
+    job = context.replica.state.jobs[found.ok.job_id]
     return web.json_response(bodies.job_to_dict(job), status=202)
 
 
--- a/tests/api/test_api.py
+++ b/tests/api/test_api.py
@@ -10,8 +10,11 @@
 from hypothesis import strategies
 
 from cardamomcroft.bench import local
+from cardamomcroft.daemon import node as nodes
+from cardamomcroft.peers import local as local_peers
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import instance
+from cardamomcroft.standin import log
 from tests import harness
 
 FLEET = "fleet/dahab"
@@ -221,6 +224,38 @@
         self.assertEqual(200, (await self.call("GET", "/readyz"))[0])
 
 
+class OutageTest(ApiCase):
+    """Cut one of two instances off from the log and from its peer."""
+
+    async def asyncSetUp(self) -> None:
+        """Wait until the second instance has noticed the cut."""
+        await super().asyncSetUp()
+        node = self.cluster.servers[1].node
+        self.dead_log = log.StandinLog(self.cluster.clock)
+        self.dead_log.down = True
+        node.replica._log = self.dead_log
+        node.exchange._peers = local_peers.LocalNetwork().client("")
+        await nodes.wait_until(
+            self.cluster.clock,
+            lambda: not node.replica.reachable,
+            harness.seconds(10),
+        )
+
+    async def test_accepted_job_is_not_denied_without_the_log(self):
+        status, job = await self.call(
+            "POST", "/v1/jobs", "north-token", {"kind": "scan", "run_s": 1}
+        )
+        self.assertEqual(201, status)
+        path = f"/v1/jobs/{job['job_id']}"
+        for method in ("GET", "DELETE"):
+            status, data = await self.call(
+                method, path, "north-token", number=1
+            )
+            self.assertEqual(503, status)
+            self.assertEqual("unavailable", data["error"]["reason"])
+        self.assertGreater(self.dead_log.injected["log_down"], 0)
+
+
 keys = strategies.sampled_from(
     (
         "kind",
