Let a log page take as long as it makes progress

Cause: a page of up to 500 records had one second in all. At 2 Mbit/s that is 3.3 and 14.9 s, and 3.0 s at 10 Mbit/s for the larger.

Evidence: test_log_is_loaded_over_a_slow_but_steady_link failed before (17 chunks at 250,000 bytes a second).

Change: the answer of a growing call has to begin within the time-out; from then on it may take as long as it doesn't stall for 2 s and comes at 10,000 bytes a second on average. So a broken link still ends the call: two tests show that a page that stalls or trickles is given up. Other calls keep one time-out for the whole.

--- a/cardamomcroft/ports/http.py
+++ b/cardamomcroft/ports/http.py
@@ -1,8 +1,10 @@
 """Call the platform and the workers over HTTP."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import datetime
+import json
 import typing
 
 import aiohttp
@@ -15,6 +17,8 @@
 from cardamomcroft.settings import parsing
 
 CONNECT_TIMEOUT_S = 0.5
+STALL_TIMEOUT_S = 2.0  # several retransmissions on a link with losses
+MIN_BYTES_PER_S = 10_000  # 2 Mbit/s shared by 25 calls
 NOT_MODIFIED = 304  # HTTP status
 
 _CONVERTER = parsing.make_converter(strict=False)
@@ -58,7 +62,12 @@
 
 
 class HttpClient:
-    """Send JSON requests and classify every failure."""
+    """Send JSON requests and classify every failure.
+
+    A call ends with its time-out. The answer of a growing call, whose size
+    depends on the data, only has to begin in that time: then it may take as
+    long as it keeps coming, at MIN_BYTES_PER_S or more.
+    """
 
     def __init__(self, timeout: datetime.timedelta) -> None:
         """Set the default time-out; the first call opens the session."""
@@ -92,6 +101,15 @@
         answer = await self._exchange(method, url, wanted, body, timeout_s)
         return answer.map(lambda tagged: tagged.value)
 
+    async def fetch_growing(
+        self, url: str, wanted: type, timeout_s: float
+    ) -> expression.Result[typing.Any, verdict.Failure]:
+        """Return the decoded response of a growing call."""
+        answer = await self._exchange(
+            "GET", url, wanted, timeout_s=timeout_s, is_growing=True
+        )
+        return answer.map(lambda tagged: tagged.value)
+
     async def fetch_changed(
         self, url: str, wanted: type, tag: str
     ) -> expression.Result[Tagged | None, verdict.Failure]:
@@ -104,9 +122,10 @@
         method: str,
         url: str,
         wanted: type,
-        body: object = None,
+        content: object = None,
         timeout_s: float | None = None,
         headers: dict[str, str] | None = None,
+        is_growing: bool = False,
     ) -> expression.Result[typing.Any, verdict.Failure]:
         if self._is_closed:
             return expression.Error(
@@ -115,14 +134,20 @@
                 )
             )
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s or self._timeout_s,
-            sock_connect=CONNECT_TIMEOUT_S,
+            total=None, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
-            async with self._open().request(
-                method, url, json=body, timeout=timeout, headers=headers
-            ) as response:
-                return await _decode(response, wanted)
+            async with (
+                asyncio.timeout(timeout_s or self._timeout_s) as limit,
+                self._open().request(
+                    method, url, json=content, timeout=timeout, headers=headers
+                ) as response,
+            ):
+                if is_growing:
+                    body = await _receive(response, limit)
+                else:
+                    body = await response.read()
+            return _decode(response, body, wanted)
         except aiohttp.ClientConnectorError as error:
             return expression.Error(
                 verdict.not_run(verdict.Reason.UNAVAILABLE, str(error))
@@ -137,12 +162,29 @@
             )
 
 
-async def _decode(
-    response: aiohttp.ClientResponse, wanted: type
+async def _receive(
+    response: aiohttp.ClientResponse, limit: asyncio.Timeout
+) -> bytes:
+    """Receive the body and extend the time limit as it comes."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    limit.reschedule(began_at + STALL_TIMEOUT_S)
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        slowest_s = STALL_TIMEOUT_S + len(body) / MIN_BYTES_PER_S
+        limit.reschedule(
+            min(loop.time() + STALL_TIMEOUT_S, began_at + slowest_s)
+        )
+    return bytes(body)
+
+
+def _decode(
+    response: aiohttp.ClientResponse, body: bytes, wanted: type
 ) -> expression.Result[Tagged | None, verdict.Failure]:
     if response.status == NOT_MODIFIED:
         return expression.Ok(None)
-    data = await response.json()
+    data = json.loads(body)
     if response.status >= 400:
         return expression.Error(failure_from_dict(data, response.status))
     value = _CONVERTER.structure(data, wanted)
@@ -171,8 +213,8 @@
         """Return records from the offset on; wait if there are none yet."""
         wait_s = wait.total_seconds()
         url = f"{self._url}?offset={offset}&limit={limit}&wait_s={wait_s}"
-        return await self._client.call(
-            "GET", url, messages.LogPage, timeout_s=wait_s + 1.0
+        return await self._client.fetch_growing(
+            url, messages.LogPage, wait_s + 1.0
         )
 
 
--- /dev/null
+++ b/tests/ports/test_http.py
@@ -0,0 +1,119 @@
+"""Test calls over HTTP on links that are slow or broken."""
+
+import asyncio
+import contextlib
+import datetime
+import unittest
+
+from aiohttp import web
+
+from cardamomcroft.bench import local
+from cardamomcroft.log import records
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import http
+from cardamomcroft.ports import metrics
+from cardamomcroft.ports import verdict
+from cardamomcroft.standin import log
+from cardamomcroft.standin import service
+from cardamomcroft.state import snapshots
+from tests import harness
+
+CALL_TIMEOUT = datetime.timedelta(seconds=1)
+NO_WAIT = datetime.timedelta()
+LINK_BYTES_PER_S = 250_000  # 2 Mbit/s
+SLICES_PER_S = 20
+SNAPSHOT_CHUNKS = 17  # 832 KB, a state of the two-year size
+
+
+class SlowLink:
+    """Send the bodies of answers at a limited rate."""
+
+    def __init__(self) -> None:
+        """Set the rate of the link, which does not stall."""
+        self.bytes_per_s = LINK_BYTES_PER_S
+        self.stalls_after_bytes = 100_000_000
+        self.slices = 0
+
+    @web.middleware
+    async def throttle(self, request: web.Request, handler):
+        """Send the answer of the handler slice by slice."""
+        answer = await handler(request)
+        body = answer.body
+        throttled = web.StreamResponse(status=answer.status)
+        throttled.content_type = "application/json"
+        throttled.content_length = len(body)
+        await throttled.prepare(request)
+        with contextlib.suppress(ConnectionResetError):  # given up
+            await self._send(throttled, body)
+        return throttled
+
+    async def _send(self, answer: web.StreamResponse, body: bytes) -> None:
+        size = max(1, self.bytes_per_s // SLICES_PER_S)
+        for start in range(0, len(body), size):
+            if start >= self.stalls_after_bytes:
+                await asyncio.Event().wait()
+            await answer.write(body[start : start + size])
+            self.slices += 1
+            await asyncio.sleep(1 / SLICES_PER_S)
+
+
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Read a log behind a slow link."""
+
+    async def asyncSetUp(self) -> None:
+        """Serve a log that holds a snapshot of the two-year size."""
+        clock = clocks.SystemClock()
+        self.log = log.StandinLog(clock)
+        for index in range(SNAPSHOT_CHUNKS):
+            chunk = records.SnapshotChunk(
+                "s", 0, index, 100, "x" * snapshots.CHUNK_CHARACTERS
+            )
+            self.log.payloads.append(
+                records.encode(
+                    records.Record(
+                        f"record-{index}", "entry-2", clock.now(), 9999, chunk
+                    )
+                )
+            )
+        self.link = SlowLink()
+        app = service.log_app(self.log)
+        app.middlewares.append(self.link.throttle)
+        (address,) = local.free_addresses(1)
+        self.runner = await service.serve(app, address)
+        self.client = http.HttpClient(CALL_TIMEOUT)
+        self.http_log = http.HttpLog(f"http://{address}", self.client)
+        self.replica = replicas.Replica(
+            self.http_log,
+            clock,
+            metrics.MemoryMetrics(),
+            harness.seconds(2),
+        )
+
+    async def asyncTearDown(self) -> None:
+        """Close the client and the server."""
+        await self.client.close()
+        await self.runner.cleanup()
+
+    async def test_log_is_loaded_over_a_slow_but_steady_link(self):
+        self.assertTrue(await self.replica.poll(NO_WAIT))
+        self.assertTrue(self.replica.caught_up)
+        self.assertEqual(SNAPSHOT_CHUNKS - 1, self.replica.state.applied)
+        took_s = self.link.slices / SLICES_PER_S
+        self.assertGreater(took_s, 2 * CALL_TIMEOUT.total_seconds())
+
+    async def test_page_that_stalls_is_given_up(self):
+        self.link.stalls_after_bytes = LINK_BYTES_PER_S // 2
+        await self.assert_given_up(within_s=5.0)
+
+    async def test_page_that_trickles_is_given_up(self):
+        self.link.bytes_per_s = SLICES_PER_S
+        await self.assert_given_up(within_s=3.0)
+
+    async def assert_given_up(self, within_s: float) -> None:
+        """Read a page and check that it fails in time."""
+        page = await asyncio.wait_for(
+            self.http_log.read(0, 500, NO_WAIT), within_s
+        )
+        self.assertIs(verdict.Reason.TIMEOUT, page.error.reason)
+        self.assertGreater(self.link.slices, 0)
