Let the instance list take as long as it makes progress

Over a slow link an instance never saw a changed instance list: a leaving worker kept getting work, and a new instance stayed unknown.

Cause: the list had one second in all. With an entry for each of 84 instances and 1,407 workers it is 0.24 MB in the test; each try began again from the start.

Evidence: test_list_is_read_over_a_slow_but_steady_link failed before, at 250,000 bytes a second.

Change: the list is read as a growing call, as the log's pages are.

--- a/cardamomcroft/ports/http.py
+++ b/cardamomcroft/ports/http.py
@@ -113,9 +113,11 @@
     async def fetch_changed(
         self, url: str, wanted: type, tag: str
     ) -> expression.Result[Tagged | None, verdict.Failure]:
-        """Return the response, or None if its entity tag is unchanged."""
+        """Return a growing response, or None if its tag is unchanged."""
         headers = {"If-None-Match": tag} if tag else {}
-        return await self._exchange("GET", url, wanted, headers=headers)
+        return await self._exchange(
+            "GET", url, wanted, headers=headers, is_growing=True
+        )
 
     async def _exchange(
         self,
--- a/tests/ports/test_http.py
+++ b/tests/ports/test_http.py
@@ -12,8 +12,10 @@
 from cardamomcroft.log import replica as replicas
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import http
+from cardamomcroft.ports import messages
 from cardamomcroft.ports import metrics
 from cardamomcroft.ports import verdict
+from cardamomcroft.standin import instances
 from cardamomcroft.standin import log
 from cardamomcroft.standin import service
 from cardamomcroft.state import snapshots
@@ -24,6 +26,7 @@
 LINK_BYTES_PER_S = 250_000  # 2 Mbit/s
 SLICES_PER_S = 20
 SNAPSHOT_CHUNKS = 17  # 832 KB, a state of the two-year size
+LISTED = 84 + 1407  # instances and workers of the two-year size
 
 
 class SlowLink:
@@ -41,6 +44,8 @@
         answer = await handler(request)
         body = answer.body
         throttled = web.StreamResponse(status=answer.status)
+        if "ETag" in answer.headers:
+            throttled.headers["ETag"] = answer.headers["ETag"]
         throttled.content_type = "application/json"
         throttled.content_length = len(body)
         await throttled.prepare(request)
@@ -77,12 +82,10 @@
                 )
             )
         self.link = SlowLink()
-        app = service.log_app(self.log)
-        app.middlewares.append(self.link.throttle)
-        (address,) = local.free_addresses(1)
-        self.runner = await service.serve(app, address)
+        self.runners = []
         self.client = http.HttpClient(CALL_TIMEOUT)
-        self.http_log = http.HttpLog(f"http://{address}", self.client)
+        address = await self.serve(service.log_app(self.log))
+        self.http_log = http.HttpLog(address, self.client)
         self.replica = replicas.Replica(
             self.http_log,
             clock,
@@ -93,7 +96,15 @@
     async def asyncTearDown(self) -> None:
         """Close the client and the server."""
         await self.client.close()
-        await self.runner.cleanup()
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def serve(self, app: web.Application) -> str:
+        """Serve an app behind the link and return its base address."""
+        app.middlewares.append(self.link.throttle)
+        (address,) = local.free_addresses(1)
+        self.runners.append(await service.serve(app, address))
+        return f"http://{address}"
 
     async def test_log_is_loaded_over_a_slow_but_steady_link(self):
         self.assertTrue(await self.replica.poll(NO_WAIT))
@@ -102,6 +113,26 @@
         took_s = self.link.slices / SLICES_PER_S
         self.assertGreater(took_s, 2 * CALL_TIMEOUT.total_seconds())
 
+    async def test_list_is_read_over_a_slow_but_steady_link(self):
+        listed = instances.StandinInstances(clocks.SystemClock())
+        for number in range(LISTED):
+            listed.put(
+                messages.ListedInstance(
+                    f"i-{number:017x}",
+                    messages.InstanceState.LIVE,
+                    harness.REGION,
+                    "dahab",
+                    "10.0.0.1:9000",
+                    "10.0.0.1:8000",
+                )
+            )
+        address = await self.serve(service.instances_app(listed))
+        entries = await http.HttpInstances(address, self.client).instances()
+        self.assertTrue(entries.is_ok())
+        self.assertEqual(LISTED, len(entries.ok))
+        took_s = self.link.slices / SLICES_PER_S
+        self.assertGreater(took_s, CALL_TIMEOUT.total_seconds())
+
     async def test_page_that_stalls_is_given_up(self):
         self.link.stalls_after_bytes = LINK_BYTES_PER_S // 2
         await self.assert_given_up(within_s=5.0)
