Wait for a peer's answer as long as the time-out says

A call to a peer that needed more than half a second for its answer was given up, although the time-out is 0.8 s for a forwarded call and 1 s for the others; the outcome of the forwarded call was then unknown.

Cause: thriftpy2's asyncio socket applies the time-out of the connection, 0.5 s, to each read as well.

Evidence: test_answer_within_the_time_out_is_received failed before.

Change: once connected, reads have the time-out of the socket, and the call its own.

--- a/cardamomcroft/ports/rpc.py
+++ b/cardamomcroft/ports/rpc.py
@@ -104,6 +104,8 @@
         )
         transport, protocol = _protocol(stream)
         await transport.open()
+        # thriftpy2 applies it to each read as well.
+        stream.connect_timeout = stream.socket_timeout
         return thrift_client.TAsyncClient(self._service, protocol)
 
     async def call(self, address: str, operation: str, *arguments):
