--- a/cardamomcroft/peers/rpc.py
+++ b/cardamomcroft/peers/rpc.py
@@ -83,10 +83,9 @@
         """Start without connections; calls fail after the timeout."""
         self._pool = rpc.Pool(WIRE.Peer, timeout)
 
-    async def _call(self, address: str, operation: str, *arguments):
+    async def _call(self, call, address: str, operation: str, *arguments):
         try:
-            answer = await self._pool.call(address, operation, *arguments)
-            return expression.Ok(answer)
+            return expression.Ok(await call(address, operation, *arguments))
         except rpc.CALL_ERRORS as error:
             return expression.Error(
                 verdict.may_have_run(
@@ -96,12 +95,16 @@
 
     async def exchange(self, address, digest):
         """Send this instance's digest and return the peer's."""
-        answer = await self._call(address, "exchange", digest_to_wire(digest))
+        answer = await self._call(
+            self._pool.call, address, "exchange", digest_to_wire(digest)
+        )
         return answer.map(digest_from_wire)
 
     async def read_log(self, address, offset, limit):
         """Return records that the peer has applied, from the offset on."""
-        answer = await self._call(address, "read_log", offset, limit)
+        answer = await self._call(
+            self._pool.call_growing, address, "read_log", offset, limit
+        )
         return answer.map(
             lambda wire: messages.LogPage(
                 wire.first, wire.start, tuple(wire.payloads or ())
@@ -110,7 +113,7 @@
 
     async def snapshot(self, address):
         """Return the peer's encoded state."""
-        return await self._call(address, "snapshot")
+        return await self._call(self._pool.call_growing, address, "snapshot")
 
     def close(self) -> None:
         """Close the pooled connections."""
--- a/cardamomcroft/ports/http.py
+++ b/cardamomcroft/ports/http.py
@@ -13,12 +13,11 @@
 
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import progress
 from cardamomcroft.ports import verdict
 from cardamomcroft.settings import parsing
 
 CONNECT_TIMEOUT_S = 0.5
-STALL_TIMEOUT_S = 2.0  # several retransmissions on a link with losses
-MIN_BYTES_PER_S = 10_000  # 2 Mbit/s shared by 25 calls
 NOT_MODIFIED = 304  # HTTP status
 
 _CONVERTER = parsing.make_converter(strict=False)
@@ -66,7 +65,7 @@
 
     A call ends with its time-out. The answer of a growing call, whose size
     depends on the data, only has to begin in that time: then it may take as
-    long as it keeps coming, at MIN_BYTES_PER_S or more.
+    long as it makes progress.
     """
 
     def __init__(self, timeout: datetime.timedelta) -> None:
@@ -168,16 +167,11 @@
     response: aiohttp.ClientResponse, limit: asyncio.Timeout
 ) -> bytes:
     """Receive the body and extend the time limit as it comes."""
-    loop = asyncio.get_running_loop()
-    began_at = loop.time()
-    limit.reschedule(began_at + STALL_TIMEOUT_S)
+    received = progress.Progress(limit)
     body = bytearray()
     async for part in response.content.iter_any():
         body += part
-        slowest_s = STALL_TIMEOUT_S + len(body) / MIN_BYTES_PER_S
-        limit.reschedule(
-            min(loop.time() + STALL_TIMEOUT_S, began_at + slowest_s)
-        )
+        received.add(len(part))
     return bytes(body)
 
 
--- a/cardamomcroft/ports/rpc.py
+++ b/cardamomcroft/ports/rpc.py
@@ -12,6 +12,7 @@
 from thriftpy2.transport import TTransportException
 
 from cardamomcroft.ports import addresses
+from cardamomcroft.ports import progress
 
 CONNECT_TIMEOUT_MS = 500
 IDLE_TIMEOUT_MS = 60_000
@@ -84,6 +85,35 @@
             task.cancel()
 
 
+class _ClientSocket(thrift_socket.TAsyncSocket):
+    """Connect to a server; extend a call's time limit as data arrive."""
+
+    def __init__(
+        self, host: str, port: int, limit: asyncio.Timeout | None
+    ) -> None:
+        super().__init__(
+            host,
+            port,
+            socket_timeout=IDLE_TIMEOUT_MS,
+            connect_timeout=CONNECT_TIMEOUT_MS,
+        )
+        self._limit = limit
+        self._progress: progress.Progress | None = None
+
+    async def open(self) -> None:
+        await super().open()
+        # thriftpy2 applies the connection's time-out to each read as well.
+        self.connect_timeout = self.socket_timeout
+
+    async def read(self, sz: int) -> bytes:
+        data = await super().read(sz)
+        if self._limit is not None:
+            if self._progress is None:
+                self._progress = progress.Progress(self._limit)
+            self._progress.add(len(data))
+        return data
+
+
 class Pool:
     """Call a service over pooled connections, one call at a time each."""
 
@@ -94,18 +124,13 @@
         self._clients: dict[str, thrift_client.TAsyncClient] = {}
         self._locks: dict[str, asyncio.Lock] = {}
 
-    async def _connect(self, address: str) -> thrift_client.TAsyncClient:
+    async def _connect(
+        self, address: str, limit: asyncio.Timeout | None = None
+    ) -> thrift_client.TAsyncClient:
         host, port = addresses.split_address(address)
-        stream = thrift_socket.TAsyncSocket(
-            host,
-            port,
-            socket_timeout=IDLE_TIMEOUT_MS,
-            connect_timeout=CONNECT_TIMEOUT_MS,
-        )
+        stream = _ClientSocket(host, port, limit)
         transport, protocol = _protocol(stream)
         await transport.open()
-        # thriftpy2 applies it to each read as well.
-        stream.connect_timeout = stream.socket_timeout
         return thrift_client.TAsyncClient(self._service, protocol)
 
     async def call(self, address: str, operation: str, *arguments):
@@ -127,6 +152,25 @@
                 raise
             raise UnreachedError(f"{address}: {error!r}") from error
 
+    async def call_growing(self, address: str, operation: str, *arguments):
+        """Return an answer whose size depends on the data.
+
+        It has to begin within the time-out and then to make progress. The
+        call has a connection of its own, so that others needn't wait for it.
+        """
+        client = None
+        try:
+            async with asyncio.timeout(self._timeout) as limit:
+                client = await self._connect(address, limit)
+                return await getattr(client, operation)(*arguments)
+        except CALL_ERRORS as error:
+            if client is not None:
+                raise
+            raise UnreachedError(f"{address}: {error!r}") from error
+        finally:
+            if client is not None:
+                client.close()
+
     def close(self) -> None:
         """Close every pooled connection."""
         for client in self._clients.values():
