--- a/cardamomcroft/peers/exchange.py
+++ b/cardamomcroft/peers/exchange.py
@@ -73,6 +73,8 @@
         self._fanout = fanout
         self._next_index = 0
         self._recent_records = RecordBuffer(replica)
+        self._encoded_state: models.State | None = None
+        self._encoded_snapshot = ""
         self._logger = structlog.get_logger()
 
     def exchange(self, digest: digests.Digest) -> digests.Digest:
@@ -85,8 +87,16 @@
         return self._recent_records.page(offset, min(limit, MAX_PAGE_RECORDS))
 
     def snapshot(self) -> str:
-        """Return this instance's encoded state."""
-        return snapshots.encode(self._replica.state)
+        """Return this instance's encoded state.
+
+        Encoding can take longer than a peer waits; the peer's next try then
+        gets the result.
+        """
+        state = self._replica.state
+        if state is not self._encoded_state:
+            self._encoded_snapshot = snapshots.encode(state)
+            self._encoded_state = state
+        return self._encoded_snapshot
 
     async def run(self) -> None:
         """Exchange digests until cancelled."""
