--- a/cardamomcroft/jobs/launcher.py
+++ b/cardamomcroft/jobs/launcher.py
@@ -122,6 +122,9 @@
             return
         if not self._dependencies.holds_claim():
             return  # the new owner adopts or stops the gang
+        is_repeated = done.result().reason == models.REPEATED_RECORD
+        if is_repeated and self._is_recorded(launch):
+            return  # the replica loaded a snapshot with the first copy
         self._logger.warning(
             "start_refused",
             job_id=launch.job.job_id,
@@ -129,6 +132,10 @@
         )
         self._dependencies.background.spawn(self._stop_refused(launch))
 
+    def _is_recorded(self, launch: launches.Launch) -> bool:
+        job = self._dependencies.replica.state.jobs.get(launch.job.job_id)
+        return job is not None and job.attempt == launch.attempt
+
     async def _stop_refused(self, launch: launches.Launch) -> None:
         claim = self._dependencies.replica.state.claims[
             self._dependencies.region
--- a/cardamomcroft/log/appender.py
+++ b/cardamomcroft/log/appender.py
@@ -113,9 +113,17 @@
         applied = await clocks.within(
             self._clock, limit, asyncio.shield(future)
         )
-        if applied is not None:
-            return expression.Ok(applied)
-        return expression.Error(self._abandon(entry))
+        if applied is None:
+            return expression.Error(self._abandon(entry))
+        if applied.reason == models.REPEATED_RECORD:
+            # The replica loaded a snapshot that contains the first copy.
+            return expression.Error(
+                verdict.may_have_run(
+                    verdict.Reason.TIMEOUT,
+                    "the record's result was not seen in the platform log",
+                )
+            )
+        return expression.Ok(applied)
 
     def _refusal(self) -> verdict.Failure | None:
         if not self._replica.reachable:
--- a/cardamomcroft/state/fold.py
+++ b/cardamomcroft/state/fold.py
@@ -18,7 +18,7 @@
     """Apply one record at its offset."""
     state = _advance(state, offset, record)
     if record.record_id in state.seen:
-        return state, models.Applied(offset, False, "repeated record")
+        return state, models.Applied(offset, False, models.REPEATED_RECORD)
     if offset > record.valid_until:
         return state, models.Applied(offset, False, "record out of date")
     state = _mark_seen(state, offset, record.record_id)
--- a/cardamomcroft/state/models.py
+++ b/cardamomcroft/state/models.py
@@ -11,6 +11,7 @@
 from cardamomcroft.ports import verdict
 from cardamomcroft.settings import documents
 
+REPEATED_RECORD = "repeated record"  # the first copy decided the result
 EARLIEST = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
 
 
