Give a large append the time that its bytes need

A large record could stay unrecorded for ever and hold up all records of its priority from this instance behind it: among them the ends of jobs' tasks, so that the jobs never completed.

Cause: an append had one second in all, whatever its size. Records of requests' ends carry the answer and are never abandoned; a failed batch stays due ahead of newer records. The sizes of answers are bounded nowhere.

Evidence: test_large_record_holds_up_no_others_over_a_slow_link failed before: 500,000 bytes at 250,000 bytes a second, and a small record behind them, had not been appended after 8 s.

Change: an append may take its time-out and what its bytes take at 10,000 bytes a second. A lost answer is noticed later than before by as much: 6.4 s for a full batch of 64,000 bytes.

--- a/cardamomcroft/log/appender.py
+++ b/cardamomcroft/log/appender.py
@@ -13,6 +13,7 @@
 from cardamomcroft.log import replica as replicas
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import progress
 from cardamomcroft.ports import verdict
 from cardamomcroft.state import models
 
@@ -202,8 +203,11 @@
         sent_before = [entry.ever_sent for entry in batch]
         for entry in batch:
             entry.ever_sent = True
+        size = sum(map(len, payloads))
         result = await clocks.within(
-            self._clock, APPEND_TIMEOUT, self._log.append(payloads)
+            self._clock,
+            APPEND_TIMEOUT + progress.slowest_transfer(size),
+            self._log.append(payloads),
         )
         if result is not None and result.is_ok():
             for entry in batch:
--- a/cardamomcroft/ports/http.py
+++ b/cardamomcroft/ports/http.py
@@ -70,7 +70,7 @@
 
     def __init__(self, timeout: datetime.timedelta) -> None:
         """Set the default time-out; the first call opens the session."""
-        self._timeout_s = timeout.total_seconds()
+        self.timeout = timeout
         self._session: aiohttp.ClientSession | None = None
         self._is_closed = False
 
@@ -139,7 +139,9 @@
         )
         try:
             async with (
-                asyncio.timeout(timeout_s or self._timeout_s) as limit,
+                asyncio.timeout(
+                    timeout_s or self.timeout.total_seconds()
+                ) as limit,
                 self._open().request(
                     method, url, json=content, timeout=timeout, headers=headers
                 ) as response,
@@ -199,8 +201,15 @@
         self, payloads: collections.abc.Sequence[str]
     ) -> expression.Result[int, verdict.Failure]:
         """Append all payloads in order and return the first offset."""
-        body = {"payloads": list(payloads)}
-        answer = await self._client.call("POST", self._url, dict, body)
+        size = sum(map(len, payloads))
+        timeout = self._client.timeout + progress.slowest_transfer(size)
+        answer = await self._client.call(
+            "POST",
+            self._url,
+            dict,
+            {"payloads": list(payloads)},
+            timeout.total_seconds(),
+        )
         return answer.map(lambda data: int(data["offset"]))
 
     async def read(
--- a/cardamomcroft/ports/progress.py
+++ b/cardamomcroft/ports/progress.py
@@ -1,11 +1,17 @@
-"""Limit calls whose answers grow with the data by their progress."""
+"""Limit calls that carry much data by their progress."""
 
 import asyncio
+import datetime
 
 STALL_TIMEOUT_S = 2.0  # several retransmissions on a link with losses
 MIN_BYTES_PER_S = 10_000  # 2 Mbit/s shared by 25 calls
 
 
+def slowest_transfer(size: int) -> datetime.timedelta:
+    """Return the time that so many bytes may take."""
+    return datetime.timedelta(seconds=size / MIN_BYTES_PER_S)
+
+
 class Progress:
     """Extend a time limit as an answer comes, at a minimum rate."""
 
