--- a/cardamomcroft/log/replica.py
+++ b/cardamomcroft/log/replica.py
@@ -41,6 +41,7 @@
         self._log = log
         self._clock = clock
         self._metrics = metrics
+        self._search = snapshots.LogSearch(MAX_PAGE_RECORDS)
         self._observers: list[Observer] = []
         self._changed = asyncio.Event()
         self._logger = structlog.get_logger()
@@ -141,9 +142,7 @@
             "log_gap", applied=self.state.applied, first=first
         )
         self._metrics.increment("log.gap")
-        loaded = await snapshots.newest_in_log(
-            self._log, first, MAX_PAGE_RECORDS
-        )
+        loaded = await self._search.run(self._log, first)
         match loaded:
             case expression.Result(tag="ok", ok=state):
                 return self.load(state)
--- a/cardamomcroft/state/snapshots.py
+++ b/cardamomcroft/state/snapshots.py
@@ -159,37 +159,58 @@
     )
 
 
-async def newest_in_log(
-    log: base.PlatformLog, first: int, limit: int
-) -> expression.Result[models.State, verdict.Failure]:
-    """Return the newest complete snapshot in the retained log."""
-    chunks_by_id: dict[str, dict[int, records.SnapshotChunk]] = {}
-    newest: dict[int, records.SnapshotChunk] = {}
-    offset = first
-    while True:
-        page = await log.read(offset, limit, NO_WAIT)
-        if page.is_error():
-            return page
-        for payload in page.ok.payloads:
-            chunk = _decode_chunk(payload)
-            if chunk is None:
-                continue
-            collected = chunks_by_id.setdefault(chunk.snapshot_id, {})
-            collected[chunk.index] = chunk
-            is_newer = not newest or chunk.as_of >= newest[0].as_of
-            if len(collected) == chunk.count and is_newer:
-                newest = collected
-        if not page.ok.payloads:
-            break
-        offset = page.ok.start + len(page.ok.payloads)
-    if not newest:
-        return expression.Error(
-            verdict.not_run(
-                verdict.Reason.UNAVAILABLE, "no complete snapshot in the log"
+class LogSearch:
+    """Find the newest complete snapshot in the retained log.
+
+    A search that a failed read ended goes on from there at the next call.
+    """
+
+    def __init__(self, limit: int) -> None:
+        """Read pages of ``limit`` records."""
+        self._limit = limit
+        self._reset()
+
+    def _reset(self) -> None:
+        self._offset = 0
+        self._chunks_by_id: dict[str, dict[int, records.SnapshotChunk]] = {}
+        self._newest: dict[int, records.SnapshotChunk] = {}
+
+    async def run(
+        self, log: base.PlatformLog, first: int
+    ) -> expression.Result[models.State, verdict.Failure]:
+        """Search from the oldest retained offset to the end of the log."""
+        self._offset = max(self._offset, first)
+        while True:
+            page = await log.read(self._offset, self._limit, NO_WAIT)
+            if page.is_error():
+                return page
+            if not page.ok.payloads:
+                break
+            for payload in page.ok.payloads:
+                self._collect(payload)
+            self._offset = page.ok.start + len(page.ok.payloads)
+        newest = self._newest
+        self._reset()
+        if not newest:
+            return expression.Error(
+                verdict.not_run(
+                    verdict.Reason.UNAVAILABLE,
+                    "no complete snapshot in the log",
+                )
             )
-        )
-    text = "".join(newest[index].data for index in sorted(newest))
-    return expression.Ok(decode(text))
+        text = "".join(newest[index].data for index in sorted(newest))
+        return expression.Ok(decode(text))
+
+    def _collect(self, payload: str) -> None:
+        chunk = _decode_chunk(payload)
+        if chunk is None:
+            return
+        collected = self._chunks_by_id.setdefault(chunk.snapshot_id, {})
+        collected[chunk.index] = chunk
+        newest = self._newest
+        is_newer = not newest or chunk.as_of >= newest[0].as_of
+        if len(collected) == chunk.count and is_newer:
+            self._newest = collected
 
 
 def _decode_chunk(payload: str) -> records.SnapshotChunk | None:
--- a/tests/log/test_replica.py
+++ b/tests/log/test_replica.py
@@ -29,12 +29,15 @@
 
     transfer = datetime.timedelta()
     readable_end = 1_000_000
+    lose_each = 1_000_000
+    reads = 0
 
     async def read(
         self, offset: int, limit: int, wait: datetime.timedelta
     ) -> expression.Result[messages.LogPage, verdict.Failure]:
         """Return records from the offset on, up to the readable end."""
-        if offset >= self.readable_end:
+        self.reads += 1
+        if offset >= self.readable_end or self.reads % self.lose_each == 0:
             return self._unavailable()
         page = await super().read(offset, limit, wait)
         if self.transfer:
@@ -112,6 +115,22 @@
         self.assertIn(harness.REGION, self.replica.state.claims)
         self.assertTrue(self.freshness.is_fresh())
 
+    async def test_search_for_a_snapshot_goes_on_after_a_lost_page(self):
+        """With every third read lost, three pages never come in a row."""
+        state = models.State(applied=9)
+        (chunk,) = snapshots.chunks(state, "s")
+        await self.append_claims(10)
+        for number in range(10, 4 * replicas.MAX_PAGE_RECORDS):
+            body = chunk if number == 10 else records.RecordVoided(f"{number}")
+            await self.log.append([records.encode(self.record(number, body))])
+        self.log.retention = self.log.end - 5
+        await self.append_claims(1)
+        self.log.lose_each = 3
+        for _ in range(20):
+            await self.replica.poll(NO_WAIT)
+        self.assertGreater(self.log.injected["log_down"], 0)
+        self.assertEqual(self.replica.state.applied + 1, self.log.end)
+
     async def test_page_is_only_as_fresh_as_its_request(self):
         """A claim made during a slow transfer is not in the page."""
         await self.append_claims(1)
