Don't call a token unknown before the settings are loaded

A caller with a valid token that reached a restarted instance was told 401 for as long as the instance loaded the log.

Cause: the tokens are in the state that has to be loaded first.

Evidence: LoadingTest got 401 before.

Change: until the replica has caught up once, a token that it does not know is answered 503 unavailable, not_run, with Retry-After. Afterwards it is 401 as before; the test checks this too.

--- a/cardamomcroft/api/context.py
+++ b/cardamomcroft/api/context.py
@@ -53,6 +53,14 @@
     identity = context.authenticator.identify(
         request.headers.get("Authorization", ""), context.replica.state
     )
+    if identity is None and not context.replica.caught_up:
+        return errors.respond(
+            verdict.not_run(
+                verdict.Reason.UNAVAILABLE,
+                "the settings that name the tokens are not loaded yet",
+                appenders.RETRY_AFTER,
+            )
+        )
     if identity is None:
         return errors.refuse(
             verdict.Reason.UNAUTHORIZED, "a known bearer token is required"
--- a/tests/api/test_api.py
+++ b/tests/api/test_api.py
@@ -11,6 +11,7 @@
 
 from cardamomcroft.bench import local
 from cardamomcroft.daemon import node as nodes
+from cardamomcroft.daemon import serving
 from cardamomcroft.peers import local as local_peers
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import instance
@@ -256,6 +257,32 @@
         self.assertGreater(self.dead_log.injected["log_down"], 0)
 
 
+class LoadingTest(ApiCase):
+    """Start an instance that cannot read the log yet."""
+
+    async def test_caller_is_not_unauthorized_while_settings_are_missing(self):
+        await self.cluster.servers[1].stop()
+        server = serving.Server(self.cluster.settings[1])
+        dead_log = log.StandinLog(self.cluster.clock)
+        dead_log.down = True
+        server.node.replica._log = dead_log
+        server.node.exchange._peers = local_peers.LocalNetwork().client("")
+        self.cluster.servers[1] = server
+        await server.start()
+        await nodes.wait_until(
+            self.cluster.clock,
+            lambda: dead_log.injected["log_down"] > 0,
+            harness.seconds(10),
+        )
+        status, data = await self.call(
+            "GET", "/v1/jobs", "north-token", number=1
+        )
+        self.assertGreater(dead_log.injected["log_down"], 0)
+        self.assertEqual(503, status)
+        self.assertEqual("unavailable", data["error"]["reason"])
+        self.assertEqual(401, (await self.call("GET", "/v1/jobs", "no"))[0])
+
+
 keys = strategies.sampled_from(
     (
         "kind",
