--- a/cardamomcroft/log/appender.py
+++ b/cardamomcroft/log/appender.py
@@ -13,6 +13,7 @@
 from cardamomcroft.log import replica as replicas
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
+from cardamomcroft.ports import progress
 from cardamomcroft.ports import verdict
 from cardamomcroft.state import models
 
@@ -113,9 +114,17 @@
         applied = await clocks.within(
             self._clock, limit, asyncio.shield(future)
         )
-        if applied is not None:
-            return expression.Ok(applied)
-        return expression.Error(self._abandon(entry))
+        if applied is None:
+            return expression.Error(self._abandon(entry))
+        if applied.reason == models.REPEATED_RECORD:
+            # The replica loaded a snapshot that contains the first copy.
+            return expression.Error(
+                verdict.may_have_run(
+                    verdict.Reason.TIMEOUT,
+                    "the record's result was not seen in the platform log",
+                )
+            )
+        return expression.Ok(applied)
 
     def _refusal(self) -> verdict.Failure | None:
         if not self._replica.reachable:
@@ -194,8 +203,11 @@
         sent_before = [entry.ever_sent for entry in batch]
         for entry in batch:
             entry.ever_sent = True
+        size = sum(map(len, payloads))
         result = await clocks.within(
-            self._clock, APPEND_TIMEOUT, self._log.append(payloads)
+            self._clock,
+            APPEND_TIMEOUT + progress.slowest_transfer(size),
+            self._log.append(payloads),
         )
         if result is not None and result.is_ok():
             for entry in batch:
--- a/cardamomcroft/log/replica.py
+++ b/cardamomcroft/log/replica.py
@@ -41,6 +41,7 @@
         self._log = log
         self._clock = clock
         self._metrics = metrics
+        self._search = snapshots.LogSearch(MAX_PAGE_RECORDS)
         self._observers: list[Observer] = []
         self._changed = asyncio.Event()
         self._logger = structlog.get_logger()
@@ -54,11 +55,13 @@
         await self._changed.wait()
 
     def load(self, state: models.State) -> bool:
-        """Adopt the state of a snapshot; return whether it was newer."""
+        """Adopt the state of a snapshot; return whether it was newer.
+
+        The log may hold records after it, so the replica has not caught up.
+        """
         if state.applied <= self.state.applied:
             return False
         self.state = state
-        self.caught_up = True
         self._notify()
         return True
 
@@ -71,6 +74,7 @@
 
     async def poll(self, wait: datetime.timedelta) -> bool:
         """Read and apply one page; return whether this succeeded."""
+        asked_at = self._clock.monotonic()
         page = await self._log.read(
             self.state.applied + 1, MAX_PAGE_RECORDS, wait
         )
@@ -83,18 +87,29 @@
             self._metrics.increment("log.read_failed")
             return False
         self.reachable = True
-        self.confirmed_at = self._clock.monotonic()
-        return await self._handle_page(page.ok)
+        return await self._handle_page(page.ok, asked_at)
 
-    async def _handle_page(self, page: messages.LogPage) -> bool:
+    async def _handle_page(
+        self, page: messages.LogPage, asked_at: datetime.timedelta
+    ) -> bool:
         if page.first > self.state.applied + 1:
             return await self._recover_from_gap(page.first)
         self.apply_page(page)
-        self.caught_up = (
-            self.caught_up or len(page.payloads) < MAX_PAGE_RECORDS
-        )
+        # A full page may be followed by records that change its meaning.
+        if len(page.payloads) < MAX_PAGE_RECORDS:
+            self.caught_up = True
+            self._confirm(asked_at)
         return True
 
+    def _confirm(self, asked_at: datetime.timedelta) -> None:
+        """Count the state as complete as of a read's start.
+
+        The page may miss what was appended while it was under way.
+        """
+        earlier = self.confirmed_at
+        if earlier is None or asked_at > earlier:
+            self.confirmed_at = asked_at
+
     def apply_page(self, page: messages.LogPage) -> None:
         """Apply the records of a page that follow the applied offset."""
         for index, payload in enumerate(page.payloads):
@@ -127,9 +142,7 @@
             "log_gap", applied=self.state.applied, first=first
         )
         self._metrics.increment("log.gap")
-        loaded = await snapshots.newest_in_log(
-            self._log, first, MAX_PAGE_RECORDS
-        )
+        loaded = await self._search.run(self._log, first)
         match loaded:
             case expression.Result(tag="ok", ok=state):
                 return self.load(state)
--- a/cardamomcroft/ports/http.py
+++ b/cardamomcroft/ports/http.py
@@ -1,8 +1,10 @@
 """Call the platform and the workers over HTTP."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import datetime
+import json
 import typing
 
 import aiohttp
@@ -11,6 +13,7 @@
 
 from cardamomcroft.ports import base
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import progress
 from cardamomcroft.ports import verdict
 from cardamomcroft.settings import parsing
 
@@ -58,11 +61,16 @@
 
 
 class HttpClient:
-    """Send JSON requests and classify every failure."""
+    """Send JSON requests and classify every failure.
+
+    A call ends with its time-out. The answer of a growing call, whose size
+    depends on the data, only has to begin in that time: then it may take as
+    long as it makes progress.
+    """
 
     def __init__(self, timeout: datetime.timedelta) -> None:
         """Set the default time-out; the first call opens the session."""
-        self._timeout_s = timeout.total_seconds()
+        self.timeout = timeout
         self._session: aiohttp.ClientSession | None = None
         self._is_closed = False
 
@@ -92,21 +100,33 @@
         answer = await self._exchange(method, url, wanted, body, timeout_s)
         return answer.map(lambda tagged: tagged.value)
 
+    async def fetch_growing(
+        self, url: str, wanted: type, timeout_s: float
+    ) -> expression.Result[typing.Any, verdict.Failure]:
+        """Return the decoded response of a growing call."""
+        answer = await self._exchange(
+            "GET", url, wanted, timeout_s=timeout_s, is_growing=True
+        )
+        return answer.map(lambda tagged: tagged.value)
+
     async def fetch_changed(
         self, url: str, wanted: type, tag: str
     ) -> expression.Result[Tagged | None, verdict.Failure]:
-        """Return the response, or None if its entity tag is unchanged."""
+        """Return a growing response, or None if its tag is unchanged."""
         headers = {"If-None-Match": tag} if tag else {}
-        return await self._exchange("GET", url, wanted, headers=headers)
+        return await self._exchange(
+            "GET", url, wanted, headers=headers, is_growing=True
+        )
 
     async def _exchange(
         self,
         method: str,
         url: str,
         wanted: type,
-        body: object = None,
+        content: object = None,
         timeout_s: float | None = None,
         headers: dict[str, str] | None = None,
+        is_growing: bool = False,
     ) -> expression.Result[typing.Any, verdict.Failure]:
         if self._is_closed:
             return expression.Error(
@@ -115,14 +135,22 @@
                 )
             )
         timeout = aiohttp.ClientTimeout(
-            total=timeout_s or self._timeout_s,
-            sock_connect=CONNECT_TIMEOUT_S,
+            total=None, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
-            async with self._open().request(
-                method, url, json=body, timeout=timeout, headers=headers
-            ) as response:
-                return await _decode(response, wanted)
+            async with (
+                asyncio.timeout(
+                    timeout_s or self.timeout.total_seconds()
+                ) as limit,
+                self._open().request(
+                    method, url, json=content, timeout=timeout, headers=headers
+                ) as response,
+            ):
+                if is_growing:
+                    body = await _receive(response, limit)
+                else:
+                    body = await response.read()
+            return _decode(response, body, wanted)
         except aiohttp.ClientConnectorError as error:
             return expression.Error(
                 verdict.not_run(verdict.Reason.UNAVAILABLE, str(error))
@@ -137,12 +165,24 @@
             )
 
 
-async def _decode(
-    response: aiohttp.ClientResponse, wanted: type
+async def _receive(
+    response: aiohttp.ClientResponse, limit: asyncio.Timeout
+) -> bytes:
+    """Receive the body and extend the time limit as it comes."""
+    received = progress.Progress(limit)
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        received.add(len(part))
+    return bytes(body)
+
+
+def _decode(
+    response: aiohttp.ClientResponse, body: bytes, wanted: type
 ) -> expression.Result[Tagged | None, verdict.Failure]:
     if response.status == NOT_MODIFIED:
         return expression.Ok(None)
-    data = await response.json()
+    data = json.loads(body)
     if response.status >= 400:
         return expression.Error(failure_from_dict(data, response.status))
     value = _CONVERTER.structure(data, wanted)
@@ -161,8 +201,15 @@
         self, payloads: collections.abc.Sequence[str]
     ) -> expression.Result[int, verdict.Failure]:
         """Append all payloads in order and return the first offset."""
-        body = {"payloads": list(payloads)}
-        answer = await self._client.call("POST", self._url, dict, body)
+        size = sum(map(len, payloads))
+        timeout = self._client.timeout + progress.slowest_transfer(size)
+        answer = await self._client.call(
+            "POST",
+            self._url,
+            dict,
+            {"payloads": list(payloads)},
+            timeout.total_seconds(),
+        )
         return answer.map(lambda data: int(data["offset"]))
 
     async def read(
@@ -171,8 +218,8 @@
         """Return records from the offset on; wait if there are none yet."""
         wait_s = wait.total_seconds()
         url = f"{self._url}?offset={offset}&limit={limit}&wait_s={wait_s}"
-        return await self._client.call(
-            "GET", url, messages.LogPage, timeout_s=wait_s + 1.0
+        return await self._client.fetch_growing(
+            url, messages.LogPage, wait_s + 1.0
         )
 
 
