Ask on while peers say at once that they lack the store

What callers saw: 503 after three peers had lacked the store or the jobs too, although others could answer. After a restart of all instances most peers of a data centre are still loading: with 10 of 37 peers able to answer, three random ones miss them in 38% of calls (computed, not measured).

Cause: MAX_PEERS_ASKED = 3 bounded the time that silent peers cost, and counted peers that refuse within milliseconds as well.

Change: three peers per call may be silent or slow, as before; a refusal within 100 ms counts towards a limit of eight of its own (6% by the same computation). Eight quick refusals take no longer than one time-out; the client's time still ends the search, and NO_STORE_BACKOFF keeps calls that follow in an outage for all from asking the same peers. Peers of other data centres are asked after four near ones, as the store may be lost to a whole data centre.

Evidence: tests.relaying.test_forwarder; on the code before, test_peers_that_lack_the_store_hide_no_other, test_lost_data_centre_hides_no_other and test_outage_for_all_costs_a_bounded_number_of_calls fail, the others pass.

Changed test: test_few_peers_are_asked asked 40 peers that lack the store and wanted 3 asked, which is the fault. Its purpose, to bound what a call costs, is now checked three times: 3 of 40 unreachable, 3 of 40 that time out (test_few_silent_peers_are_asked), 3 of 40 that refuse slowly (test_slow_refusals_count_as_silence); and 8 of 20 that refuse at once, with no peer asked twice within the back-off (test_outage_for_all_costs_a_bounded_number_of_calls).

--- a/cardamomcroft/relaying/forwarder.py
+++ b/cardamomcroft/relaying/forwarder.py
@@ -2,7 +2,8 @@
 
 Handles partial outages, in which the store refuses some instances and serves
 others: without forwarding, clients would be refused until they happen to reach
-an instance with access.
+an instance with access. The same holds after a restart of all instances, when
+some have loaded the jobs and others have not.
 """
 
 import collections.abc
@@ -17,11 +18,18 @@
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import events
 
-# Peers asked for one call: if the store refuses a third of all instances, one
-# call in thirty finds no peer with access.
-MAX_PEERS_ASKED = 3
 # An append to a slow store takes 250 ms.
 CALL_TIMEOUT = datetime.timedelta(milliseconds=800)
+# Per call. Each may cost a time-out, and the client waits 3 s by default.
+MAX_SLOW_PEERS = 3
+# Per call. If 10 of 37 peers have access, one call in 17 finds none of them;
+# in an outage for all, each call costs no more than this until all back off.
+MAX_LACKING_PEERS = 8
+# Of these, peers of the own data centre before those of others are asked: the
+# store may be lost to the whole data centre.
+MAX_NEAR_FIRST = MAX_LACKING_PEERS // 2
+# Together, quick replies cost no more than one time-out.
+QUICK_REPLY = CALL_TIMEOUT / MAX_LACKING_PEERS
 # A peer that did not answer is probably unreachable for some seconds. One that
 # lacks the store replies at once, so that asking it again is cheap.
 UNREACHABLE_BACKOFF = datetime.timedelta(seconds=3)
@@ -41,7 +49,7 @@
 
 
 class PeerForwarder(base.Forwarder):
-    """Ask peers one after another, those in the same data centre first."""
+    """Ask peers one after another, some in the same data centre first."""
 
     def __init__(
         self,
@@ -64,11 +72,27 @@
 
     async def forward(self, call: base.Call) -> base.Reply | None:
         """Return the first reply from a peer that reaches the store."""
-        began_at = self._clock.monotonic()
         asked: list[str] = []
+        reply = await self._ask_in_turn(call, asked)
+        self._log.emit(
+            "call_forwarded",
+            method=call.method,
+            path=call.path,
+            asked=asked,
+            status=reply.status if reply else None,
+        )
+        return reply
+
+    async def _ask_in_turn(
+        self, call: base.Call, asked: list[str]
+    ) -> base.Reply | None:
+        """Return the reply; append the names of the peers asked."""
+        until = self._clock.monotonic() + call.timeout
         reply = None
+        slow = lacking = 0
         for name, peer in self._candidates():
-            left = began_at + call.timeout - self._clock.monotonic()
+            sent_at = self._clock.monotonic()
+            left = until - sent_at
             if left < CALL_TIMEOUT:
                 break
             asked.append(name)
@@ -78,23 +102,22 @@
             if answer is base.OUTCOME_UNKNOWN:
                 # Changes are idempotent: the next peer can repeat this one.
                 reply = answer if call.is_change else None
-            elif answer is not None:
+            elif answer is not None and not answer.lacks_store:
                 self._last_responder = name
-                reply = answer
+                return answer
+            took = self._clock.monotonic() - sent_at
+            if answer and answer.lacks_store and took <= QUICK_REPLY:
+                lacking += 1
+            else:
+                slow += 1
+            if slow == MAX_SLOW_PEERS or lacking == MAX_LACKING_PEERS:
                 break
-        self._log.emit(
-            "call_forwarded",
-            method=call.method,
-            path=call.path,
-            asked=asked,
-            status=reply.status if reply else None,
-        )
         return reply
 
     async def _ask(
         self, name: str, peer: codec.Peer, call: base.Call
     ) -> base.Reply | None:
-        """Return a peer's reply; None if it did not run the call."""
+        """Return a peer's reply; None if it was not reached."""
         try:
             reply = await relay_rpc.ask(self._pool, peer.address, call)
         except rpc.UnreachedError as error:
@@ -103,10 +126,9 @@
         except rpc.CALL_ERRORS as error:
             self._back_off(name, UNREACHABLE_BACKOFF, error)
             return base.OUTCOME_UNKNOWN
-        if not reply.lacks_store:
-            return reply
-        self._back_off(name, NO_STORE_BACKOFF, None)
-        return None
+        if reply.lacks_store:
+            self._back_off(name, NO_STORE_BACKOFF, None)
+        return reply
 
     def _back_off(
         self, name: str, backoff: datetime.timedelta, error: Exception | None
@@ -124,10 +146,10 @@
             and self._backoff_until.get(name, now) <= now
         ]
         self._rng.shuffle(known)
-        known.sort(
-            key=lambda pair: (
-                pair[0] != self._last_responder,
-                pair[1].data_centre != self._origin.data_centre,
-            )
-        )
-        return known[:MAX_PEERS_ASKED]
+        known.sort(key=lambda pair: pair[0] != self._last_responder)
+        near, far = [], []
+        for name, peer in known:
+            is_near = peer.data_centre == self._origin.data_centre
+            is_first = is_near or name == self._last_responder
+            (near if is_first else far).append((name, peer))
+        return near[:MAX_NEAR_FIRST] + far + near[MAX_NEAR_FIRST:]
