Send a record again only when the log was read without it

While an instance could append but not read, each of its pending records was appended again every 2 s for as long as this lasted, unlogged.

Cause: a record was due again 2 s after the log had accepted it, whether or not the log had been read since.

Change: an accepted record is due again only when the log was read to its end since then and did not show it.

--- a/cardamomcroft/log/appender.py
+++ b/cardamomcroft/log/appender.py
@@ -192,11 +192,19 @@
         due = [
             entry
             for entry in self._entries.values()
-            if entry.sent_at is None or now - entry.sent_at >= RESEND_AFTER
+            if entry.sent_at is None or self._is_lost(entry.sent_at, now)
         ]
         due.sort(key=lambda entry: entry.priority)
         return due[:MAX_BATCH_RECORDS]
 
+    def _is_lost(
+        self, sent_at: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Return whether the log was read without an accepted record."""
+        read_at = self._replica.confirmed_at
+        is_read = read_at is not None and read_at > sent_at
+        return is_read and now - sent_at >= RESEND_AFTER
+
     async def _send(self, batch: list[_Entry]) -> bool:
         payloads = self._encode(batch)
         batch = batch[: len(payloads)]
