--- a/cardamomcroft/state/snapshots.py
+++ b/cardamomcroft/state/snapshots.py
@@ -1,5 +1,6 @@
 """Encode the state as snapshots and find the newest one in the log."""
 
+import asyncio
 import base64
 import datetime
 import json
@@ -168,6 +169,7 @@
     def __init__(self, limit: int) -> None:
         """Read pages of ``limit`` records."""
         self._limit = limit
+        self._lock = asyncio.Lock()
         self._reset()
 
     def _reset(self) -> None:
@@ -179,6 +181,12 @@
         self, log: base.PlatformLog, first: int
     ) -> expression.Result[models.State, verdict.Failure]:
         """Search from the oldest retained offset to the end of the log."""
+        async with self._lock:
+            return await self._run(log, first)
+
+    async def _run(
+        self, log: base.PlatformLog, first: int
+    ) -> expression.Result[models.State, verdict.Failure]:
         self._offset = max(self._offset, first)
         while True:
             page = await log.read(self._offset, self._limit, NO_WAIT)
--- a/tests/log/test_replica.py
+++ b/tests/log/test_replica.py
@@ -131,6 +131,23 @@
         self.assertGreater(self.log.injected["log_down"], 0)
         self.assertEqual(self.replica.state.applied + 1, self.log.end)
 
+    async def test_two_searches_at_once_both_find_the_snapshot(self):
+        """A query refreshes the replica while it follows the log."""
+        state = models.State(applied=9)
+        for number, chunk in enumerate(snapshots.chunks(state, "s")):
+            await self.log.append([records.encode(self.record(number, chunk))])
+        for number in range(10, 3 * replicas.MAX_PAGE_RECORDS):
+            body = records.RecordVoided(f"{number}")
+            await self.log.append([records.encode(self.record(number, body))])
+        self.log.transfer = harness.seconds(1)
+        search = snapshots.LogSearch(replicas.MAX_PAGE_RECORDS)
+        first = asyncio.ensure_future(search.run(self.log, 0))
+        await self.clock.advance(harness.seconds(0.5))
+        second = asyncio.ensure_future(search.run(self.log, 0))
+        await self.clock.advance(harness.seconds(20))
+        self.assertEqual(9, (await first).ok.applied)
+        self.assertTrue((await second).is_ok())
+
     async def test_page_is_only_as_fresh_as_its_request(self):
         """A claim made during a slow transfer is not in the page."""
         await self.append_claims(1)
