Acknowledge ends although an append takes longer than a poll waits

What callers would see: on a slow store or link, workers list the same ends again and again and are polled without pause; a worker lists at most 500 ends at a time, so with more of them the later ones would never be seen and their jobs would not end. The last part is read off the protocol, not run.

Cause: WorkerPoller waits 0.4 s for the commit of a worker's ends, then gave it up and began another at the next poll. When every flush takes longer, no commit of ends ever returns.

Change: the commit goes on in the background, one for each worker; a poll still waits at most 0.4 s, so that leases are renewed in time. A worker's new incarnation, which counts its ends anew, drops the commit of the old one.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -64,11 +64,12 @@
         """Return the fencing token."""
         return self.journal.claim.epoch + 1
 
-    def spawn(self, coroutine: collections.abc.Coroutine) -> None:
+    def spawn(self, coroutine: collections.abc.Coroutine) -> asyncio.Task:
         """Run a background task that is cancelled with the scheduler."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._reap)
+        return task
 
     def _reap(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -1,5 +1,6 @@
 """Track the state of jobs, runs and workers."""
 
+import asyncio
 import collections
 import dataclasses
 import datetime
@@ -217,6 +218,7 @@
         self.received_end = 0  # number of the last end processed
         self.durable_end = 0  # last end whose effect is durable
         self.acknowledged_end = 0  # the worker may discard ends up to it
+        self.commit: asyncio.Task | None = None  # of its ends, under way
         self.lease_deadline_ms = 0  # the latest deadline sent, on its clock
         self.lease_expires_at: datetime.timedelta | None = None
         self.unreachable_since: datetime.timedelta | None = None
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -1,5 +1,6 @@
 """Renew the workers' leases and apply their inventories."""
 
+import asyncio
 import datetime
 
 from cardamomcroft.ports import clock as clocks
@@ -95,6 +96,7 @@
             "received_end",
             "durable_end",
             "acknowledged_end",
+            "commit",
             "lease_deadline_ms",
             "lease_expires_at",
         ):
@@ -228,10 +230,21 @@
         await self._clock.sleep(RETRY_PAUSE)
 
     async def _wait_until_durable(self, worker: runs.Worker) -> None:
-        """Wait briefly: a store outage must not delay lease renewal."""
+        """Wait briefly: a slow store must not delay lease renewal.
+
+        The commit goes on: given up at each poll, it would never return when
+        every append takes longer.
+        """
+        if worker.commit is None or worker.commit.done():
+            worker.commit = self._cluster.spawn(self._commit_ends(worker))
+        commit = asyncio.shield(worker.commit)
+        await clocks.within(self._clock, COMMIT_TIMEOUT, commit)
+
+    async def _commit_ends(self, worker: runs.Worker) -> None:
         target = worker.received_end
-        commit = self._cluster.journal.commit()
-        if await clocks.within(self._clock, COMMIT_TIMEOUT, commit):
+        is_durable = await self._cluster.journal.commit()
+        # A new incarnation, which counts its ends anew, has dropped the task.
+        if is_durable and worker.commit is asyncio.current_task():
             worker.durable_end = max(worker.durable_end, target)
 
     def _apply_inventory(
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -2,6 +2,7 @@
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import worker_polling
 from tests.scheduling import harness
 
 
@@ -275,6 +276,42 @@
         self.assertGreaterEqual(len(ends), 4)
 
 
+class SlowStoreTest(harness.SchedulingTestCase):
+    """Each append takes longer than a poll waits for it."""
+
+    async def asyncSetUp(self):
+        """Start a worker and a node; slow the store down."""
+        await super().asyncSetUp()
+        self.add_workers(1)
+        self.worker = self.fleet.workers_by_id["w1"]
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        self.store.faults.delay = worker_polling.COMMIT_TIMEOUT * 1.2
+
+    async def test_ends_are_acknowledged(self):
+        """A worker forgets its ends once they are durable."""
+        job_id = self.submit(harness.make_step(width=3))
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        await self.wait_until(lambda: not self.worker.finished, 3)
+        self.check_run_once(job_id)
+
+    async def test_reborn_worker_keeps_its_own_ends(self):
+        """A commit of the old incarnation's ends acknowledges no new one."""
+        job_id = self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running())
+        self.store.faults.delay = harness.seconds(3)
+        await self.wait_until(lambda: self.worker.finished)
+        await self.pass_time(0.5)
+        cluster = self.nodes_by_name["a"].scheduler.cluster
+        worker = cluster.workers_by_id["w1"]
+        self.assertGreater(worker.received_end, worker.durable_end)
+        self.listings["w1"] = self.fleet.restart("w1")
+        await self.pass_time(0.5)
+        self.assertEqual(worker.received_end, 0)
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.assertEqual(worker.durable_end, 0)
+
+
 class HistoryDroppedTest(harness.SchedulingTestCase):
     """The store drops its history, so that reads expire."""
 
