--- a/tests/scheduling/test_replica.py
+++ b/tests/scheduling/test_replica.py
@@ -140,6 +140,33 @@
         self.assertEqual(len(copy.ledger.progress_by_id), 5)
 
 
+class HolderTest(ReplicaTestCase):
+    """A load shows whether the scheduler has been alive meanwhile."""
+
+    async def load_again(self, records: int) -> float:
+        """Return how long ago the holder was seen, after a new load."""
+        copy = replica.Replica(self.service.client("a"), self.clock, self.log)
+        claim = codec.encode_claim(codec.Claim("b 1", 0, 1))
+        self.service.put(store.Stream.JOBS, ledger.CLAIM_KEY, claim)
+        await self.finish(copy.update())
+        await self.clock.advance(harness.seconds(10))
+        for _ in range(records):
+            self.service.put(store.Stream.JOBS, ledger.CLAIM_KEY, claim)
+        self.service.faults.expire_reads = 1
+        await self.finish(copy.update())
+        self.assertEqual(self.service.injected["expired"], 1)
+        seen_ago = self.clock.monotonic() - copy.ledger.holder_seen_at
+        return seen_ago.total_seconds()
+
+    async def test_load_takes_no_role_from_a_live_holder(self):
+        """Renewals that the copy has missed count as seen now."""
+        self.assertLess(await self.load_again(records=1), 1)
+
+    async def test_load_gives_a_lost_holder_no_more_time(self):
+        """Its last record was seen before."""
+        self.assertGreater(await self.load_again(records=0), 9)
+
+
 class RefreshTest(ReplicaTestCase):
     """A refresh reads the records that the copy lacks."""
 
