--- a/tests/log/test_replica.py
+++ b/tests/log/test_replica.py
@@ -5,6 +5,7 @@
 import unittest
 
 import expression
+import structlog.testing
 
 from cardamomcroft.log import records
 from cardamomcroft.log import replica as replicas
@@ -50,6 +51,7 @@
 
     async def asyncSetUp(self) -> None:
         """Follow an empty log with one replica."""
+        self.enterContext(structlog.testing.capture_logs())
         self.clock = clocks.FakeClock()
         self.log = SlowLog(self.clock)
         self.replica = replicas.Replica(
