Keep a change's outcome unknown although a peer refuses it

Callers saw 503, which says that a job was not accepted and never runs, for a submission that a peer may have stored.

Cause: the outcome of a forwarded change was recognized by the identity of OUTCOME_UNKNOWN, but a peer's own 504 arrives as another object. An instance that the store refuses took it for "not run". Besides, when one peer's reply was lost and the next refused the job as too late, the refusal replaced the unknown outcome.

The status now marks an unknown outcome, and only a confirmation (200, or 410 of a cancellation) replaces it. Later peers are still asked, as changes are idempotent.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -234,9 +234,8 @@
             if forwarded is not None and forwarded.status == 200:
                 return store.AppendStatus.APPENDED
             if (
-                forwarded is relaying.OUTCOME_UNKNOWN
-                or result.status is store.AppendStatus.MAY_HAVE_RUN
-            ):
+                forwarded is not None and forwarded.is_outcome_unknown
+            ) or result.status is store.AppendStatus.MAY_HAVE_RUN:
                 may_have_run = True
             elif not may_have_run:
                 return store.AppendStatus.NOT_RUN
--- a/cardamomcroft/relaying/base.py
+++ b/cardamomcroft/relaying/base.py
@@ -31,6 +31,16 @@
     retry_after_s: int = 0  # 0 omits the header
     lacks_store: bool = False  # a peer that reaches it may reply better
 
+    @property
+    def is_outcome_unknown(self) -> bool:
+        """Return whether the change may have been made or not."""
+        return self.status == OUTCOME_UNKNOWN.status
+
+    @property
+    def is_confirmation(self) -> bool:
+        """Return whether the change is made, or its job doesn't exist."""
+        return self.status in (200, 410)
+
 
 OUTCOME_UNKNOWN = Reply(504, b'{"error":"outcome unknown"}')
 
--- a/cardamomcroft/relaying/forwarder.py
+++ b/cardamomcroft/relaying/forwarder.py
@@ -99,12 +99,13 @@
             answer = await self._ask(
                 name, peer, dataclasses.replace(call, timeout=left)
             )
-            if answer is base.OUTCOME_UNKNOWN:
+            if answer and answer.is_outcome_unknown:
                 # Changes are idempotent: the next peer can repeat this one.
                 reply = answer if call.is_change else None
-            elif answer is not None and not answer.lacks_store:
+            elif answer and not answer.lacks_store:
                 self._last_responder = name
-                return answer
+                # What this peer refuses, an earlier one may have stored.
+                return answer if answer.is_confirmation else reply or answer
             took = self._clock.monotonic() - sent_at
             if answer and answer.lacks_store and took <= QUICK_REPLY:
                 lacking += 1
--- a/tests/relaying/test_forwarder.py
+++ b/tests/relaying/test_forwarder.py
@@ -17,6 +17,8 @@
 CLIENT_TIMEOUT = datetime.timedelta(seconds=3)
 OK = relay_rpc.WIRE.Reply(200, b"{}", 0, False)
 NO_STORE = relay_rpc.WIRE.Reply(503, b"{}", 0, True)
+TOO_LATE = relay_rpc.WIRE.Reply(503, b"{}", 7, False)
+UNKNOWN = relay_rpc.WIRE.Reply(504, b"{}", 0, False)
 
 
 class ScriptedPool:
@@ -102,6 +104,14 @@
         target, _ = self.make({"a": TimeoutError(), "b": OK}, "a")
         self.assertEqual((await self.forward(target)).status, 200)
 
+    async def test_refusal_does_not_replace_an_unknown_outcome(self):
+        """A change that a peer may have made is not said to be refused."""
+        for first in (TimeoutError(), UNKNOWN):
+            target, pool = self.make({"a": first, "b": TOO_LATE}, "a")
+            reply = await self.forward(target)
+            self.assertEqual(pool.asked, ["a", "b"])
+            self.assertEqual(reply.status, 504)
+
     async def test_few_silent_peers_are_asked(self):
         """Few peers may cost a time-out, so that callers wait less."""
         for error in (rpc.UnreachedError("gone"), TimeoutError()):
