Give each further attempt only the time left to the client

Callers got no answer in time when an instance had lost the store or was still loading: with the default of 3 s, a query could take a refresh of 0.6 s and then 3 s of peers, a submission 2.4 s of silent peers and then 2.7 s of its own append.

Cause: each stage counted the client's whole time from its own start. The time of reading the body, of a refresh and of peers asked is now deducted before the next stage.

Before: test_forwarded_query_gets_the_time_left, test_own_append_gets_the_time_left_by_the_peers and test_cancellation_gets_the_time_left_by_a_refresh failed with the whole time instead of the rest.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -94,27 +94,39 @@
         self, request: web.BaseRequest
     ) -> relaying.Reply:
         call = _make_call(request)
+        began_at = self._clock.monotonic()
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
             limit = request.client_max_size
             reason = f"body is over the limit of {limit} bytes"
             return self._refuse(call, 413, reason)
+        call = self._deduct_time(call, began_at)
         return await self._answer_or_forward(
             dataclasses.replace(call, body=body)
         )
 
+    def _deduct_time(
+        self, call: relaying.Call, began_at: datetime.timedelta
+    ) -> relaying.Call:
+        """Return the call with the time left to its client."""
+        took = self._clock.monotonic() - began_at
+        return dataclasses.replace(call, timeout=call.timeout - took)
+
     async def _answer_or_forward(self, call: relaying.Call) -> relaying.Reply:
         """Answer the call, or forward it if this instance lacks the store."""
+        began_at = self._clock.monotonic()
         if not self._lacks_store():
             reply = await self._answer(call, self._forwarder)
             # _append has already tried to forward a change.
             if call.is_change or not reply.lacks_store:
                 return reply
+            call = self._deduct_time(call, began_at)
             return await self._forwarder.forward(call) or reply
         reply = await self._forwarder.forward(call)
         if reply is not None:
             return reply
+        call = self._deduct_time(call, began_at)
         return await self._answer(call, relaying.NoForwarder())
 
     async def answer(self, call: relaying.Call) -> relaying.Reply:
@@ -314,10 +326,12 @@
         job_id: str,
     ) -> relaying.Reply:
         state = self._node.replica.ledger.state(job_id)
+        began_at = self._clock.monotonic()
         if state is None and not await self._may_exist(job_id):
             return self._refuse(call, 410, "no such job")
         if state in ledgers.FINAL_STATES:
             return _make_reply(200, {})
+        call = self._deduct_time(call, began_at)
         key = ledgers.Kind.CANCELLATION.key(job_id)
         status = await self._append(call, forwarder, store.Entry(key, b"1"))
         self._log.emit("cancel_requested", job_id=job_id, outcome=status.value)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,6 +1,7 @@
 """Test the replies of the ingress when calls of the store or peers fail."""
 
 import asyncio
+import datetime
 import os
 import types
 import unittest
@@ -30,24 +31,31 @@
     def __init__(self) -> None:
         """Start without a call."""
         self.refused = 0
+        self.timeouts: list[datetime.timedelta] = []
 
     async def append(self, stream, entries, timeout, *options):
         """Refuse: nothing is appended."""
         self.refused += 1
+        self.timeouts.append(timeout)
         return NOT_RUN
 
 
 class ScriptedForwarder(base.Forwarder):
     """Return one reply to all calls and record them."""
 
-    def __init__(self, reply: base.Reply | None) -> None:
+    def __init__(
+        self, clock: clocks.FakeClock, reply: base.Reply | None
+    ) -> None:
         """Script the reply."""
+        self.clock = clock
         self.reply = reply
+        self.delay = datetime.timedelta()  # before each reply
         self.calls: list[base.Call] = []
 
     async def forward(self, call):
         """Return the scripted reply."""
         self.calls.append(call)
+        await self.clock.sleep(self.delay)
         return self.reply
 
 
@@ -55,7 +63,7 @@
     """A loaded replica without jobs."""
 
     def __init__(self, clock: clocks.FakeClock) -> None:
-        """Refresh at once; without success after a delay is set."""
+        """Refresh at once, or fail after a delay if one is set."""
         self._clock = clock
         self.ledger = ledger.Ledger()
         self.is_loaded = True
@@ -70,7 +78,7 @@
         """Return whether the copy is current."""
         if self.failing_refresh_delay is None:
             return True
-        await self._clock.advance(self.failing_refresh_delay)
+        await self._clock.sleep(self.failing_refresh_delay)
         return False
 
 
@@ -105,7 +113,7 @@
     async def test_unknown_outcome_at_a_peer_is_not_refused(self):
         """A job that a peer may have stored is not said to be refused."""
         refusing = RefusingStore()
-        forwarder = ScriptedForwarder(UNKNOWN_AT_PEER)
+        forwarder = ScriptedForwarder(self.clock, UNKNOWN_AT_PEER)
         reply = await self.call(self.make(refusing, forwarder), "POST")
         self.assertTrue(refusing.refused)
         self.assertTrue(forwarder.calls)
@@ -115,6 +123,33 @@
         """Without a peer that may have stored it, the job was not run."""
         refusing = RefusingStore()
         reply = await self.call(
-            self.make(refusing, ScriptedForwarder(None)), "POST"
+            self.make(refusing, ScriptedForwarder(self.clock, None)), "POST"
         )
         self.assertEqual((reply.status, refusing.refused), (503, 1))
+
+    async def test_forwarded_query_gets_the_time_left(self):
+        """The client's time includes a refresh that failed before."""
+        self.replica.failing_refresh_delay = harness.seconds(0.6)
+        forwarder = ScriptedForwarder(self.clock, None)
+        reply = await self.call(self.make(RefusingStore(), forwarder), "GET")
+        self.assertEqual(reply.status, 503)
+        timeouts = [call.timeout for call in forwarder.calls]
+        self.assertEqual(timeouts, [TIMEOUT - harness.seconds(0.6)])
+
+    async def test_own_append_gets_the_time_left_by_the_peers(self):
+        """An append after silent peers ends before the client gives up."""
+        self.replica.is_reachable = False
+        forwarder = ScriptedForwarder(self.clock, None)
+        forwarder.delay = harness.seconds(2.4)
+        refusing = RefusingStore()
+        await self.call(self.make(refusing, forwarder), "POST")
+        left = TIMEOUT - forwarder.delay - ingress.ANSWER_MARGIN
+        self.assertEqual(refusing.timeouts, [left])
+
+    async def test_cancellation_gets_the_time_left_by_a_refresh(self):
+        """A job that may exist costs a refresh before its cancellation."""
+        self.replica.failing_refresh_delay = harness.seconds(0.6)
+        forwarder = ScriptedForwarder(self.clock, UNKNOWN_AT_PEER)
+        await self.call(self.make(RefusingStore(), forwarder), "DELETE")
+        left = TIMEOUT - harness.seconds(0.6) - ingress.ANSWER_MARGIN
+        self.assertEqual(forwarder.calls[0].timeout, left)
