Accept no token of the settings before they are loaded

A caller whose token had been removed got 200 from an instance of the stand-alone path that had started again and had not read the log to its end: a configuration that had been replaced was in force again. Jobs were listed and shown from the same older state.

Cause: only an unknown token was answered 503 during the load; one that the older settings name was accepted (a partial copy taken for a current one).

Until the end of the log has been read, only the operators of the whole fleet are served, who come from the instance's own settings file and read the state of a load that hangs.

The test beside it keeps its assertions; starting the second instance again is now shared.

--- a/cardamomcroft/api/auth.py
+++ b/cardamomcroft/api/auth.py
@@ -38,6 +38,11 @@
 Identity = Operator | Caller
 
 
+def is_of_the_fleet(identity: Identity | None) -> bool:
+    """Return whether the identity is known without the log's settings."""
+    return isinstance(identity, Operator) and not identity.team
+
+
 def digest_token(token: str) -> str:
     """Return the SHA-256 of a token in hex."""
     return hashlib.sha256(token.encode()).hexdigest()
--- a/cardamomcroft/api/context.py
+++ b/cardamomcroft/api/context.py
@@ -53,7 +53,9 @@
     identity = context.authenticator.identify(
         request.headers.get("Authorization", ""), context.replica.state
     )
-    if identity is None and not context.replica.caught_up:
+    # Until then a token may be unknown, or be one that has been removed.
+    is_loaded = context.replica.caught_up
+    if not is_loaded and not auth.is_of_the_fleet(identity):
         return errors.respond(
             verdict.not_run(
                 verdict.Reason.UNAVAILABLE,
--- a/tests/api/test_api.py
+++ b/tests/api/test_api.py
@@ -16,6 +16,7 @@
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import instance
 from cardamomcroft.standin import log
+from cardamomcroft.state import models
 from tests import harness
 
 FLEET = "fleet/dahab"
@@ -260,12 +261,14 @@
 class LoadingTest(ApiCase):
     """Start an instance that cannot read the log yet."""
 
-    async def test_caller_is_not_unauthorized_while_settings_are_missing(self):
+    async def restart(self, state: models.State) -> log.StandinLog:
+        """Start the second instance again, with a state but no log."""
         await self.cluster.servers[1].stop()
         server = serving.Server(self.cluster.settings[1])
         dead_log = log.StandinLog(self.cluster.clock)
         dead_log.down = True
         server.node.replica._log = dead_log
+        server.node.replica.load(state)
         server.node.exchange._peers = local_peers.LocalNetwork().client("")
         self.cluster.servers[1] = server
         await server.start()
@@ -274,6 +277,10 @@
             lambda: dead_log.injected["log_down"] > 0,
             harness.seconds(10),
         )
+        return dead_log
+
+    async def test_caller_is_not_unauthorized_while_settings_are_missing(self):
+        dead_log = await self.restart(models.State())
         status, data = await self.call(
             "GET", "/v1/jobs", "north-token", number=1
         )
@@ -282,6 +289,29 @@
         self.assertEqual("unavailable", data["error"]["reason"])
         self.assertEqual(401, (await self.call("GET", "/v1/jobs", "no"))[0])
 
+    async def test_removed_token_stays_removed_while_settings_load(self):
+        older = self.cluster.servers[0].node.replica.state
+        body = self.edit(NORTH, self.revision, {"region": harness.REGION})
+        status, _ = await self.call(
+            "POST", "/v1/settings", "shops-token", body
+        )
+        self.assertEqual(200, status)
+        removed = ("GET", "/v1/jobs", "north-token")
+        self.assertEqual(401, (await self.call(*removed))[0])
+        dead_log = await self.restart(older)
+        status, data = await self.call(*removed, number=1)
+        self.assertGreater(dead_log.injected["log_down"], 0)
+        self.assertEqual(503, status)
+        self.assertEqual("unavailable", data["error"]["reason"])
+
+    async def test_state_is_shown_to_the_fleets_operators_during_a_load(self):
+        older = self.cluster.servers[0].node.replica.state
+        await self.restart(older)
+        status, data = await self.call(
+            "GET", "/v1/state", local.OPERATOR_TOKEN, number=1
+        )
+        self.assertEqual((200, "catching_up"), (status, data["lifecycle"]))
+
 
 keys = strategies.sampled_from(
     (
