Remember the ends of declared jobs while their declaration is in force

On the stand-alone path a declared job ran a second time: after 2,000 more jobs had ended, the next owner of the region submitted it again.

Cause: with the oldest ended jobs their keys are dropped, and a new owner takes a declaration whose key is missing for one that was never submitted (a decision that depends on what is missing). Only the owner that had submitted it remembered so itself.

When its document changes or goes, it is dropped in its turn.

--- a/cardamomcroft/jobs/declared.py
+++ b/cardamomcroft/jobs/declared.py
@@ -4,6 +4,7 @@
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.settings import documents
+from cardamomcroft.state import jobs as folds
 from cardamomcroft.state import models
 
 
@@ -42,7 +43,7 @@
         f"declared-{path.replace('/', '.')}-{entry.revision}",
         f"{team}/{document.account}",
         document.caller,
-        f"declared:{path}:{entry.revision}",
+        folds.declared_key(path, entry.revision),
         account.document.region if account else "",
         document.job,
     )
--- a/cardamomcroft/state/jobs.py
+++ b/cardamomcroft/state/jobs.py
@@ -9,6 +9,7 @@
 from cardamomcroft.state import models
 
 MAX_FINAL_JOBS = 2000  # ended jobs whose status can still be read
+_DECLARED_PREFIX = "declared:"
 
 _CHART = loading.load("job")
 
@@ -43,10 +44,15 @@
 
 
 def _evict(state: models.State) -> models.State:
-    oldest = sorted(state.final_jobs)[: MAX_FINAL_JOBS // 10]
     jobs, keys = state.jobs, state.job_keys
     final_jobs = state.final_jobs
-    for offset in oldest:
+    # Without its key, the next owner would submit a declared job again.
+    oldest = [
+        offset
+        for offset in sorted(final_jobs)
+        if not _is_declared(state, jobs[final_jobs[offset]])
+    ]
+    for offset in oldest[: MAX_FINAL_JOBS // 10]:
         job = jobs[final_jobs[offset]]
         jobs = jobs.delete(job.job_id)
         keys = keys.delete(_key(job))
@@ -58,6 +64,18 @@
     return models.CallerKey(job.account, job.caller, job.key)
 
 
+def declared_key(path: str, revision: int) -> str:
+    """Return the key of the job declared by a revision of a document."""
+    return f"{_DECLARED_PREFIX}{path}:{revision}"
+
+
+def _is_declared(state: models.State, job: models.Job) -> bool:
+    """Return whether the declaration of a job is in force."""
+    path = job.key.removeprefix(_DECLARED_PREFIX).rpartition(":")[0]
+    entry = state.settings.get(path)
+    return entry is not None and job.key == declared_key(path, entry.revision)
+
+
 def submit(state: models.State, offset: int, record: records.Record):
     """Accept a job once per caller key, if its account has not ended."""
     body = record.body
