Acknowledge the ends of a worker whose entry is missing for a while

A worker kept its ends for ever, as nobody acknowledged them, when its last run ended while its entry was missing in the directory, as entries are for up to two seconds after an outage of the store.

Cause: a missing entry dropped a worker without runs at once, also with ends received and not yet acknowledged; its polls then stopped (a partial list taken for a current one). When the entry came back, the worker was new and polled only for its next run.

A worker without an entry is now dropped once its ends are acknowledged, or when it does not answer, so that one that is gone is not polled for ever.

Before: test_ends_of_an_unlisted_worker_are_acknowledged failed ("not in time"). test_unlisted_worker_that_is_silent_is_dropped guards the other side.

--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -234,6 +234,17 @@
         """Return the worker's id."""
         return self.address.worker_id
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether nothing is left to hear or acknowledge."""
+        is_acknowledged = self.acknowledged_end >= self.received_end
+        is_silent = self.unreachable_since is not None
+        return (
+            not self.runs_by_task
+            and self.has_inventory
+            and (is_acknowledged or is_silent)
+        )
+
     def record_clock(self, clock_ms: int, now: datetime.timedelta) -> None:
         """Record a reading of the worker's clock."""
         if clock_ms >= self.clock_floor(now):
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -295,6 +295,35 @@
         await self.wait_until(lambda: not self.worker.finished, 3)
         self.check_run_once(job_id)
 
+    async def start_unlisted(self) -> str:
+        """Let the worker's entry vanish while a job runs; return its id."""
+        job_id = self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running())
+        self.workers = self.nodes_by_name["a"].scheduler.cluster.workers_by_id
+        tracked = self.workers["w1"]
+        self.store.put(store.Stream.SERVERS, "w1", None)
+        await self.wait_until(lambda: tracked.listing is None)
+        self.assertTrue(self.fleet.running())
+        return job_id
+
+    async def test_ends_of_an_unlisted_worker_are_acknowledged(self):
+        """An entry that is missing for a while hides no end of a run."""
+        job_id = await self.start_unlisted()
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        await self.wait_until(lambda: not self.worker.finished, 3)
+        await self.wait_until(lambda: "w1" not in self.workers, 3)
+        self.check_run_once(job_id)
+
+    async def test_unlisted_worker_that_is_silent_is_dropped(self):
+        """A worker that is gone is not polled for ever."""
+        tracked = self.nodes_by_name["a"].scheduler.cluster.workers_by_id["w1"]
+        job_id = await self.start_unlisted()
+        await self.wait_until(lambda: tracked.received_end)
+        self.worker.is_cut = True
+        await self.wait_until(lambda: "w1" not in self.workers, 5)
+        self.assertTrue(self.worker.finished)
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+
     async def test_reborn_worker_keeps_its_own_ends(self):
         """A commit of the old incarnation's ends acknowledges no new one."""
         job_id = self.submit(harness.make_step())
