--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -9,6 +9,7 @@
 
 from cardamomcroft.platform import submissions
 from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import store
 from cardamomcroft.relaying import base as relaying
 from cardamomcroft.scheduling import codec
@@ -25,6 +26,9 @@
 # Several round trips to the store, for clients that hardly wait.
 MIN_APPEND_TIMEOUT = datetime.timedelta(milliseconds=50)
 RETRY_PAUSE = datetime.timedelta(milliseconds=100)
+# Two time-outs of a peer: a query after a refresh that failed is forwarded
+# even if less is left, as peers that have the store answer at once.
+MIN_QUERY_TIME = datetime.timedelta(milliseconds=1600)
 # Covers two consecutive reads from a slow store, which takes 250 ms for each.
 REFRESH_TIMEOUT = datetime.timedelta(milliseconds=600)
 DEFAULT_CLIENT_TIMEOUT = datetime.timedelta(seconds=3)
@@ -94,27 +98,41 @@
         self, request: web.BaseRequest
     ) -> relaying.Reply:
         call = _make_call(request)
+        began_at = self._clock.monotonic()
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
             limit = request.client_max_size
             reason = f"body is over the limit of {limit} bytes"
             return self._refuse(call, 413, reason)
+        call = self._deduct_time(call, began_at)
         return await self._answer_or_forward(
             dataclasses.replace(call, body=body)
         )
 
+    def _deduct_time(
+        self, call: relaying.Call, began_at: datetime.timedelta
+    ) -> relaying.Call:
+        """Return the call with the time left to its client."""
+        took = self._clock.monotonic() - began_at
+        return dataclasses.replace(call, timeout=call.timeout - took)
+
     async def _answer_or_forward(self, call: relaying.Call) -> relaying.Reply:
         """Answer the call, or forward it if this instance lacks the store."""
+        began_at = self._clock.monotonic()
         if not self._lacks_store():
             reply = await self._answer(call, self._forwarder)
             # _append has already tried to forward a change.
             if call.is_change or not reply.lacks_store:
                 return reply
+            left = self._deduct_time(call, began_at).timeout
+            timeout = max(left, min(call.timeout, MIN_QUERY_TIME))
+            call = dataclasses.replace(call, timeout=timeout)
             return await self._forwarder.forward(call) or reply
         reply = await self._forwarder.forward(call)
         if reply is not None:
             return reply
+        call = self._deduct_time(call, began_at)
         return await self._answer(call, relaying.NoForwarder())
 
     async def answer(self, call: relaying.Call) -> relaying.Reply:
@@ -220,10 +238,7 @@
         may_have_run = False
         while True:
             left = deadline - self._clock.monotonic()
-            timeout = max(min(left, APPEND_TIMEOUT), MIN_APPEND_TIMEOUT)
-            result = await self._store.append(
-                store.Stream.JOBS, [entry], timeout
-            )
+            result = await self._append_once(entry, left)
             if result.status is store.AppendStatus.APPENDED:
                 return result.status
             left = deadline - self._clock.monotonic()
@@ -234,9 +249,8 @@
             if forwarded is not None and forwarded.status == 200:
                 return store.AppendStatus.APPENDED
             if (
-                forwarded is relaying.OUTCOME_UNKNOWN
-                or result.status is store.AppendStatus.MAY_HAVE_RUN
-            ):
+                forwarded is not None and forwarded.is_outcome_unknown
+            ) or result.status is store.AppendStatus.MAY_HAVE_RUN:
                 may_have_run = True
             elif not may_have_run:
                 return store.AppendStatus.NOT_RUN
@@ -245,6 +259,19 @@
                 return store.AppendStatus.MAY_HAVE_RUN
             await self._clock.sleep(RETRY_PAUSE)
 
+    async def _append_once(
+        self, entry: store.Entry, left: datetime.timedelta
+    ) -> store.Appended:
+        """Append within the time left, which a large entry may need whole."""
+        left = max(left, MIN_APPEND_TIMEOUT)
+        appending = self._store.append(
+            store.Stream.JOBS, [entry], min(left, APPEND_TIMEOUT)
+        )
+        result = await clocks.within(self._clock, left, appending)
+        return result or store.Appended(
+            store.AppendStatus.MAY_HAVE_RUN, detail="client's time is over"
+        )
+
     async def _submit(
         self,
         call: relaying.Call,
@@ -315,10 +342,12 @@
         job_id: str,
     ) -> relaying.Reply:
         state = self._node.replica.ledger.state(job_id)
+        began_at = self._clock.monotonic()
         if state is None and not await self._may_exist(job_id):
             return self._refuse(call, 410, "no such job")
         if state in ledgers.FINAL_STATES:
             return _make_reply(200, {})
+        call = self._deduct_time(call, began_at)
         key = ledgers.Kind.CANCELLATION.key(job_id)
         status = await self._append(call, forwarder, store.Entry(key, b"1"))
         self._log.emit("cancel_requested", job_id=job_id, outcome=status.value)
