Let a poll of a worker take as long as its inventory makes progress

What callers saw: nothing yet.

Cause: each poll had 0.7 s in all, and an answer that was not complete by then was dropped whole. All workers of the earlier scheduler are polled at once, so that they share the link and all fail alike, at each try.

Ruled out: asking a few workers at a time. Slots held by silent workers would delay the others (58 of 175 silent, 16 slots: seconds a round, by calculation).

A new incarnation ends the poll of its predecessor, which would hold up its renewals. A poll that is late proves no lease: a run whose lease has expired meanwhile starts elsewhere although its worker's inventory is still on its way, as before. - The stand-in platform has links that all answers share: a fair one, and a queue that also carries the answers given up.

--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -1,10 +1,12 @@
 """Send orders to workers over HTTP; decode inventories and listings."""
 
+import asyncio
 import datetime
 import json
 
 import aiohttp
 
+from cardamomcroft.platform import answers
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
@@ -12,6 +14,9 @@
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips between data centres
 ADVICE_TIMEOUT_S = 2.0
+_CONNECT_LIMIT = aiohttp.ClientTimeout(
+    total=None, sock_connect=CONNECT_TIMEOUT_S
+)
 _CALL_ERRORS = (
     TimeoutError,
     aiohttp.ClientError,
@@ -65,9 +70,10 @@
         path: str,
         body: dict,
         timeout: datetime.timedelta,
+        silence: datetime.timedelta | None = None,
     ) -> tuple[fleet.OrderResult, dict]:
         began_at = self._clock.monotonic()
-        result, data = await self._send(address, path, body, timeout)
+        result, data = await self._send(address, path, body, timeout, silence)
         took = self._clock.monotonic() - began_at
         outcome = result.status.value
         self._metrics.record_call("worker", path, outcome, took)
@@ -79,23 +85,25 @@
         path: str,
         body: dict,
         timeout: datetime.timedelta,
+        silence: datetime.timedelta | None,
     ) -> tuple[fleet.OrderResult, dict]:
-        limit = aiohttp.ClientTimeout(
-            total=timeout.total_seconds(), sock_connect=CONNECT_TIMEOUT_S
-        )
+        """Return the answer; ``silence`` is for one that may be large."""
         try:
-            async with self._session.post(
-                f"http://{address.host_port}{path}",
-                data=json.dumps(body, separators=(",", ":")),
-                timeout=limit,
-                headers={
-                    "Content-Type": "application/json",
-                    "X-Expected-Instance": address.worker_id,
-                },
-            ) as response:
-                raw = await response.read()
-                data = json.loads(raw) if raw else {}
-                return _decode_result(response.status, data), data
+            async with (
+                asyncio.timeout(timeout.total_seconds()) as limit,
+                self._session.post(
+                    f"http://{address.host_port}{path}",
+                    data=json.dumps(body, separators=(",", ":")),
+                    timeout=_CONNECT_LIMIT,
+                    headers=_order_headers(address),
+                ) as response,
+            ):
+                if silence is None:
+                    raw = await response.read()
+                else:
+                    raw = await answers.receive(response, limit, silence)
+            data = json.loads(raw) if raw else {}
+            return _decode_result(response.status, data), data
         except aiohttp.ClientConnectorError as error:
             status = fleet.OrderStatus.NOT_RUN
             return fleet.OrderResult(status, detail=repr(error)), {}
@@ -154,7 +162,7 @@
         if wait_ms:
             body["WaitMs"] = wait_ms
         result, data = await self._post(
-            address, "/hold", body, timeout + order.wait
+            address, "/hold", body, timeout + order.wait, timeout
         )
         if result.status is not fleet.OrderStatus.DONE:
             return result
@@ -188,6 +196,13 @@
             return None
 
 
+def _order_headers(address: fleet.Address) -> dict[str, str]:
+    return {
+        "Content-Type": "application/json",
+        "X-Expected-Instance": address.worker_id,
+    }
+
+
 def _decode_result(status: int, data: dict) -> fleet.OrderResult:
     clock_ms = data.get("ClockMs")
     if status == 409:
--- a/cardamomcroft/ports/fleet.py
+++ b/cardamomcroft/ports/fleet.py
@@ -161,7 +161,11 @@
         order: LeaseRenewal,
         timeout: datetime.timedelta,
     ) -> Inventory | OrderResult:
-        """Renew the lease and return the inventory."""
+        """Renew the lease and return the inventory.
+
+        The time-out limits how long no data may arrive after the order's
+        wait, not the transfer of an inventory that makes progress.
+        """
 
     @abc.abstractmethod
     async def advise(
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -215,6 +215,7 @@
         self.listed_at = _ZERO
         self.runs_by_task: dict[str, Run] = {}
         self.has_inventory = True
+        self.unanswered_polls = 0  # since the last answer
         self.received_end = 0  # number of the last end processed
         self.durable_end = 0  # last end whose effect is durable
         self.acknowledged_end = 0  # the worker may discard ends up to it
@@ -226,6 +227,9 @@
         self.strikes = 0
         self.has_assignment_record = False
         self.is_polled = False
+        self.poll_call: asyncio.Task | None = None  # to its incarnation
+        # After this time the poll under way is late and proves no lease.
+        self.poll_due_at: datetime.timedelta | None = None
         self._clock_ms = 0
         self._clock_at: datetime.timedelta | None = None
 
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -11,6 +11,8 @@
 
 LONG_POLL_WAIT = datetime.timedelta(seconds=2)  # workers' maximum
 POLL_TIMEOUT = datetime.timedelta(milliseconds=700)
+# Over a slow link a first answer waits for those of the other workers.
+MAX_TIMEOUT_DOUBLINGS = 3
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 SHORT_POLL_PAUSE = datetime.timedelta(milliseconds=60)
 COMMIT_TIMEOUT = datetime.timedelta(milliseconds=400)
@@ -90,6 +92,8 @@
         self._drop_lost_runs(worker, "address reassigned to another worker")
 
     def _reset_incarnation(self, worker: runs.Worker, born_ms: int) -> None:
+        if worker.poll_call is not None:
+            worker.poll_call.cancel()  # its silence is of the predecessor
         fresh = runs.Worker(worker.address, born_ms)
         worker.born_ms = born_ms
         for name in (
@@ -97,6 +101,7 @@
             "durable_end",
             "acknowledged_end",
             "commit",
+            "unanswered_polls",
             "lease_deadline_ms",
             "lease_expires_at",
         ):
@@ -158,6 +163,17 @@
             return _ZERO
         return LONG_POLL_WAIT
 
+    def _poll_timeout(self, worker: runs.Worker) -> datetime.timedelta:
+        """Return how long the worker may be silent.
+
+        Only a worker without an inventory gets more time after a poll that
+        failed: any other is back sooner by the next poll.
+        """
+        if worker.has_inventory:
+            return POLL_TIMEOUT
+        doublings = min(worker.unanswered_polls, MAX_TIMEOUT_DOUBLINGS)
+        return POLL_TIMEOUT * 2**doublings
+
     def _may_extend_lease(
         self, worker: runs.Worker, now: datetime.timedelta
     ) -> bool:
@@ -185,12 +201,13 @@
         order = fleet.LeaseRenewal(
             self._cluster.token, acknowledged_end, deadline_ms, wait
         )
-        result = await self._link.renew_lease(
-            worker.address, order, POLL_TIMEOUT
-        )
+        result = await self._call(worker, order)
+        if result is None:
+            return
         if isinstance(result, fleet.OrderResult):
             await self._handle_failed_poll(worker, result)
             return
+        worker.unanswered_polls = 0
         if result.born_ms < worker.born_ms:
             return
         if result.born_ms > worker.born_ms:
@@ -207,10 +224,29 @@
         elif wait == _ZERO:
             await self._clock.sleep(SHORT_POLL_PAUSE)
 
+    async def _call(
+        self, worker: runs.Worker, order: fleet.LeaseRenewal
+    ) -> fleet.Inventory | fleet.OrderResult | None:
+        """Return the answer, or None if a new incarnation was listed."""
+        timeout = self._poll_timeout(worker)
+        call = asyncio.ensure_future(
+            self._link.renew_lease(worker.address, order, timeout)
+        )
+        worker.poll_call = call
+        worker.poll_due_at = self._clock.monotonic() + order.wait + timeout
+        try:
+            await asyncio.wait({call})
+        finally:
+            worker.poll_due_at = None
+            call.cancel()
+        return None if call.cancelled() else call.result()
+
     async def _handle_failed_poll(
         self, worker: runs.Worker, result: fleet.OrderResult
     ) -> None:
         now = self._clock.monotonic()
+        if result.status is fleet.OrderStatus.MAY_HAVE_RUN:
+            worker.unanswered_polls += 1
         if result.status is fleet.OrderStatus.STALE_TOKEN:
             self._cluster.journal.lose_claim(
                 "worker has a newer fencing token"
@@ -376,12 +412,12 @@
             self._cluster.durations.observe(queue, step.model, actual)
 
     def expire_leases(self) -> None:
-        """Drop the runs of unreachable workers with expired leases."""
+        """Drop the runs of workers with expired leases that aren't heard."""
         now = self._clock.monotonic()
         for worker in list(self._cluster.workers_by_id.values()):
             if self._needs_polling(worker):
                 self.ensure_polling(worker)
-            if worker.unreachable_since is None:
+            if not _is_unheard(worker, now):
                 continue
             if not worker.has_lease_expired(now):
                 continue
@@ -394,3 +430,18 @@
                 pause = AVOID_BACKOFF_BASE * min(2**worker.strikes, 8)
                 worker.avoid_until = now + pause
                 worker.unreachable_since = None
+
+
+def _is_unheard(worker: runs.Worker, now: datetime.timedelta) -> bool:
+    """Return whether a worker is unreachable or its inventory is late.
+
+    A slow transfer extends no lease, so it must not keep runs whose leases
+    have expired.
+    """
+    if worker.unreachable_since is not None:
+        return True
+    return (
+        bool(worker.runs_by_task)
+        and worker.poll_due_at is not None
+        and now > worker.poll_due_at
+    )
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -21,6 +21,7 @@
 from cardamomcroft.scheduling import ledger
 from cardamomcroft.scheduling import models
 from cardamomcroft.standin import fleet
+from cardamomcroft.standin import links
 from cardamomcroft.standin import store
 
 _STREAMS = {f"keyed.{stream.value}": stream for stream in stores.Stream}
@@ -42,6 +43,7 @@
     fleets.End.GANG_BROKEN: "broken",
     fleets.End.GANG_INCOMPLETE: "alone",
 }
+WORKER_CLIENT = "http"
 HOST_NAME = "jobs.example"  # clients' Host header
 MAX_NEWEST_BYTES = 1_000_000
 LINK_PERIOD_S = 0.02  # between two pieces of a throttled response
@@ -80,7 +82,10 @@
 
 
 class PlatformServer:
-    """An HTTP server for calls to the store and the workers."""
+    """An HTTP server for calls to the store and the workers.
+
+    Orders to workers come from the client ``WORKER_CLIENT``.
+    """
 
     def __init__(
         self, clock: base.Clock, duration: datetime.timedelta
@@ -91,7 +96,11 @@
         self.fleet.service = self.store
         self.address = ""
         self._clients_by_port: dict[int, str] = {}
-        self.link_rates_by_client: dict[str, int] = {}  # in bytes a second
+        # Of each connection, in bytes a second.
+        self.link_rates_by_client: dict[str, int] = {}
+        self.shared_links_by_client: dict[
+            str, links.FairLink | links.QueueLink
+        ] = {}
         self._runner: web.ServerRunner | None = None
         self._handlers = {
             "/log-append": self._append,
@@ -125,7 +134,7 @@
 
     def _client_name(self, request: web.BaseRequest) -> str:
         _, port = request.transport.get_extra_info("sockname")[:2]
-        return self._clients_by_port.get(port, "http")
+        return self._clients_by_port.get(port, WORKER_CLIENT)
 
     def _store_client(self, request: web.BaseRequest) -> store.StoreClient:
         return self.store.client(self._client_name(request))
@@ -171,8 +180,12 @@
         if handler is None:
             return web.Response(status=404)
         # A client that gives up meanwhile takes its address away.
-        rate = self.link_rates_by_client.get(self._client_name(request))
+        client = self._client_name(request)
+        rate = self.link_rates_by_client.get(client)
+        link = self.shared_links_by_client.get(client)
         response = await handler(request)
+        if link is not None:
+            return await link.send(request, response)
         if rate is None:
             return response
         return await _send_slowly(request, response, rate)
