Make several calls to a peer at once and don't call it unreached when busy

What callers saw: while one call to a healthy peer was slow, the other calls to it failed with UnreachedError after the whole time-out, and the forwarder asked that peer nothing for 3 s. Changes take up to 250 ms in a slow store and the forwarder prefers the last peer that answered, so that a few changes at once shut out the peer that serves.

Cause: one connection with a lock for each peer; the wait for the lock counted against the time-out and was reported like a failed connection.

Ruled out: the server (it serves each connection in a task of its own). Only raising the time-out would move the limit, not remove it; unbounded connections would pass a peer's overload on.

A real load was not played.

Change: up to eight connections to a peer. A call waits for a free one for half of its time-out at most; then it is a BusyError: an UnreachedError, as it was never sent, after which the forwarder asks the next peer without backing off. The whole time-out is as before.

--- a/cardamomcroft/ports/rpc.py
+++ b/cardamomcroft/ports/rpc.py
@@ -16,6 +16,10 @@
 
 CONNECT_TIMEOUT_MS = 500
 IDLE_TIMEOUT_MS = 60_000
+MAX_CONNECTIONS = 8  # to each peer; a change takes 250 ms in a slow store
+# Of the time-out. The rest is left to the call itself, so that its end shows
+# whether the peer answers.
+MAX_WAIT_SHARE = 0.5
 
 CALL_ERRORS = (
     OSError,
@@ -30,6 +34,13 @@
     """Report a call that was never sent."""
 
 
+class BusyError(UnreachedError):
+    """Report a call that was never sent, for want of a free connection.
+
+    It tells nothing about the peer.
+    """
+
+
 Reporter = collections.abc.Callable[[Exception], None]
 
 
@@ -114,6 +125,24 @@
         return data
 
 
+class _Connections:
+    """The idle connections to a peer and the places for further calls."""
+
+    def __init__(self) -> None:
+        self.places = asyncio.Semaphore(MAX_CONNECTIONS)
+        self._idle: list[thrift_client.TAsyncClient] = []
+
+    def take(self) -> thrift_client.TAsyncClient | None:
+        return self._idle.pop() if self._idle else None
+
+    def give_back(self, client: thrift_client.TAsyncClient) -> None:
+        self._idle.append(client)
+
+    def close_idle(self) -> None:
+        while client := self.take():
+            client.close()
+
+
 class Pool:
     """Call a service over pooled connections, one call at a time each."""
 
@@ -121,8 +150,7 @@
         """Connect on demand; a call fails after the time-out."""
         self._service = service
         self._timeout = timeout.total_seconds()
-        self._clients: dict[str, thrift_client.TAsyncClient] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
+        self._by_address: dict[str, _Connections] = {}
 
     async def _connect(
         self, address: str, limit: asyncio.Timeout | None = None
@@ -134,23 +162,41 @@
         return thrift_client.TAsyncClient(self._service, protocol)
 
     async def call(self, address: str, operation: str, *arguments):
-        """Return the answer; raise UnreachedError or one of CALL_ERRORS."""
-        lock = self._locks.setdefault(address, asyncio.Lock())
-        is_sent = False
+        """Return the answer.
+
+        Raise BusyError or another UnreachedError if the call was not sent,
+        one of CALL_ERRORS if it may have been.
+        """
+        connections = self._by_address.setdefault(address, _Connections())
+        began_at = asyncio.get_running_loop().time()
+        await self._take_place(address, connections)
+        client = None
+        is_answered = False
         try:
-            async with asyncio.timeout(self._timeout), lock:
-                client = self._clients.pop(address, None)
-                if client is None:
-                    client = await self._connect(address)
-                is_sent = True
+            async with asyncio.timeout_at(began_at + self._timeout):
+                client = connections.take() or await self._connect(address)
                 answer = await getattr(client, operation)(*arguments)
-                # A failed or cancelled call leaves its client out of the pool.
-                self._clients[address] = client
-                return answer
+            is_answered = True
+            connections.give_back(client)
+            return answer
         except CALL_ERRORS as error:
-            if is_sent:
+            connections.close_idle()  # lost as well if the peer restarted
+            if client is not None:
                 raise
             raise UnreachedError(f"{address}: {error!r}") from error
+        finally:
+            if client is not None and not is_answered:
+                client.close()
+            connections.places.release()
+
+    async def _take_place(
+        self, address: str, connections: _Connections
+    ) -> None:
+        try:
+            async with asyncio.timeout(self._timeout * MAX_WAIT_SHARE):
+                await connections.places.acquire()
+        except TimeoutError as error:
+            raise BusyError(f"{address}: {error!r}") from error
 
     async def call_growing(self, address: str, operation: str, *arguments):
         """Return an answer whose size depends on the data.
@@ -173,6 +219,5 @@
 
     def close(self) -> None:
         """Close every pooled connection."""
-        for client in self._clients.values():
-            client.close()
-        self._clients.clear()
+        for connections in self._by_address.values():
+            connections.close_idle()
--- a/cardamomcroft/relaying/forwarder.py
+++ b/cardamomcroft/relaying/forwarder.py
@@ -120,6 +120,8 @@
         """Return a peer's reply; None if it was not reached."""
         try:
             reply = await relay_rpc.ask(self._pool, peer.address, call)
+        except rpc.BusyError:
+            return None  # calls that wait here say nothing about the peer
         except rpc.UnreachedError as error:
             self._back_off(name, UNREACHABLE_BACKOFF, error)
             return None
--- a/tests/relaying/test_forwarder.py
+++ b/tests/relaying/test_forwarder.py
@@ -102,6 +102,13 @@
         target, _ = self.make({"a": TimeoutError(), "b": OK}, "a")
         self.assertEqual((await self.forward(target)).status, 200)
 
+    async def test_peer_busy_with_other_calls_is_asked_again_at_once(self):
+        target, pool = self.make({"a": rpc.BusyError("a"), "b": NO_STORE})
+        self.assertIsNone(await self.forward(target))
+        pool.answers["a"] = OK
+        self.assertEqual((await self.forward(target)).status, 200)
+        self.assertEqual(pool.asked.count("a"), 2)
+
     async def test_few_silent_peers_are_asked(self):
         """Few peers may cost a time-out, so that callers wait less."""
         for error in (rpc.UnreachedError("gone"), TimeoutError()):
