Don't count a copy as complete that came from a partly loaded peer

What callers saw: after a restart of all instances, with the log lost while the first one loaded it, the others loaded that instance's part and took it for the present state. A job that they did not know ran to its end twice (finished_twice at the workers), since they renewed leases and had the worker forget a result of a job unknown to them. A valid token beyond the part was refused with 401 instead of 503 (by reading: api/context.py asks for caught_up). 404 for an accepted job was not possible: it needs the log's end.

Cause: Exchange._catch_up set caught_up when the copy was as long as that of the peer that had applied the most, whether or not that peer had ever reached the end of the log.

Ruled out: treating the longest copy known as complete; in the test it is the partial one.

Change: a digest tells whether its sender has caught up (optional field 14). Every copy is a beginning of the log, so that one which is as long as all complete copies of live peers is complete too; the copy read from may be any. Older peers ignore the field and send none, which counts as not known to be complete: beside older peers alone, an instance that starts in an outage is not ready until the log answers.

--- a/cardamomcroft/daemon/node.py
+++ b/cardamomcroft/daemon/node.py
@@ -262,6 +262,7 @@
                 if self.membership.is_worker_leaving(worker_id)
             ),
             self.overlay.facts(),
+            self.replica.caught_up,
         )
 
     async def start(self) -> None:
--- a/cardamomcroft/membership/digests.py
+++ b/cardamomcroft/membership/digests.py
@@ -20,3 +20,4 @@
     requests_running: int = 0
     leaving_workers: tuple[str, ...] = ()
     facts: tuple[str, ...] = ()
+    caught_up: bool | None = None  # None from an older version
--- a/cardamomcroft/peers/exchange.py
+++ b/cardamomcroft/peers/exchange.py
@@ -177,28 +177,39 @@
             self._membership.record_failed_exchange(instance_id)
 
     async def _catch_up(self) -> None:
-        """Read records that a peer has applied and this instance has not."""
-        ahead = [
+        """Read on from the best copy; count as complete beside a complete one.
+
+        Every copy is a beginning of the log. One that is as long as all
+        complete ones holds what they hold: in an outage, no records newer
+        than the peers' can be known.
+        """
+        known = [
             member
             for member in self._membership.by_id.values()
             if member.digest is not None
             and self._membership.is_live(member.instance_id)
-            and member.digest.applied > self._replica.state.applied
         ]
-        if not ahead:
+        if not known:
             return
-        # In an outage, no records newer than the peers' can be known.
-        best = max(ahead, key=lambda member: member.digest.applied)
+        complete = [
+            member.digest.applied
+            for member in known
+            if member.digest.caught_up
+        ]
+        best = max(known, key=lambda member: member.digest.applied)
+        if best.digest.applied > self._replica.state.applied:
+            await self._read_from(best.peer_address)
+        if complete and self._replica.state.applied >= max(complete):
+            self._replica.caught_up = True
+
+    async def _read_from(self, address: str) -> None:
+        """Read records that a peer has applied and this instance has not."""
         offset = self._replica.state.applied + 1
-        page = await self._peers.read_log(
-            best.peer_address, offset, MAX_PAGE_RECORDS
-        )
+        page = await self._peers.read_log(address, offset, MAX_PAGE_RECORDS)
         if page.is_ok() and page.ok.payloads:
             self._replica.apply_page(page.ok)
         else:
-            await self.load_snapshot(best.peer_address)
-        if self._replica.state.applied >= best.digest.applied:
-            self._replica.caught_up = True
+            await self.load_snapshot(address)
 
     async def load_snapshot(self, address: str) -> bool:
         """Load a peer's whole state; return whether it was newer."""
--- a/cardamomcroft/peers/peer.thrift
+++ b/cardamomcroft/peers/peer.thrift
@@ -12,6 +12,7 @@
   11: i32 requests_running
   12: list<string> leaving_workers
   13: list<string> facts
+  14: optional bool caught_up
 }
 
 struct LogPage {
--- a/cardamomcroft/peers/rpc.py
+++ b/cardamomcroft/peers/rpc.py
@@ -16,8 +16,8 @@
 
 LIST_FIELDS = ("leaving_workers", "facts")
 
-_IDL = importlib.resources.files("cardamomcroft.peers") / "peer.thrift"
-WIRE = thriftpy2.load(str(_IDL), module_name="cardamomcroft_peer_thrift")
+IDL = importlib.resources.files("cardamomcroft.peers") / "peer.thrift"
+WIRE = thriftpy2.load(str(IDL), module_name="cardamomcroft_peer_thrift")
 
 
 def digest_to_wire(digest: digests.Digest) -> object:
--- a/tests/peers/test_exchange.py
+++ b/tests/peers/test_exchange.py
@@ -1,5 +1,15 @@
-"""Test what an instance serves to its peers."""
+"""Test what instances serve to their peers and load from them."""
 
+import datetime
+
+import expression
+
+from cardamomcroft.log import records
+from cardamomcroft.log import replica as replicas
+from cardamomcroft.ports import messages
+from cardamomcroft.ports import verdict
+from cardamomcroft.standin import log
+from cardamomcroft.state import models
 from cardamomcroft.state import snapshots
 from tests import harness
 
@@ -16,3 +26,115 @@
         job_id = await self.cluster.submit(run_s=1.0)
         newer = snapshots.decode(exchange.snapshot())
         self.assertIn(job_id, newer.jobs)
+
+
+class PartialLog(log.StandinLog):
+    """A log that can be read up to an offset only, in whole pages."""
+
+    readable_end = 1_000_000
+
+    async def read(
+        self, offset: int, limit: int, wait: datetime.timedelta
+    ) -> expression.Result[messages.LogPage, verdict.Failure]:
+        """Return records from the offset on, up to the readable end."""
+        if offset >= self.readable_end:
+            return self._unavailable()
+        return await super().read(offset, limit, wait)
+
+
+class CatchUpTest(harness.ClusterCase):
+    """Start instances in an outage of the log for all."""
+
+    async def asyncSetUp(self) -> None:
+        """Serve a log that can be lost in the middle of a load."""
+        await super().asyncSetUp()
+        self.cluster.log = PartialLog(self.cluster.clock)
+        await self.cluster.ready()
+
+    async def fill(self, end: int) -> None:
+        """Append records without an effect up to an offset."""
+        first = self.cluster.log.end
+        await self.cluster.log.append(
+            [
+                records.encode(
+                    records.Record(
+                        f"filler-{number}",
+                        "entry-1",
+                        self.cluster.clock.now(),
+                        100_000,
+                        records.RecordVoided(f"other-{number}"),
+                    )
+                )
+                for number in range(first, end)
+            ]
+        )
+        await self.cluster.advance(1)
+
+    async def lose_log_after(self, offset: int) -> None:
+        """Let nobody read beyond the offset from now on."""
+        self.cluster.log.readable_end = offset
+        await self.cluster.advance(5)
+
+    async def start_beside_partial_copy(self) -> None:
+        """Restart all; the first reads one page, the others none."""
+        await self.cluster.stop()
+        await self.cluster.advance(5)
+        await self.cluster.start_node("entry-1")
+        await self.cluster.advance(1)
+        await self.lose_log_after(0)
+        self.assert_injected("log_down")
+        await self.cluster.start(["entry-2", "entry-3"])
+        await self.cluster.advance(5)
+
+    async def test_partial_copy_of_a_peer_forgets_no_result(self):
+        """A forgotten result makes the job run once more."""
+        await self.fill(2 * replicas.MAX_PAGE_RECORDS)
+        job_id = await self.cluster.submit(run_s=4.0)
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        self.cluster.log.readable_end = replicas.MAX_PAGE_RECORDS
+        await self.start_beside_partial_copy()
+        for node in self.cluster.nodes.values():
+            self.assertEqual(
+                replicas.MAX_PAGE_RECORDS - 1, node.replica.state.applied
+            )
+            self.assertNotIn(job_id, node.replica.state.jobs)
+        self.cluster.log.readable_end = 1_000_000
+        await self.cluster.until(
+            lambda: job_id in self.cluster.node().replica.state.jobs
+        )
+        await self.cluster.reach(job_id, models.Phase.COMPLETED)
+        self.assertEqual(1, len(self.cluster.runs(job_id)))
+
+    async def test_partial_copy_of_a_peer_does_not_count_as_complete(self):
+        """Else valid tokens are refused for good with 401."""
+        await self.fill(2 * replicas.MAX_PAGE_RECORDS)
+        self.cluster.log.readable_end = replicas.MAX_PAGE_RECORDS
+        await self.start_beside_partial_copy()
+        for node in self.cluster.nodes.values():
+            self.assertEqual(
+                replicas.MAX_PAGE_RECORDS - 1, node.replica.state.applied
+            )
+            self.assertFalse(node.replica.caught_up)
+            self.assertFalse(node.freshness.is_fresh())
+
+    async def test_complete_copy_of_a_peer_is_served_in_an_outage(self):
+        await self.cluster.kill("entry-2", delist=False)
+        await self.lose_log_after(0)
+        await self.cluster.start_node("entry-2")
+        await self.cluster.advance(5)
+        self.assert_injected("log_down")
+        node = self.cluster.node("entry-2")
+        self.assertEqual("serving", node.lifecycle.state)
+        self.assertTrue(node.freshness.is_fresh())
+
+    async def test_copy_as_long_as_a_complete_one_is_served_in_an_outage(self):
+        """Its last page was full, so that it does not show the end."""
+        await self.fill(replicas.MAX_PAGE_RECORDS)
+        await self.cluster.kill("entry-2", delist=False)
+        await self.lose_log_after(replicas.MAX_PAGE_RECORDS)
+        await self.cluster.start_node("entry-2")
+        await self.cluster.advance(5)
+        self.assert_injected("log_down")
+        self.assertEqual(
+            "serving", self.cluster.node("entry-2").lifecycle.state
+        )
--- a/tests/peers/test_rpc.py
+++ b/tests/peers/test_rpc.py
@@ -2,9 +2,14 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import datetime
+import io
 import unittest
 
+import thriftpy2
+from thriftpy2 import utils
+
 from cardamomcroft.bench import local
 from cardamomcroft.membership import digests
 from cardamomcroft.peers import base
@@ -70,6 +75,22 @@
         self.assertEqual(DIGEST, answer.ok)
         self.assertEqual([DIGEST], self.handler.received)
 
+    async def test_digest_passes_between_versions(self):
+        """Older ones neither send nor expect whether they have caught up."""
+        text = rpc.IDL.read_text().replace("  14: optional bool caught_up", "")
+        older = thriftpy2.load_fp(io.StringIO(text), "older_peer_thrift")
+        newer_bytes = utils.serialize(
+            rpc.digest_to_wire(dataclasses.replace(DIGEST, caught_up=True))
+        )
+        received = utils.deserialize(older.Digest(), newer_bytes)
+        self.assertEqual(
+            list(DIGEST.leaving_workers), received.leaving_workers
+        )
+        older_bytes = utils.serialize(received)
+        self.assertLess(len(older_bytes), len(newer_bytes))
+        returned = utils.deserialize(rpc.WIRE.Digest(), older_bytes)
+        self.assertEqual(DIGEST, rpc.digest_from_wire(returned))
+
     async def test_page_and_large_snapshot_come_whole(self):
         page = await self.peers.read_log(self.address, 5, 2)
         self.assertEqual(messages.LogPage(0, 5, ("a", "b")), page.ok)
