Share all task ends in a log outage in digests that fit a slow link

What callers saw: in an outage of the log, instances with much to share sent it in every digest, to all peers at once. On a slow link no exchange ended within its time-out of 1 s, ever: all peers counted as dead, so that no state was fresh and no lease was renewed. The 65th end and later ones were never shared.

Cause: a digest held the first 64 records (MAX_FACTS_PER_DIGEST), of any size. One end is 376 bytes, a lost worker with 8 tasks 1.4 kB, with 64 tasks 9.6 kB; 64 records are 24, 89 or 616 kB a digest. 27 peers and as many answers make 1.3 MB a round of the smallest; 2 Mbit/s carry 250 kB in 1 s.

Ruled out: more time for the exchange (digests are also the sign of life), and a limit on the size alone (the rest would never be shared).

Each digest to a peer goes on where the last one to it ended; receivers keep the facts of an incarnation until its sender reads the log. Decoded facts are kept between calls, as there can be more of them. An older receiver keeps only the facts of the last digest, as before.

--- a/cardamomcroft/daemon/node.py
+++ b/cardamomcroft/daemon/node.py
@@ -239,8 +239,8 @@
             if not self.membership.is_worker_leaving(worker_id)
         )
 
-    def make_digest(self) -> digests.Digest:
-        """Return the digest of this instance that is sent to its peers."""
+    def make_digest(self, peer_id: str) -> digests.Digest:
+        """Return the digest of this instance that is sent to a peer."""
         state = self.replica.state
         claim = state.claims.get(self.settings.region)
         claimed_epoch = claim.epoch if claim else -1
@@ -261,7 +261,7 @@
                 for worker_id in self.membership.leaving_workers
                 if self.membership.is_worker_leaving(worker_id)
             ),
-            self.overlay.facts(),
+            self.overlay.facts(peer_id),
             self.replica.caught_up,
         )
 
--- a/cardamomcroft/membership/members.py
+++ b/cardamomcroft/membership/members.py
@@ -22,6 +22,7 @@
     last_failure_at: datetime.timedelta | None = None
     listed: messages.InstanceState | None = None
     peer_address: str = ""
+    facts: tuple[str, ...] = ()
 
 
 class Membership:
@@ -67,6 +68,7 @@
             digest=digest,
             last_digest_at=self._clock.monotonic(),
             peer_address=digest.peer_address or member.peer_address,
+            facts=_facts_known(member, digest),
         )
         if digest.region == self.region:
             self.known_epoch = max(self.known_epoch, digest.epoch)
@@ -156,10 +158,7 @@
     def facts(self) -> tuple[str, ...]:
         """Return the records that peers share during a log outage."""
         return tuple(
-            fact
-            for member in self.regional()
-            if member.digest is not None
-            for fact in member.digest.facts
+            fact for member in self.regional() for fact in member.facts
         )
 
     def regional(self) -> tuple[Member, ...]:
@@ -228,6 +227,19 @@
         return member.digest.incarnation != incarnation
 
 
+def _facts_known(member: Member, digest: digests.Digest) -> tuple[str, ...]:
+    """Return the facts of a sender until it reads the log or ends.
+
+    One digest has only some of them.
+    """
+    earlier = member.digest
+    if digest.log_reachable:
+        return ()
+    if earlier is None or earlier.incarnation != digest.incarnation:
+        return digest.facts
+    return tuple(dict.fromkeys(member.facts + digest.facts))
+
+
 def rank(key: str, instance_ids: tuple[str, ...]) -> tuple[str, ...]:
     """Order instances for a key by rendezvous hashing."""
 
--- a/cardamomcroft/peers/exchange.py
+++ b/cardamomcroft/peers/exchange.py
@@ -80,7 +80,7 @@
     def exchange(self, digest: digests.Digest) -> digests.Digest:
         """Record a peer's digest and return this instance's."""
         self._membership.record_digest(digest)
-        return self._make_digest()
+        return self._make_digest(digest.instance_id)
 
     def read_log(self, offset: int, limit: int) -> messages.LogPage:
         """Return records applied here, from the offset on."""
@@ -169,7 +169,7 @@
         if member is None:
             return
         answer = await self._peers.exchange(
-            member.peer_address, self._make_digest()
+            member.peer_address, self._make_digest(instance_id)
         )
         if answer.is_ok():
             self._membership.record_digest(answer.ok)
--- a/tests/peers/test_exchange.py
+++ b/tests/peers/test_exchange.py
@@ -1,18 +1,36 @@
 """Test what instances serve to their peers and load from them."""
 
 import datetime
+import random
+import unittest
 
 import expression
+from thriftpy2 import utils
 
+from cardamomcroft.daemon import node as nodes
+from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.log import replica as replicas
+from cardamomcroft.membership import digests
+from cardamomcroft.peers import base
+from cardamomcroft.peers import rpc
+from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import messages
+from cardamomcroft.ports import metrics
 from cardamomcroft.ports import verdict
+from cardamomcroft.settings import instance
+from cardamomcroft.standin import instances
 from cardamomcroft.standin import log
+from cardamomcroft.standin import workers
 from cardamomcroft.state import models
 from cardamomcroft.state import snapshots
 from tests import harness
 
+LINK_BYTES_PER_S = 250_000  # 2 Mbit/s
+PEERS = 27  # the region's at the two-year size
+FACTS = 100
+ENDS = 8  # a worker's accelerators
+
 
 class SnapshotTest(harness.ClusterCase):
     """Serve snapshots to peers that cannot read the log."""
@@ -138,3 +156,103 @@
         self.assertEqual(
             "serving", self.cluster.node("entry-2").lifecycle.state
         )
+
+
+class SlowLinkPeers(base.PeerClient):
+    """Lose exchanges of one round that don't pass a slow link in time."""
+
+    def __init__(self, timeout: datetime.timedelta) -> None:
+        """Start a round, in which all calls are made at once."""
+        self.passed = 0
+        self._may_pass = LINK_BYTES_PER_S * timeout.total_seconds()
+        self.answer = lambda digest: digest
+
+    async def exchange(self, address, digest):
+        """Return the answer unless the link has carried too much."""
+        answer = self.answer(digest)
+        for sent in (digest, answer):
+            self.passed += len(utils.serialize(rpc.digest_to_wire(sent)))
+        if self.passed > self._may_pass:
+            return expression.Error(
+                verdict.may_have_run(verdict.Reason.TIMEOUT, address)
+            )
+        return expression.Ok(answer)
+
+    async def read_log(self, address, offset, limit):
+        """Fail, as no peer is ahead."""
+        raise AssertionError("unexpected call")
+
+    async def snapshot(self, address):
+        """Fail, as no peer is ahead."""
+        raise AssertionError("unexpected call")
+
+
+class OutageOnSlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Exchange digests with all peers over one link, without the log."""
+
+    async def asyncSetUp(self) -> None:
+        """Let the peers have as much to share as the instance."""
+        clock = clocks.FakeClock()
+        settings = instance.InstanceSettings(
+            "entry-0",
+            "dahab",
+            harness.REGION,
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            instance.Platform("", ""),
+        )
+        self.peers = SlowLinkPeers(settings.timing.duration("call_timeout"))
+        ports = nodes.Ports(
+            log.StandinLog(clock),
+            instances.StandinInstances(clock),
+            workers.StandinWorkers(clock),
+            self.peers,
+            clock,
+            metrics.MemoryMetrics(),
+        )
+        self.node = nodes.Node(settings, ports, random.Random(1))
+        self.peers.answer = self.node.exchange.exchange
+
+    async def test_facts_to_share_make_no_peer_count_as_dead(self):
+        for number in range(1, PEERS + 1):
+            self.node.membership.record_digest(self.digest(f"entry-{number}"))
+        for number in range(FACTS):
+            self.node.appender.submit(
+                self.worker_lost(number), appenders.Priority.BOOKKEEPING
+            )
+        await self.node.exchange.step()
+        failed = [
+            member.instance_id
+            for member in self.node.membership.by_id.values()
+            if member.last_failure_at is not None
+        ]
+        self.assertEqual([], failed)
+        self.assertGreater(self.peers.passed, LINK_BYTES_PER_S // 4)
+
+    def digest(self, instance_id: str) -> digests.Digest:
+        """Return the digest of a peer without the log."""
+        return digests.Digest(
+            instance_id,
+            f"{instance_id}@0",
+            harness.REGION,
+            "dahab",
+            -1,
+            -1,
+            False,
+            False,
+            peer_address=f"{instance_id}:1",
+        )
+
+    def worker_lost(self, number: int) -> records.TasksEnded:
+        """Return the end of a worker full of tasks."""
+        return records.TasksEnded(
+            f"worker-{number}",
+            tuple(
+                records.TaskEnd(
+                    messages.TaskId(f"{number:032x}", 1, member),
+                    records.EndKind.LOST,
+                    "worker unreachable",
+                )
+                for member in range(ENDS)
+            ),
+        )
