--- a/cardamomcroft/peers/exchange.py
+++ b/cardamomcroft/peers/exchange.py
@@ -80,7 +80,7 @@
     def exchange(self, digest: digests.Digest) -> digests.Digest:
         """Record a peer's digest and return this instance's."""
         self._membership.record_digest(digest)
-        return self._make_digest()
+        return self._make_digest(digest.instance_id)
 
     def read_log(self, offset: int, limit: int) -> messages.LogPage:
         """Return records applied here, from the offset on."""
@@ -169,7 +169,7 @@
         if member is None:
             return
         answer = await self._peers.exchange(
-            member.peer_address, self._make_digest()
+            member.peer_address, self._make_digest(instance_id)
         )
         if answer.is_ok():
             self._membership.record_digest(answer.ok)
@@ -177,28 +177,39 @@
             self._membership.record_failed_exchange(instance_id)
 
     async def _catch_up(self) -> None:
-        """Read records that a peer has applied and this instance has not."""
-        ahead = [
+        """Read on from the best copy; count as complete beside a complete one.
+
+        Every copy is a beginning of the log. One that is as long as all
+        complete ones holds what they hold: in an outage, no records newer
+        than the peers' can be known.
+        """
+        known = [
             member
             for member in self._membership.by_id.values()
             if member.digest is not None
             and self._membership.is_live(member.instance_id)
-            and member.digest.applied > self._replica.state.applied
         ]
-        if not ahead:
+        if not known:
             return
-        # In an outage, no records newer than the peers' can be known.
-        best = max(ahead, key=lambda member: member.digest.applied)
+        complete = [
+            member.digest.applied
+            for member in known
+            if member.digest.caught_up
+        ]
+        best = max(known, key=lambda member: member.digest.applied)
+        if best.digest.applied > self._replica.state.applied:
+            await self._read_from(best.peer_address)
+        if complete and self._replica.state.applied >= max(complete):
+            self._replica.caught_up = True
+
+    async def _read_from(self, address: str) -> None:
+        """Read records that a peer has applied and this instance has not."""
         offset = self._replica.state.applied + 1
-        page = await self._peers.read_log(
-            best.peer_address, offset, MAX_PAGE_RECORDS
-        )
+        page = await self._peers.read_log(address, offset, MAX_PAGE_RECORDS)
         if page.is_ok() and page.ok.payloads:
             self._replica.apply_page(page.ok)
         else:
-            await self.load_snapshot(best.peer_address)
-        if self._replica.state.applied >= best.digest.applied:
-            self._replica.caught_up = True
+            await self.load_snapshot(address)
 
     async def load_snapshot(self, address: str) -> bool:
         """Load a peer's whole state; return whether it was newer."""
