Keep the results of jobs that a partial copy doesn't know

Ruled out: the owner's part. It settles and starts again by the log, in which the member is lost. Records and attempts of known jobs: they only advance, so that an old copy keeps a result for longer but never lets it go early.

A job is submitted to the log before its tasks run. So a job that is unknown by a read of the log's end that began after the task was reported has been evicted, which needs a final phase. The renewer keeps the time of the first report and sends "forget" for unknown jobs only after such a read. Leases are renewed as before; without the log, results of unknown jobs stay on their workers.

--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -20,6 +20,14 @@
 from cardamomcroft.workers import fleet as fleets
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedTask:
+    """Pair a report of an ended task with the time it first arrived."""
+
+    report: messages.TaskReport
+    reported_at: datetime.timedelta
+
+
 class LeaseRenewer:
     """Renew leases on the workers that rendezvous hashing assigns here.
 
@@ -53,7 +61,7 @@
         self._fleet = fleets.Fleet()
         self._unresponsive_since: dict[str, datetime.timedelta] = {}
         self._sent_checksums: dict[str, str] = {}
-        self._settled_tasks: dict[str, tuple[messages.TaskId, ...]] = {}
+        self._ended_tasks: dict[str, dict[messages.TaskId, EndedTask]] = {}
         self._logger = structlog.get_logger()
 
     async def run(self) -> None:
@@ -105,7 +113,7 @@
             self._timing.lease_s,
             None if is_known else tasks,
             checksum,
-            self._settled_tasks.pop(worker_id, ()),
+            self._settled(worker_id),
         )
         result = await self._workers.renew(worker_id, command)
         if is_known and result.is_error():
@@ -143,7 +151,7 @@
         self._submit_ends(
             worker_id, ends + self._late_finishes(inventory, ends)
         )
-        self._settled_tasks[worker_id] = self._settled(inventory)
+        self._keep_ended(worker_id, inventory)
 
     def _late_finishes(
         self,
@@ -167,16 +175,26 @@
             if is_wrongly_lost(jobs.get(task.job_id), task)
         )
 
-    def _settled(
-        self, inventory: messages.Inventory
-    ) -> tuple[messages.TaskId, ...]:
-        jobs = self._replica.state.jobs
-        return tuple(
-            report.task
+    def _keep_ended(
+        self, worker_id: str, inventory: messages.Inventory
+    ) -> None:
+        now = self._clock.monotonic()
+        known = self._ended_tasks.get(worker_id, {})
+        self._ended_tasks[worker_id] = {
+            report.task: known.get(report.task, EndedTask(report, now))
             for report in inventory.tasks
             if report.phase
             in (messages.TaskPhase.FINISHED, messages.TaskPhase.FAILED)
-            and is_settled(jobs.get(report.task.job_id), report)
+        }
+
+    def _settled(self, worker_id: str) -> tuple[messages.TaskId, ...]:
+        """Return the ended tasks that the worker can forget."""
+        jobs = self._replica.state.jobs
+        confirmed_at = self._replica.confirmed_at
+        return tuple(
+            task
+            for task, ended in self._ended_tasks.get(worker_id, {}).items()
+            if is_settled(jobs.get(task.job_id), ended, confirmed_at)
         )
 
     def _record_missed_renewal(
@@ -240,13 +258,23 @@
     return task.member in job.ended and task.member not in job.finished
 
 
-def is_settled(job: models.Job | None, report: messages.TaskReport) -> bool:
-    """Return whether the log needs no further record of an ended task."""
-    if job is None or job.phase.is_final:
+def is_settled(
+    job: models.Job | None,
+    ended: EndedTask,
+    confirmed_at: datetime.timedelta | None,
+) -> bool:
+    """Return whether the log needs no further record of an ended task.
+
+    A job is submitted before its tasks run. So an unknown job is long gone
+    only if the log's end was read after the task was reported.
+    """
+    if job is None:
+        return confirmed_at is not None and confirmed_at >= ended.reported_at
+    if job.phase.is_final:
         return True
-    task = report.task
+    task = ended.report.task
     if job.attempt != task.attempt:
         return job.attempt > task.attempt
-    if report.phase is messages.TaskPhase.FINISHED:
+    if ended.report.phase is messages.TaskPhase.FINISHED:
         return task.member in job.finished
     return task.member in job.ended
