Declare tasks lost only by a copy that could show their end

Callers saw a gang stopped and run again although none of its members was lost: a member had finished, another instance had recorded this and the worker had forgotten it, while the owner had neither the log nor its peer's records.

Cause, seen in the new test's case: the owner starts another gang on the same worker, renews there and doesn't find the finished member, which its copy shows as running. It records "task missing on its worker", which its own overlay takes as fact, stops the other member and records AttemptSettled; the log accepts that and the gang runs as attempt 2. "Worker unreachable" went the same way.

Ruled out: the record of the loss itself. The log rejects it when the member has ended there; the harm is done by the owner's overlay before that. FINISHED and FAILED come from the worker and don't depend on the copy.

The renewer now collects the tasks that seem lost in a round and records those that are still active by a state as new as the suspicion: a read of the log's end began after it, for which the renewer asks at most once a round, limited by call_timeout_s; or, without the log, every possible claimant's digest that was made after it shows no newer record. A peer that forgets a task on its worker has applied the record of its end before, so that its later digest shows it. Leases are renewed as before.

--- a/cardamomcroft/membership/freshness.py
+++ b/cardamomcroft/membership/freshness.py
@@ -37,3 +37,19 @@
         if not self._replica.caught_up:
             return False
         return self._membership.all_answered(self._limit)
+
+    def is_complete_as_of(
+        self, at: datetime.timedelta, call_limit: datetime.timedelta
+    ) -> bool:
+        """Return whether every record that an instance read by then is here.
+
+        Either the log's end was read since, or every regional instance sent
+        a digest since without a newer record. A digest that arrives within
+        ``call_limit`` may have been made before.
+        """
+        confirmed_at = self._replica.confirmed_at
+        if confirmed_at is not None and confirmed_at >= at:
+            return True
+        return self._replica.caught_up and self._membership.none_ahead(
+            self._replica.state.applied, at + call_limit
+        )
--- a/cardamomcroft/membership/members.py
+++ b/cardamomcroft/membership/members.py
@@ -188,6 +188,19 @@
             if self._may_claim_here(member)
         )
 
+    def none_ahead(self, applied: int, since: datetime.timedelta) -> bool:
+        """Return whether every possible claimant's digest shows no more.
+
+        Only a digest that arrived at ``since`` or later counts.
+        """
+        return all(
+            member.digest is not None
+            and member.last_digest_at >= since
+            and member.digest.applied <= applied
+            for member in self.regional()
+            if self._may_claim_here(member)
+        )
+
     def _may_claim_here(self, member: Member) -> bool:
         if member.digest is not None:
             return True
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -18,6 +18,7 @@
 from cardamomcroft.settings import instance
 from cardamomcroft.state import models
 from cardamomcroft.workers import fleet as fleets
+from cardamomcroft.workers import losses
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +60,9 @@
         self._metrics = metrics
         self._timing = timing
         self._fleet = fleets.Fleet()
+        self._losses = losses.Losses(
+            replica, overlay, freshness, clock, timing
+        )
         self._unresponsive_since: dict[str, datetime.timedelta] = {}
         self._sent_checksums: dict[str, str] = {}
         self._ended_tasks: dict[str, dict[messages.TaskId, EndedTask]] = {}
@@ -77,12 +81,14 @@
             self._metrics.increment("renewer.stale")
             return
         state = self._overlay.state()
-        await asyncio.gather(
-            *(
-                self._renew(worker_id, state)
-                for worker_id in self._assigned(state)
-            )
+        assigned = self._assigned(state)
+        found = await asyncio.gather(
+            *(self._renew(worker_id, state) for worker_id in assigned)
         )
+        suspected = dict(zip(assigned, found, strict=True))
+        lost = await self._losses.confirm(suspected)
+        for worker_id, ends in lost.items():
+            self._submit_ends(worker_id, ends)
 
     def _assigned(self, state: models.State) -> list[str]:
         live = self._membership.live_ids(self._region)
@@ -103,7 +109,10 @@
             for placement in record.body.placements
         }
 
-    async def _renew(self, worker_id: str, state: models.State) -> None:
+    async def _renew(
+        self, worker_id: str, state: models.State
+    ) -> tuple[records.TaskEnd, ...]:
+        """Renew on a worker and return the ends of tasks that seem lost."""
         tasks = tuple(state.tasks_by_worker.get(worker_id, ()))
         claim = state.claims.get(self._region)
         checksum = messages.checksum(tasks)
@@ -126,10 +135,11 @@
             self._sent_checksums[worker_id] = checksum
             self._unresponsive_since.pop(worker_id, None)
             self._handle_inventory(worker_id, tasks, result.ok)
-            return
+            return missing_ends(tasks, result.ok)
         self._metrics.increment("renewer.failed")
-        if result.error.reason is not verdict.Reason.STALE:
-            self._record_missed_renewal(worker_id, tasks)
+        if result.error.reason is verdict.Reason.STALE:
+            return ()
+        return self._unreachable_ends(worker_id, tasks)
 
     def _handle_inventory(
         self,
@@ -145,8 +155,8 @@
         ends = tuple(
             end
             for task in expected
-            if task in report_by_task or inventory.is_whole
-            if (end := task_end(task, report_by_task.get(task)))
+            if (report := report_by_task.get(task))
+            if (end := task_end(report))
         )
         self._submit_ends(
             worker_id, ends + self._late_finishes(inventory, ends)
@@ -197,21 +207,16 @@
             if is_settled(jobs.get(task.job_id), ended, confirmed_at)
         )
 
-    def _record_missed_renewal(
+    def _unreachable_ends(
         self, worker_id: str, tasks: tuple[messages.TaskId, ...]
-    ) -> None:
+    ) -> tuple[records.TaskEnd, ...]:
         now = self._clock.monotonic()
         since = self._unresponsive_since.setdefault(worker_id, now)
         if now - since < self._timing.duration("lease"):
-            return
-        self._submit_ends(
-            worker_id,
-            tuple(
-                records.TaskEnd(
-                    task, records.EndKind.LOST, "worker unreachable"
-                )
-                for task in tasks
-            ),
+            return ()
+        return tuple(
+            records.TaskEnd(task, records.EndKind.LOST, "worker unreachable")
+            for task in tasks
         )
 
     def _submit_ends(
@@ -232,14 +237,25 @@
         return any(record.body == body for record in self._appender.pending())
 
 
-def task_end(
-    task: messages.TaskId, report: messages.TaskReport | None
-) -> records.TaskEnd | None:
-    """Return the completion of a task, or None while it is active."""
-    if report is None:
-        return records.TaskEnd(
+def missing_ends(
+    expected: tuple[messages.TaskId, ...], inventory: messages.Inventory
+) -> tuple[records.TaskEnd, ...]:
+    """Return the ends of expected tasks that a whole inventory lacks."""
+    if not inventory.is_whole:
+        return ()
+    reported = {report.task for report in inventory.tasks}
+    return tuple(
+        records.TaskEnd(
             task, records.EndKind.LOST, "task missing on its worker"
         )
+        for task in expected
+        if task not in reported
+    )
+
+
+def task_end(report: messages.TaskReport) -> records.TaskEnd | None:
+    """Return the completion of a task, or None while it is active."""
+    task = report.task
     match report.phase:
         case messages.TaskPhase.FINISHED:
             return records.TaskEnd(task, records.EndKind.FINISHED)
--- a/tests/workers/test_renewer.py
+++ b/tests/workers/test_renewer.py
@@ -1,7 +1,9 @@
 """Test what a renewer concludes from a copy that lacks the newest records."""
 
+from cardamomcroft.membership import members
 from cardamomcroft.ports import messages
 from cardamomcroft.standin import log
+from cardamomcroft.standin import workers
 from cardamomcroft.state import models
 from tests import harness
 
@@ -32,9 +34,9 @@
     """Cut one of two instances off from the log and its peer's records."""
 
     async def asyncSetUp(self) -> None:
-        """Start two instances."""
+        """Start two instances; the one that isn't the owner renews w1."""
         await super().asyncSetUp()
-        self.cluster = harness.FakeCluster(instance_count=2)
+        self.cluster = harness.FakeCluster(2, worker_count=1)
         await self.cluster.ready()
         self.owner = self.cluster.owner
         [self.other] = [
@@ -42,6 +44,11 @@
             for node in self.cluster.nodes.values()
             if node is not self.owner
         ]
+        self.worker = self.cluster.workers.by_id["w1"]
+        self.assertEqual(
+            self.other.settings.instance_id,
+            members.rank("w1", tuple(self.cluster.ids))[0],
+        )
 
     async def lose_log(self, node) -> InstanceLog:
         """Cut a node's link to the log and stop its catching up."""
@@ -61,7 +68,7 @@
         job_id = await self.cluster.submit(
             self.owner.settings.instance_id,
             members=4,
-            accelerators=8,
+            accelerators=2,
             run_s=0.5,
         )
         await self.cluster.advance(10)
@@ -76,7 +83,7 @@
 
     async def test_result_of_job_that_is_long_gone_is_forgotten(self):
         task = messages.TaskId("job-gone", 1, 0)
-        worker = self.cluster.workers.by_id["w1"]
+        worker = self.worker
         worker.reserve(
             messages.Reserve(task, worker.fence, messages.Cell(0, 1), 2.0)
         )
@@ -88,3 +95,70 @@
             lambda: task not in worker._tasks, 10
         )
         self.assertTrue(forgotten)
+
+    async def _end_member_unseen(self) -> tuple[str, InstanceLog]:
+        """End a member while the owner lacks the log; then start a gang."""
+        gang = {"members": 2, "accelerators": 2, "run_s": 60.0}
+        job_id = await self.cluster.submit(**gang)
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        self.worker.faults.refused["reserve"] = 1000
+        waiting = await self.cluster.submit(**gang)
+        link = await self.lose_log(self.owner)
+        first = self.cluster.job(job_id).task(0)
+        tasks = self.worker._tasks
+        tasks[first].ends_at = self.cluster.clock.monotonic()
+        await self.cluster.until(lambda: first not in tasks)
+        self.assertIn(0, self.cluster.job(job_id).finished)
+        self.assertNotIn(0, self.owner.replica.state.jobs[job_id].finished)
+        self.worker.faults.refused["reserve"] = 0
+        await self.cluster.until(lambda: self.cluster.runs(waiting))
+        return job_id, link
+
+    async def test_member_that_partial_copy_misses_ends_no_gang(self):
+        job_id, link = await self._end_member_unseen()
+        await self.cluster.advance(10)
+        link.down = False
+        await self.cluster.reach(job_id, models.Phase.COMPLETED, 120)
+        job = self.cluster.job(job_id)
+        self.assertEqual((models.Phase.COMPLETED, 1), (job.phase, job.starts))
+        self.assertEqual(2, len(self.cluster.runs(job_id)))
+
+    async def test_worker_that_partial_copy_cannot_reach_ends_no_gang(self):
+        job_id, link = await self._end_member_unseen()
+        reachable = self.owner.renewer._workers
+        unreachable = workers.StandinWorkers(self.cluster.clock)
+        self.owner.renewer._workers = unreachable
+        await self.cluster.advance(20)
+        self.assertGreater(unreachable.injected["worker_unreachable"], 6)
+        self.owner.renewer._workers = reachable
+        link.down = False
+        await self.cluster.reach(job_id, models.Phase.COMPLETED, 120)
+        self.assertEqual(1, self.cluster.job(job_id).starts)
+
+    async def test_member_lost_in_outage_of_all_is_noticed_in_outage(self):
+        job_id = await self.cluster.submit(members=2, run_s=30.0)
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        self.cluster.log.down = True
+        await self.cluster.advance(4)
+        self.worker.lose()
+        settled = await self.cluster.until(
+            lambda: (
+                self.owner.overlay.state().jobs[job_id].phase
+                is models.Phase.QUEUED
+            ),
+            10,
+        )
+        self.assertTrue(settled)
+        self.assert_injected("log_down")
+        self.cluster.log.down = False
+        await self.cluster.reach(job_id, models.Phase.COMPLETED)
+        self.assertEqual(2, self.cluster.job(job_id).starts)
+
+    async def test_lost_member_is_replaced_within_one_renewal_period(self):
+        job_id = await self.cluster.submit(members=2, run_s=30.0)
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        self.worker.lose()
+        restarted = await self.cluster.until(
+            lambda: len(self.cluster.runs(job_id)) == 4, 4
+        )
+        self.assertTrue(restarted)
