Fence a large region in groups that a slow link carries

By calculation, on a slow link a new owner of a region of the two-year size hears no worker until it gives up after self_lease_s + hold_s + lease_s; until then no job starts, and it adopts no gang that its predecessor left unrecorded.

Cause: a takeover called all unfenced workers at once, each call with call_timeout_s (1 s). The answers of 467 workers are 1.08 MB (docs/CAPACITY.md, Takeover).

Ruled out: time-outs by progress, as for pages of the log: each answer is a packet or two, so that nothing of a late one shows progress. Renewals of 17 workers an instance: 39 KB, 0.07 s.

A round now fences 64 workers at a time, which is 0.15 MB, and ends after a group with a failure or after call_timeout_s, so that it takes at most two time-outs. Workers that failed come last. Answers are kept between rounds, as before.

--- a/cardamomcroft/jobs/takeover.py
+++ b/cardamomcroft/jobs/takeover.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 
 import structlog
 
@@ -13,6 +14,8 @@
 from cardamomcroft.settings import instance
 from cardamomcroft.state import models
 
+MAX_CALLS = 64  # 150 KB of answers, which 1.2 Mbit/s carries in 1 s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedTask:
@@ -37,6 +40,7 @@
         self.started_at = clock.monotonic()
         self.is_settled = False
         self.reports_by_worker: dict[str, tuple[messages.TaskReport, ...]] = {}
+        self._failures: collections.Counter[str] = collections.Counter()
         self._workers = workers
         self._clock = clock
         self._timing = timing
@@ -52,12 +56,7 @@
         The takeover settles when every worker is fenced, or when any lease
         renewed for a former owner must have expired.
         """
-        unfenced = [
-            worker_id
-            for worker_id in worker_ids
-            if worker_id not in self.reports_by_worker
-        ]
-        await asyncio.gather(*map(self._fence, unfenced))
+        await self._fence_all(worker_ids)
         waited = self._clock.monotonic() - self.started_at
         all_fenced = all(map(self.is_fenced, worker_ids))
         if all_fenced or waited >= launch.lease_expiry_bound(self._timing):
@@ -69,11 +68,33 @@
                 waited_s=waited.total_seconds(),
             )
 
+    async def _fence_all(self, worker_ids: tuple[str, ...]) -> None:
+        """Fence group by group, those that failed last.
+
+        A round ends with a group that has a failure or is slow, so that it
+        takes two time-outs of a call at most.
+        """
+        slow_at = self._clock.monotonic() + self._timing.duration(
+            "call_timeout"
+        )
+        unfenced = sorted(
+            itertools.filterfalse(self.is_fenced, worker_ids),
+            key=self._failures.__getitem__,
+        )
+        for start in range(0, len(unfenced), MAX_CALLS):
+            group = unfenced[start : start + MAX_CALLS]
+            await asyncio.gather(*map(self._fence, group))
+            is_slow = self._clock.monotonic() >= slow_at
+            if is_slow or not all(map(self.is_fenced, group)):
+                return
+
     async def _fence(self, worker_id: str) -> None:
         command = messages.Renew(self.epoch, self._timing.lease_s)
         result = await self._workers.renew(worker_id, command)
         if result.is_ok():
             self.reports_by_worker[worker_id] = result.ok.tasks
+        else:
+            self._failures[worker_id] += 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
