--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -18,6 +18,15 @@
 from cardamomcroft.settings import instance
 from cardamomcroft.state import models
 from cardamomcroft.workers import fleet as fleets
+from cardamomcroft.workers import losses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedTask:
+    """Pair a report of an ended task with the time it first arrived."""
+
+    report: messages.TaskReport
+    reported_at: datetime.timedelta
 
 
 class LeaseRenewer:
@@ -51,9 +60,12 @@
         self._metrics = metrics
         self._timing = timing
         self._fleet = fleets.Fleet()
+        self._losses = losses.Losses(
+            replica, overlay, freshness, clock, timing
+        )
         self._unresponsive_since: dict[str, datetime.timedelta] = {}
         self._sent_checksums: dict[str, str] = {}
-        self._settled_tasks: dict[str, tuple[messages.TaskId, ...]] = {}
+        self._ended_tasks: dict[str, dict[messages.TaskId, EndedTask]] = {}
         self._logger = structlog.get_logger()
 
     async def run(self) -> None:
@@ -69,12 +81,14 @@
             self._metrics.increment("renewer.stale")
             return
         state = self._overlay.state()
-        await asyncio.gather(
-            *(
-                self._renew(worker_id, state)
-                for worker_id in self._assigned(state)
-            )
+        assigned = self._assigned(state)
+        found = await asyncio.gather(
+            *(self._renew(worker_id, state) for worker_id in assigned)
         )
+        suspected = dict(zip(assigned, found, strict=True))
+        lost = await self._losses.confirm(suspected)
+        for worker_id, ends in lost.items():
+            self._submit_ends(worker_id, ends)
 
     def _assigned(self, state: models.State) -> list[str]:
         live = self._membership.live_ids(self._region)
@@ -95,7 +109,10 @@
             for placement in record.body.placements
         }
 
-    async def _renew(self, worker_id: str, state: models.State) -> None:
+    async def _renew(
+        self, worker_id: str, state: models.State
+    ) -> tuple[records.TaskEnd, ...]:
+        """Renew on a worker and return the ends of tasks that seem lost."""
         tasks = tuple(state.tasks_by_worker.get(worker_id, ()))
         claim = state.claims.get(self._region)
         checksum = messages.checksum(tasks)
@@ -105,7 +122,7 @@
             self._timing.lease_s,
             None if is_known else tasks,
             checksum,
-            self._settled_tasks.pop(worker_id, ()),
+            self._settled(worker_id),
         )
         result = await self._workers.renew(worker_id, command)
         if is_known and result.is_error():
@@ -118,10 +135,11 @@
             self._sent_checksums[worker_id] = checksum
             self._unresponsive_since.pop(worker_id, None)
             self._handle_inventory(worker_id, tasks, result.ok)
-            return
+            return missing_ends(tasks, result.ok)
         self._metrics.increment("renewer.failed")
-        if result.error.reason is not verdict.Reason.STALE:
-            self._record_missed_renewal(worker_id, tasks)
+        if result.error.reason is verdict.Reason.STALE:
+            return ()
+        return self._unreachable_ends(worker_id, tasks)
 
     def _handle_inventory(
         self,
@@ -137,13 +155,13 @@
         ends = tuple(
             end
             for task in expected
-            if task in report_by_task or inventory.is_whole
-            if (end := task_end(task, report_by_task.get(task)))
+            if (report := report_by_task.get(task))
+            if (end := task_end(report))
         )
         self._submit_ends(
             worker_id, ends + self._late_finishes(inventory, ends)
         )
-        self._settled_tasks[worker_id] = self._settled(inventory)
+        self._keep_ended(worker_id, inventory)
 
     def _late_finishes(
         self,
@@ -167,33 +185,38 @@
             if is_wrongly_lost(jobs.get(task.job_id), task)
         )
 
-    def _settled(
-        self, inventory: messages.Inventory
-    ) -> tuple[messages.TaskId, ...]:
-        jobs = self._replica.state.jobs
-        return tuple(
-            report.task
+    def _keep_ended(
+        self, worker_id: str, inventory: messages.Inventory
+    ) -> None:
+        now = self._clock.monotonic()
+        known = self._ended_tasks.get(worker_id, {})
+        self._ended_tasks[worker_id] = {
+            report.task: known.get(report.task, EndedTask(report, now))
             for report in inventory.tasks
             if report.phase
             in (messages.TaskPhase.FINISHED, messages.TaskPhase.FAILED)
-            and is_settled(jobs.get(report.task.job_id), report)
+        }
+
+    def _settled(self, worker_id: str) -> tuple[messages.TaskId, ...]:
+        """Return the ended tasks that the worker can forget."""
+        jobs = self._replica.state.jobs
+        confirmed_at = self._replica.confirmed_at
+        return tuple(
+            task
+            for task, ended in self._ended_tasks.get(worker_id, {}).items()
+            if is_settled(jobs.get(task.job_id), ended, confirmed_at)
         )
 
-    def _record_missed_renewal(
+    def _unreachable_ends(
         self, worker_id: str, tasks: tuple[messages.TaskId, ...]
-    ) -> None:
+    ) -> tuple[records.TaskEnd, ...]:
         now = self._clock.monotonic()
         since = self._unresponsive_since.setdefault(worker_id, now)
         if now - since < self._timing.duration("lease"):
-            return
-        self._submit_ends(
-            worker_id,
-            tuple(
-                records.TaskEnd(
-                    task, records.EndKind.LOST, "worker unreachable"
-                )
-                for task in tasks
-            ),
+            return ()
+        return tuple(
+            records.TaskEnd(task, records.EndKind.LOST, "worker unreachable")
+            for task in tasks
         )
 
     def _submit_ends(
@@ -214,14 +237,25 @@
         return any(record.body == body for record in self._appender.pending())
 
 
-def task_end(
-    task: messages.TaskId, report: messages.TaskReport | None
-) -> records.TaskEnd | None:
-    """Return the completion of a task, or None while it is active."""
-    if report is None:
-        return records.TaskEnd(
+def missing_ends(
+    expected: tuple[messages.TaskId, ...], inventory: messages.Inventory
+) -> tuple[records.TaskEnd, ...]:
+    """Return the ends of expected tasks that a whole inventory lacks."""
+    if not inventory.is_whole:
+        return ()
+    reported = {report.task for report in inventory.tasks}
+    return tuple(
+        records.TaskEnd(
             task, records.EndKind.LOST, "task missing on its worker"
         )
+        for task in expected
+        if task not in reported
+    )
+
+
+def task_end(report: messages.TaskReport) -> records.TaskEnd | None:
+    """Return the completion of a task, or None while it is active."""
+    task = report.task
     match report.phase:
         case messages.TaskPhase.FINISHED:
             return records.TaskEnd(task, records.EndKind.FINISHED)
@@ -240,13 +274,23 @@
     return task.member in job.ended and task.member not in job.finished
 
 
-def is_settled(job: models.Job | None, report: messages.TaskReport) -> bool:
-    """Return whether the log needs no further record of an ended task."""
-    if job is None or job.phase.is_final:
+def is_settled(
+    job: models.Job | None,
+    ended: EndedTask,
+    confirmed_at: datetime.timedelta | None,
+) -> bool:
+    """Return whether the log needs no further record of an ended task.
+
+    A job is submitted before its tasks run. So an unknown job is long gone
+    only if the log's end was read after the task was reported.
+    """
+    if job is None:
+        return confirmed_at is not None and confirmed_at >= ended.reported_at
+    if job.phase.is_final:
         return True
-    task = report.task
+    task = ended.report.task
     if job.attempt != task.attempt:
         return job.attempt > task.attempt
-    if report.phase is messages.TaskPhase.FINISHED:
+    if ended.report.phase is messages.TaskPhase.FINISHED:
         return task.member in job.finished
     return task.member in job.ended
