Test the lease of a run that a successor inherits

Suspected by reading: after the first inventory, the grant that was computed from an old clock reading might count as the only one, so that a run starts again while the predecessor's lease still holds. Refuted: the next poll grants by the clock of the inventory before it can fail. The test passes before and after; it guards this order.

--- a/tests/scheduling/test_worker_polling.py
+++ b/tests/scheduling/test_worker_polling.py
@@ -3,6 +3,7 @@
 import collections
 import datetime
 
+from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import ledger as ledgers
@@ -135,3 +136,44 @@
         self.assertEqual(again, task)
         self.assertNotEqual(other, slow)
         self.assertFalse(self.fleet.duplicate_starts)
+
+
+class InheritedLeaseTest(harness.SchedulingTestCase):
+    """A worker falls silent after its first answer to a new scheduler."""
+
+    duration = harness.seconds(120)
+
+    async def start_cut_by_successor(self) -> None:
+        """Let a successor take over; cut the worker at its next poll."""
+        self.start_node("a")
+        self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running())
+        await self.pass_time(30)
+        ((_, worker_id),) = self.fleet.running()
+        self.store.put(store.Stream.SERVERS, worker_id, None)
+        self.kill("a")
+        renew = self.fleet.renew_lease
+        answers = []
+
+        async def answer_once(address, order, timeout):
+            if address.worker_id != worker_id:
+                return await renew(address, order, timeout)
+            self.fleet.workers_by_id[worker_id].is_cut = bool(answers)
+            result = await renew(address, order, timeout)
+            answers.append(result)
+            return result
+
+        self.fleet.renew_lease = answer_once
+        self.start_node("b")
+        await self.wait_until(lambda: len(answers) > 1)
+        self.assertTrue(self.fleet.injected["unreachable"])
+
+    async def test_lease_of_the_predecessor_outlives_the_first_inventory(self):
+        """A successor with an old clock reading starts no second run."""
+        self.add_workers(2)
+        await self.start_cut_by_successor()
+        limit = harness.PARAMETERS.max_grant_duration.total_seconds() + 2
+        await self.wait_until(
+            lambda: self.fleet.intervals and self.fleet.running(), limit
+        )
+        self.assertIs(self.fleet.intervals[0].end, fleet.End.LAPSED)
