Hold back a record that the store can never take, alone

Callers saw: with one record of a job's progress or a worker's assignment over 256 KiB, nothing of the scheduler became durable any more, of no job.

Ruled out: the bound of 64 KiB of an append, which one larger record exceeds by itself.

An earlier value that fits is still appended. A commit that names keys is true if they are durable; one without keys, by which ends are acknowledged, is false while any job's progress is held back, and then waits for the next renewal, so that repeated commits cause no appends of their own. To keep the rule of KIND_ORDER, a worker's assignment goes on to name the tasks done whose record is held back: a successor asks the worker before it runs them. Starts for which a worker's record has no room are withdrawn, by halves until the rest fits, and planned again.

Commits repeated at once for 4 s beside a record held back cause at most 11 appends.

Open: ends are not acknowledged on any worker while one job's record is held back, as worker_polling does not say which jobs an end belongs to.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -115,6 +115,8 @@
         worker = self.workers_by_id.get(run.worker_id)
         if worker and worker.runs_by_task.get(run.name) is run:
             del worker.runs_by_task[run.name]
+            if index in step.done and self._is_held(step.job):
+                worker.unrecorded_by_task[run.name] = run
         if run.checkpoint:
             self._keep_checkpoint(run)
         self.wake()
@@ -133,7 +135,21 @@
         key = ledgers.Kind.PROGRESS.key(job.job.job_id)
         max_bytes = codec.MAX_RECORD_BYTES - codec.record_bytes(key, None)
         value = codec.encode_progress(job.progress(ended_at), max_bytes)
+        was_held = self._is_held(job)
         self.journal.stage(key, value)
+        if was_held and not self._is_held(job):
+            self._forget_unrecorded(job)
+
+    def _is_held(self, job: runs.JobState) -> bool:
+        key = ledgers.Kind.PROGRESS.key(job.job.job_id)
+        return self.journal.is_held(key)
+
+    def _forget_unrecorded(self, job: runs.JobState) -> None:
+        """Drop the job's ends, which the next flush records."""
+        for worker in self.workers_by_id.values():
+            for name, run in list(worker.unrecorded_by_task.items()):
+                if run.step.job is job:
+                    del worker.unrecorded_by_task[name]
 
     def stage_assignment(self, worker: runs.Worker) -> None:
         """Stage the record of a worker's runs for the next flush."""
@@ -203,7 +219,8 @@
 
     async def report_durable_end(self, job: runs.JobState) -> None:
         """Report a job's end once it is durable."""
-        if not await self.journal.commit():
+        key = ledgers.Kind.PROGRESS.key(job.job.job_id)
+        if not await self.journal.commit({key}):
             return
         took_s = (self.clock.monotonic() - job.accepted_at).total_seconds()
         queue, account = job.job.queue.name, job.job.account
--- a/cardamomcroft/scheduling/journal.py
+++ b/cardamomcroft/scheduling/journal.py
@@ -61,6 +61,7 @@
         self.claim = claim
         self._sequence = 0
         self._staged: dict[str, bytes | None] = {}
+        self._held_keys: set[str] = set()
         self._waiters: list[asyncio.Future] = []
         self._wake = asyncio.Event()
         self.is_claim_lost = False
@@ -70,17 +71,50 @@
         self.on_claim_lost: collections.abc.Callable[[], None] | None = None
 
     def stage(self, key: str, value: bytes | None) -> None:
-        """Add a record to the next flush, replacing one of the same key."""
+        """Add a record to the next flush, replacing one of the same key.
+
+        One that the store can never take is held back, alone.
+        """
+        size = codec.record_bytes(key, value)
+        if size > codec.MAX_RECORD_BYTES:
+            if key not in self._held_keys:
+                self._held_keys.add(key)
+                self._log.emit("record_held_back", key=key, size=size)
+            return
+        self._held_keys.discard(key)
         self._staged.pop(key, None)
         self._staged[key] = value
 
-    async def commit(self) -> bool:
-        """Wait until all staged records are durable; False if fenced off."""
+    def is_held(self, key: str) -> bool:
+        """Return whether the newest record of a key is held back."""
+        return key in self._held_keys
+
+    async def commit(
+        self, keys: collections.abc.Set[str] | None = None
+    ) -> bool:
+        """Wait until all staged records are durable; False if fenced off.
+
+        False also if one of ``keys`` is held back; without ``keys``, if the
+        progress of any job is, on which ends of tasks may depend.
+        """
+        if keys is None:
+            keys = {
+                key
+                for key in self._held_keys
+                if key.startswith(ledger.Kind.PROGRESS.value)
+            }
+        is_complete = not self._held_keys & keys
+        return await self._commit_staged(is_complete) and is_complete
+
+    async def _commit_staged(self, is_urgent: bool = True) -> bool:
         if self.is_claim_lost:
             return False
         future = asyncio.get_running_loop().create_future()
         self._waiters.append(future)
-        self._wake.set()
+        # Callers that get False try again, which must not cause an append
+        # each time.
+        if is_urgent:
+            self._wake.set()
         return await future
 
     async def run(self) -> None:
@@ -171,7 +205,7 @@
     async def release(self) -> bool:
         """Release the claim, so that a successor need not wait."""
         self._is_released = True
-        done = await self.commit()
+        done = await self._commit_staged()
         self.lose_claim("released")
         return done
 
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -6,6 +6,7 @@
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import capacity as capacities
 from cardamomcroft.scheduling import cluster_state
+from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import planning
 from cardamomcroft.scheduling import runs
@@ -16,6 +17,7 @@
 MAX_CONFIRMATION_AGE = datetime.timedelta(seconds=1.0)
 # A job's objective allows for one advice call per step, on 30 workers.
 MAX_ADVISED_WORKERS = 30  # named in one call
+FULL_RECORD_AVOIDANCE = datetime.timedelta(seconds=1)
 ADVICE_RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 
 
@@ -95,7 +97,10 @@
             batch.append(run)
         self._mark_remote(batch)
         self._stage_starts(batch)
-        self._cluster.spawn(self._send_when_confirmed(batch))
+        self._withdraw_unrecordable(batch)
+        batch = [run for run in batch if run.phase is runs.Phase.ASSIGNED]
+        if batch:
+            self._cluster.spawn(self._send_when_confirmed(batch))
 
     def _mark_remote(self, batch: list[runs.Run]) -> None:
         """Mark runs that take longer: away from data, or across racks."""
@@ -121,10 +126,34 @@
                 job.is_start_recorded = True
                 self._cluster.stage_progress(job)
 
+    def _withdraw_unrecordable(self, batch: list[runs.Run]) -> None:
+        """Withdraw starts on workers with too many runs for a record."""
+        batch_by_worker = collections.defaultdict(list)
+        for run in batch:
+            batch_by_worker[run.worker_id].append(run)
+        for worker_id, assigned in batch_by_worker.items():
+            worker = self._cluster.workers_by_id[worker_id]
+            key = ledgers.Kind.ASSIGNMENT.key(worker_id)
+            while assigned and self._cluster.journal.is_held(key):
+                half = len(assigned) // 2
+                self._withdraw(worker, assigned[half:])
+                assigned = assigned[:half]
+                self._cluster.stage_assignment(worker)
+
+    def _withdraw(self, worker: runs.Worker, starts: list[runs.Run]) -> None:
+        avoid_until = self._cluster.clock.monotonic() + FULL_RECORD_AVOIDANCE
+        worker.avoid_until = max(worker.avoid_until, avoid_until)
+        for run in starts:
+            if run.step.model.is_gang:
+                self._orders.stop_gang(run.step, "worker's record full")
+            else:
+                self._orders.stop(run, "worker's record full")
+
     async def _send_when_confirmed(self, batch: list[runs.Run]) -> None:
         """Send the starts once their record has confirmed the claim."""
+        keys = {ledgers.Kind.ASSIGNMENT.key(run.worker_id) for run in batch}
         while True:
-            if not await self._cluster.journal.commit():
+            if not await self._cluster.journal.commit(keys):
                 return
             age = (
                 self._cluster.clock.monotonic()
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -221,6 +221,9 @@
         self.listing: fleet.Listing | None = None
         self.listed_at = _ZERO
         self.runs_by_task: dict[str, Run] = {}
+        # Done, but the record of it is held back: a successor must ask the
+        # worker before it runs the task.
+        self.unrecorded_by_task: dict[str, Run] = {}
         self.has_inventory = True
         self.received_end = 0  # number of the last end processed
         self.durable_end = 0  # last end whose effect is durable
@@ -288,5 +291,12 @@
         return codec.Assignment(
             self.address.host_port,
             self.born_ms,
-            {name: run.number for name, run in self.runs_by_task.items()},
+            {
+                name: run.number
+                for runs_by_task in (
+                    self.unrecorded_by_task,
+                    self.runs_by_task,
+                )
+                for name, run in runs_by_task.items()
+            },
         )
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -234,7 +234,8 @@
         for worker_id, worker in list(self.cluster.workers_by_id.items()):
             if worker_id not in listings and self._directory.is_loaded:
                 worker.listing = None
-                if not worker.runs_by_task and worker.has_inventory:
+                has_runs = worker.runs_by_task or worker.unrecorded_by_task
+                if not has_runs and worker.has_inventory:
                     del self.cluster.workers_by_id[worker_id]
                     if worker.has_assignment_record:
                         key = ledgers.Kind.ASSIGNMENT.key(worker_id)
--- a/tests/scheduling/test_journal.py
+++ b/tests/scheduling/test_journal.py
@@ -198,6 +198,79 @@
         self.assertEqual(holders[-1], "")
         self.assertEqual(set(holders[:-1]), {CLAIM.holder})
 
+    async def test_record_that_never_fits_holds_no_other_back(self):
+        """All others become durable and the claim is renewed."""
+        unfit = ledgers.Kind.PROGRESS.key("unfit")
+        self.journal.stage(unfit, b"x" * standin_store.MAX_RECORD_BYTES)
+        keys = self.stage(ledgers.Kind.PROGRESS, 3, 9)
+        keys += self.stage(ledgers.Kind.ASSIGNMENT, 3, 9)
+        commit = asyncio.ensure_future(self.journal.commit())
+        # Nothing that may depend on the record counts as durable.
+        self.assertFalse(await self.wait_for(commit, 2))
+        self.assertEqual([record.key for record in self.records()], keys)
+        commit = asyncio.ensure_future(self.journal.commit({unfit}))
+        self.assertFalse(await self.wait_for(commit, 2))
+        commit = asyncio.ensure_future(self.journal.commit(set(keys)))
+        self.assertTrue(await self.wait_for(commit, 2))
+        for _ in range(500):
+            await self.clock.advance(STEP)
+            self.follow()
+        self.assertFalse(self.journal.is_claim_lost)
+        self.assertLess(self.max_silence, candidate.HOLDER_TIMEOUT / 2)
+        self.assertNotIn("too_large", self.service.injected)
+
+    async def test_commits_beside_a_record_held_back_append_rarely(self):
+        """Callers that try again at once don't fill the store."""
+        unfit = ledgers.Kind.PROGRESS.key("unfit")
+        self.journal.stage(unfit, b"x" * standin_store.MAX_RECORD_BYTES)
+        until = self.clock.monotonic() + harness.seconds(4)
+        count = len(self.claims())
+        while self.clock.monotonic() < until:
+            commit = asyncio.ensure_future(self.journal.commit())
+            self.assertFalse(await self.wait_for(commit, 2))
+        self.assertLessEqual(len(self.claims()) - count, 11)
+
+    async def test_record_held_back_is_logged_once(self):
+        """One event with the key and the size, however often it's staged."""
+        with mock.patch.object(
+            self.journal._log, "emit", autospec=True
+        ) as emit:
+            for size in (300_000, 300_001):
+                self.journal.stage("p/unfit", b"x" * size)
+        emit.assert_called_once_with(
+            "record_held_back", key="p/unfit", size=300_008
+        )
+
+    async def test_record_that_fits_again_becomes_durable(self):
+        """A commit is true only after the newest record is stored."""
+        key = ledgers.Kind.PROGRESS.key("unfit")
+        self.journal.stage(key, b"1")
+        self.journal.stage(key, b"x" * standin_store.MAX_RECORD_BYTES)
+        held = asyncio.ensure_future(self.journal.commit({key}))
+        await asyncio.sleep(0)
+        self.journal.stage(key, b"2")
+        self.assertFalse(await self.wait_for(held, 2))
+        commit = asyncio.ensure_future(self.journal.commit({key}))
+        self.assertTrue(await self.wait_for(commit, 2))
+        self.assertEqual(self.records()[-1].value, b"2")
+
+    async def test_earlier_record_of_one_held_back_becomes_durable(self):
+        """A record that callers wait for isn't replaced by one held back."""
+        key = ledgers.Kind.PROGRESS.key("unfit")
+        self.journal.stage(key, b"1")
+        commit = asyncio.ensure_future(self.journal.commit({key}))
+        await asyncio.sleep(0)
+        self.journal.stage(key, b"x" * standin_store.MAX_RECORD_BYTES)
+        self.assertTrue(await self.wait_for(commit, 2))
+        self.assertEqual([r.value for r in self.records()], [b"1"])
+
+    async def test_release_beside_a_record_held_back(self):
+        """A planned stop hands the role over at once."""
+        self.journal.stage("p/unfit", b"x" * standin_store.MAX_RECORD_BYTES)
+        release = asyncio.ensure_future(self.journal.release())
+        self.assertTrue(await self.wait_for(release, 2))
+        self.assertEqual(self.claims()[-1].holder, "")
+
 
 @mock.patch.object(journals, "MAX_APPEND_BYTES", 1)
 class CrashBetweenAppendsTest(harness.SchedulingTestCase):
