--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -165,14 +165,19 @@
         ]
 
     def progress(self, ended_at: float) -> codec.Progress:
-        """Return the job's durable state."""
+        """Return the job's durable state; of an ended job without steps."""
+        if self.final_state:
+            return codec.Progress(self.final_state, {}, ended_at)
         state = "running" if self.is_start_recorded else "queued"
         steps = {
             key: step.progress()
             for key, step in self.steps_by_key.items()
             if step.done or step.failures_by_index or step.checkpoints_by_index
         }
-        return codec.Progress(self.final_state or state, steps, ended_at)
+        done_keys = frozenset(
+            key for key in steps if self.steps_by_key[key].is_done
+        )
+        return codec.Progress(state, steps, ended_at, done_keys)
 
 
 def make_job_state(
@@ -188,7 +193,9 @@
     for occurrence in range(job.occurrences):
         for number, model in enumerate(job.steps):
             known = codec.StepProgress()
-            if progress:
+            if progress and (occurrence, number) in progress.done_keys:
+                known = codec.StepProgress(frozenset(range(model.width)))
+            elif progress:
                 known = progress.steps_by_key.get((occurrence, number), known)
             state.steps_by_key[occurrence, number] = StepState(
                 state,
@@ -214,6 +221,9 @@
         self.listing: fleet.Listing | None = None
         self.listed_at = _ZERO
         self.runs_by_task: dict[str, Run] = {}
+        # Done, but the record of it is held back: a successor must ask the
+        # worker before it runs the task.
+        self.unrecorded_by_task: dict[str, Run] = {}
         self.has_inventory = True
         self.unanswered_polls = 0  # since the last answer
         self.received_end = 0  # number of the last end processed
@@ -245,6 +255,7 @@
         is_silent = self.unreachable_since is not None
         return (
             not self.runs_by_task
+            and not self.unrecorded_by_task
             and self.has_inventory
             and (is_acknowledged or is_silent)
         )
@@ -296,5 +307,12 @@
         return codec.Assignment(
             self.address.host_port,
             self.born_ms,
-            {name: run.number for name, run in self.runs_by_task.items()},
+            {
+                name: run.number
+                for runs_by_task in (
+                    self.unrecorded_by_task,
+                    self.runs_by_task,
+                )
+                for name, run in runs_by_task.items()
+            },
         )
