Acknowledge ends that don't depend on a record held back

While the progress record of one job was over the store's limit, no worker was allowed to discard any of its ends: the lists grew on all workers.

Cause: a commit of a worker's ends did not say on which jobs they depend, so that one held-back record made all of them fail. The poller now names the jobs of the ends received since the last commit that succeeded, also those of earlier runs.

--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -230,6 +230,7 @@
         self.durable_end = 0  # last end whose effect is durable
         self.acknowledged_end = 0  # the worker may discard ends up to it
         self.commit: asyncio.Task | None = None  # of its ends, under way
+        self.ended_job_ids: set[str] = set()  # of ends not yet durable
         self.lease_deadline_ms = 0  # the latest deadline sent, on its clock
         self.lease_expires_at: datetime.timedelta | None = None
         self.unreachable_since: datetime.timedelta | None = None
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -6,6 +6,7 @@
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import cluster_state
+from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import runs
 
@@ -101,6 +102,7 @@
             "durable_end",
             "acknowledged_end",
             "commit",
+            "ended_job_ids",
             "unanswered_polls",
             "lease_deadline_ms",
             "lease_expires_at",
@@ -278,10 +280,17 @@
 
     async def _commit_ends(self, worker: runs.Worker) -> None:
         target = worker.received_end
-        is_durable = await self._cluster.journal.commit()
+        job_ids, worker.ended_job_ids = worker.ended_job_ids, set()
+        is_durable = await self._cluster.journal.commit(
+            {ledgers.Kind.PROGRESS.key(job_id) for job_id in job_ids}
+        )
         # A new incarnation, which counts its ends anew, has dropped the task.
-        if is_durable and worker.commit is asyncio.current_task():
+        if worker.commit is not asyncio.current_task():
+            return
+        if is_durable:
             worker.durable_end = max(worker.durable_end, target)
+        else:
+            worker.ended_job_ids |= job_ids
 
     def _apply_inventory(
         self,
@@ -369,6 +378,7 @@
         if is_current and finished.checkpoint:
             run.checkpoint = finished.checkpoint
         if found is not None:
+            worker.ended_job_ids.add(found[0].job.job.job_id)
             self._record_completion(worker, finished, *found)
         if is_current:
             self._cluster.detach(run)
--- a/tests/scheduling/test_large_records.py
+++ b/tests/scheduling/test_large_records.py
@@ -64,6 +64,19 @@
         self.check_held_back()
         self.assertNotIn("too_large", self.store.injected)
 
+    async def test_ends_of_other_jobs_are_acknowledged(self):
+        """A worker without ends of the job may discard its own."""
+        await self.wait_until(
+            lambda: len(self.fleet.running()) == self.WIDTH, 60
+        )
+        self.add_workers(1)
+        other = self.submit(harness.make_step(1, accelerators=8))
+        await self.wait_until(lambda: self.state(other) == "completed", 30)
+        worker = self.fleet.workers_by_id["w9"]
+        await self.wait_until(lambda: not worker.finished, 3)
+        self.check_run_once(other)
+        self.check_held_back()
+
     async def test_ends_that_are_not_recorded_stay_on_the_workers(self):
         """No end is acknowledged; the job's end makes all durable."""
         await self.end_most_tasks()
