Count a worker's silence anew when it is assigned again

What callers saw: nothing yet; found by reading. An instance that misses one renewal on a worker, and another one any time later, declares the worker's tasks lost at the second one. The gang is stopped and starts again, although a peer has renewed its lease all the time.

Cause: LeaseRenewer keeps since when a worker does not answer, and only an answer clears it. An instance whose link fails for a moment takes its peer for failed, renews on the peer's workers and fails. When the link is back, the worker is the peer's again, so that no answer clears the time. At the next such moment it is older than lease_s.

Fix: a round first drops the times of workers that are not assigned to this instance, so that the silence counted is that of renewals in a row. A worker that is silent to its peer as well is declared lost by that one, as before. Not covered: rounds skipped because the state is stale keep the times.

test_renewals_missed_long_apart_end_no_gang: 2 starts instead of 1 before, 1 now, with two missed renewals 20 s apart (lease_s is 12 s). tests.workers.test_renewer: 7 OK.

--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -82,6 +82,9 @@
             return
         state = self._overlay.state()
         assigned = self._assigned(state)
+        # While others renew on a worker, its silence here is unknown.
+        for worker_id in self._unresponsive_since.keys() - assigned:
+            del self._unresponsive_since[worker_id]
         found = await asyncio.gather(
             *(self._renew(worker_id, state) for worker_id in assigned)
         )
--- a/tests/workers/test_renewer.py
+++ b/tests/workers/test_renewer.py
@@ -162,3 +162,29 @@
             lambda: len(self.cluster.runs(job_id)) == 4, 4
         )
         self.assertTrue(restarted)
+
+    async def _miss_one_renewal(self) -> None:
+        """Cut the owner's links until it fails to renew on w1 once."""
+        renewer, network = self.owner.renewer, self.cluster.network
+        reachable = renewer._workers
+        renewer._workers = workers.StandinWorkers(self.cluster.clock)
+        network.cut.add(frozenset(network.handlers))
+        missed = await self.cluster.until(
+            lambda: renewer._workers.injected["worker_unreachable"], 20
+        )
+        self.assertTrue(missed)
+        renewer._workers = reachable
+        network.cut.clear()
+        await self.cluster.advance(0.5)
+
+    async def test_renewals_missed_long_apart_end_no_gang(self):
+        job_id = await self.cluster.submit(members=2, run_s=90.0)
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        for _ in range(2):
+            await self._miss_one_renewal()
+            # Its peer has renewed all the time and does so on its own now.
+            await self.cluster.advance(20)
+        self.assert_injected("peer_link_cut")
+        await self.cluster.reach(job_id, models.Phase.COMPLETED, 120)
+        self.assertEqual(1, self.cluster.job(job_id).starts)
+        self.assertEqual(2, len(self.cluster.runs(job_id)))
