Count no time without renewals as a worker's silence

What callers saw: nothing yet; found by reading. An instance that was cut off and whose link to the log comes back before those to its workers declares all tasks of these workers lost at its first missed renewal. Their gangs are stopped and start again, although a peer has renewed their leases meanwhile.

Cause: while its state is stale, an instance renews nothing, as others may do so. It kept since when its workers did not answer, from the seconds before it was stale. Once the log is back its state is fresh, the workers are its own again by rank, and one call that fails finds that time older than lease_s.

Fix: a round that is skipped because the state is stale drops the times. A worker that is really lost is declared lost after lease_s of missed renewals from then on, or by the peer that has renewed on it.

--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -79,6 +79,7 @@
         """Renew once on every assigned worker, unless the state is stale."""
         if not self._freshness.is_fresh():
             self._metrics.increment("renewer.stale")
+            self._unresponsive_since.clear()  # others may renew meanwhile
             return
         state = self._overlay.state()
         assigned = self._assigned(state)
--- a/tests/workers/test_renewer.py
+++ b/tests/workers/test_renewer.py
@@ -188,3 +188,28 @@
         await self.cluster.reach(job_id, models.Phase.COMPLETED, 120)
         self.assertEqual(1, self.cluster.job(job_id).starts)
         self.assertEqual(2, len(self.cluster.runs(job_id)))
+
+    async def test_time_without_renewals_here_ends_no_gang(self):
+        job_id = await self.cluster.submit(members=2, run_s=60.0)
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        renewer, network = self.other.renewer, self.cluster.network
+        reachable = renewer._workers
+        cut_off = workers.StandinWorkers(self.cluster.clock)
+        renewer._workers = cut_off
+        network.cut.add(frozenset(network.handlers))
+        link = await self.lose_log(self.other)
+        # The owner renews on w1, as its peer counts as failed.
+        await self.cluster.advance(20)
+        self.assertFalse(self.other.freshness.is_fresh())
+        missed = cut_off.injected["worker_unreachable"]
+        self.assertGreater(missed, 0)
+        link.down = False  # the links to the workers are back a little later
+        network.cut.clear()
+        missed_again = await self.cluster.until(
+            lambda: cut_off.injected["worker_unreachable"] > missed, 20
+        )
+        self.assertTrue(missed_again)
+        renewer._workers = reachable
+        await self.cluster.reach(job_id, models.Phase.COMPLETED, 120)
+        self.assertEqual(1, self.cluster.job(job_id).starts)
+        self.assertEqual(2, len(self.cluster.runs(job_id)))
