--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -79,9 +79,13 @@
         """Renew once on every assigned worker, unless the state is stale."""
         if not self._freshness.is_fresh():
             self._metrics.increment("renewer.stale")
+            self._unresponsive_since.clear()  # others may renew meanwhile
             return
         state = self._overlay.state()
         assigned = self._assigned(state)
+        # While others renew on a worker, its silence here is unknown.
+        for worker_id in self._unresponsive_since.keys() - assigned:
+            del self._unresponsive_since[worker_id]
         found = await asyncio.gather(
             *(self._renew(worker_id, state) for worker_id in assigned)
         )
