Choose no loopback address twice in a process

Cause: addresses were chosen by probing and bound later. LocalCluster asks twice before it binds, and standin/cluster.py asked four times for each instance, for ports of the ephemeral range, which client connections take as well.

Ruled out: holding the probing sockets until the servers listen: the settings of whole processes name the ports before these start.

--- a/bench/fault_processes.py
+++ b/bench/fault_processes.py
@@ -13,6 +13,7 @@
 from cardamomcroft.settings import directory
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import parsing
+from cardamomcroft.standin import loopback
 
 INSTANCES = 7
 MIN_USAGE_AGE_S = 15.0  # imports dominate the CPU share before
@@ -35,7 +36,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         """Choose addresses and write every settings file."""
         self._folder = folder
-        free = local.free_addresses(3 + 2 * INSTANCES)
+        free = loopback.free_addresses(3 + 2 * INSTANCES)
         self.log_address, self.list_address, self.workers_address = free[:3]
         listen_addresses = free[3:]
         self.addresses = list(
--- a/cardamomcroft/bench/control.py
+++ b/cardamomcroft/bench/control.py
@@ -12,7 +12,6 @@
 import cyclopts
 
 from cardamomcroft.bench import fakeplatform
-from cardamomcroft.bench import local
 from cardamomcroft.bench import population as populations
 from cardamomcroft.cli import running
 from cardamomcroft.daemon import logs
@@ -24,6 +23,7 @@
 from cardamomcroft.ports import messages
 from cardamomcroft.ports import metrics
 from cardamomcroft.settings import instance
+from cardamomcroft.standin import loopback
 from cardamomcroft.state import fold
 from cardamomcroft.state import models
 from cardamomcroft.state import snapshots
@@ -103,7 +103,7 @@
             "entry-0",
             "dc0",
             "region-0",
-            local.free_addresses(1)[0],
+            loopback.free_addresses(1)[0],
             platform.target_addresses["node"],
             instance.Platform("", ""),
             timing=self.timing,
--- a/cardamomcroft/bench/fakeplatform.py
+++ b/cardamomcroft/bench/fakeplatform.py
@@ -1,6 +1,5 @@
 """Stand-ins and a peer that run beside the measured node."""
 
-from cardamomcroft.bench import local
 from cardamomcroft.bench import population as populations
 from cardamomcroft.bench import relay as relays
 from cardamomcroft.bench import threads
@@ -11,6 +10,7 @@
 from cardamomcroft.ports import messages
 from cardamomcroft.standin import instances
 from cardamomcroft.standin import log
+from cardamomcroft.standin import loopback
 from cardamomcroft.standin import service
 from cardamomcroft.standin import workers
 
@@ -45,7 +45,7 @@
         self.workers = workers.StandinWorkers(self.clock)
         self.instances = instances.StandinInstances(self.clock)
         names = ("log", "list", "workers", "peers", "node")
-        addresses = iter(local.free_addresses(2 * len(names)))
+        addresses = iter(loopback.free_addresses(2 * len(names)))
         self.target_addresses = {name: next(addresses) for name in names}
         self.relay_addresses = {name: next(addresses) for name in names}
         self.relays = {
--- a/cardamomcroft/bench/local.py
+++ b/cardamomcroft/bench/local.py
@@ -1,11 +1,8 @@
 """Run the stand-ins and several instances on loopback."""
 
 import asyncio
-import contextlib
 import datetime
 import hashlib
-import random
-import socket
 
 import aiohttp
 
@@ -18,33 +15,14 @@
 from cardamomcroft.settings import parsing
 from cardamomcroft.standin import instances
 from cardamomcroft.standin import log
+from cardamomcroft.standin import loopback
 from cardamomcroft.standin import service
 from cardamomcroft.standin import workers
 
-HOST = "127.0.0.1"
-PORT_RANGE = (12_000, 32_000)
 WAIT_TIMEOUT = datetime.timedelta(seconds=30)
 OPERATOR_TOKEN = "demo-operator-token"
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses that were free when probed.
-
-    Their ports lie below the ephemeral range of the system, so that no
-    client connection takes one before a server listens on it.
-    """
-    addresses: list[str] = []
-    generator = random.SystemRandom()
-    while len(addresses) < count:
-        port = generator.randrange(*PORT_RANGE)
-        address = f"{HOST}:{port}"
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            if address not in addresses:
-                addresses.append(address)
-    return addresses
-
-
 def operator_principal() -> documents.Principal:
     """Return the principal of the operator of local clusters."""
     digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
@@ -97,7 +75,7 @@
         self.workers = workers.StandinWorkers(self.clock)
         self.instances = instances.StandinInstances(self.clock)
         self._log_address, self._list_address, self.workers_address = (
-            free_addresses(3)
+            loopback.free_addresses(3)
         )
         self.by_path = {
             path: self._rewrite_addresses(document)
@@ -122,7 +100,7 @@
         return parsing.CONVERTER.structure(data, documents.DataCentre)
 
     def _make_servers(self, count: int, policy: str) -> list[serving.Server]:
-        free = free_addresses(2 * count)
+        free = loopback.free_addresses(2 * count)
         addresses = list(zip(free[::2], free[1::2], strict=True))
         platform = instance.Platform(
             f"http://{self._log_address}", f"http://{self._list_address}"
--- a/cardamomcroft/standin/cluster.py
+++ b/cardamomcroft/standin/cluster.py
@@ -3,35 +3,28 @@
 import asyncio
 import datetime
 import os
-import socket
 
 import aiohttp
 
 from cardamomcroft.platform import main
 from cardamomcroft.platform import settings
+from cardamomcroft.standin import loopback
 from cardamomcroft.standin import platform
 
-HOST = "127.0.0.1"
 PROBE_PAUSE_S = 0.02
 _S = datetime.timedelta(seconds=1)
 
 
-def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
-
-
 def make_settings(name: str, store_address: str) -> settings.Settings:
     """Return an instance's settings, with time bounds for a small site."""
+    ingress, ready, metrics, peer = loopback.free_addresses(4)
     return settings.Settings(
         instance=name,
         data_centre="dc",
-        ingress_address=free_address(),
-        ready_address=free_address(),
-        metrics_address=free_address(),
-        peer_address=free_address(),
+        ingress_address=ingress,
+        ready_address=ready,
+        metrics_address=metrics,
+        peer_address=peer,
         store_address=store_address,
         advice_address=None,
         config_bound=2 * _S,
--- a/tests/peers/test_rpc.py
+++ b/tests/peers/test_rpc.py
@@ -10,12 +10,12 @@
 import thriftpy2
 from thriftpy2 import utils
 
-from cardamomcroft.bench import local
 from cardamomcroft.membership import digests
 from cardamomcroft.peers import base
 from cardamomcroft.peers import rpc
 from cardamomcroft.ports import addresses
 from cardamomcroft.ports import messages
+from cardamomcroft.standin import loopback
 
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
 LINK_BYTES_PER_S = 250_000  # 2 Mbit/s
@@ -59,7 +59,7 @@
 
     async def asyncSetUp(self) -> None:
         """Start a server and a client."""
-        (self.address,) = local.free_addresses(1)
+        (self.address,) = loopback.free_addresses(1)
         self.handler = _Handler()
         self.server = rpc.PeerServer(self.address, self.handler)
         await self.server.start()
@@ -160,7 +160,7 @@
 
     async def asyncSetUp(self) -> None:
         """Start a server, a link and a client."""
-        server_address, self.address = local.free_addresses(2)
+        server_address, self.address = loopback.free_addresses(2)
         self.handler = _Handler()
         self.handler.snapshot_text = "x" * SNAPSHOT_BYTES
         self.handler.payloads = ("x" * 48_000,) * 17
--- a/tests/ports/test_http.py
+++ b/tests/ports/test_http.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 
-from cardamomcroft.bench import local
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.log import replica as replicas
@@ -18,6 +17,7 @@
 from cardamomcroft.ports import verdict
 from cardamomcroft.standin import instances
 from cardamomcroft.standin import log
+from cardamomcroft.standin import loopback
 from cardamomcroft.standin import service
 from cardamomcroft.state import snapshots
 from tests import harness
@@ -111,7 +111,7 @@
     async def serve(self, app: web.Application) -> str:
         """Serve an app behind the link and return its base address."""
         app.middlewares.append(self.link.throttle)
-        (address,) = local.free_addresses(1)
+        (address,) = loopback.free_addresses(1)
         self.runners.append(await service.serve(app, address))
         return f"http://{address}"
 
--- a/tests/ports/test_rpc.py
+++ b/tests/ports/test_rpc.py
@@ -5,9 +5,9 @@
 import datetime
 import unittest
 
-from cardamomcroft.bench import local
 from cardamomcroft.peers import rpc as peer_rpc
 from cardamomcroft.ports import rpc
+from cardamomcroft.standin import loopback
 
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
 ANSWER_DELAY_S = 0.75  # above the time-out for a connection
@@ -24,7 +24,7 @@
     """Call a server that needs most of the time-out for its answer."""
 
     async def test_answer_within_the_time_out_is_received(self):
-        (address,) = local.free_addresses(1)
+        (address,) = loopback.free_addresses(1)
         server = rpc.Server(
             address, peer_rpc.WIRE.Peer, _SlowHandler(), self.fail
         )
@@ -59,7 +59,7 @@
 
     async def asyncSetUp(self) -> None:
         """Choose an address and make a pool."""
-        (self.address,) = local.free_addresses(1)
+        (self.address,) = loopback.free_addresses(1)
         self.pool = rpc.Pool(peer_rpc.WIRE.Peer, CALL_TIMEOUT)
         self.addCleanup(self.pool.close)
 
