Count declared jobs apart from the ended jobs that are kept

What callers could see: with as many ended jobs of declarations in force as places for ended jobs (2,000), each other job was forgotten at once when it ended, with its key: its status was 404 and a repeated submission ran again.

Cause: since declared jobs in force are not dropped, but they still counted against the limit, so that only the others gave way.

The number of declarations bounds what is kept besides.

--- a/cardamomcroft/state/jobs.py
+++ b/cardamomcroft/state/jobs.py
@@ -8,7 +8,9 @@
 from cardamomcroft.log import records
 from cardamomcroft.state import models
 
-MAX_FINAL_JOBS = 2000  # ended jobs whose status can still be read
+# Ended jobs whose status can still be read, besides those of declarations in
+# force.
+MAX_FINAL_JOBS = 2000
 _DECLARED_PREFIX = "declared:"
 
 _CHART = loading.load("job")
@@ -52,6 +54,8 @@
         for offset in sorted(final_jobs)
         if not _is_declared(state, jobs[final_jobs[offset]])
     ]
+    if len(oldest) <= MAX_FINAL_JOBS:
+        return state
     for offset in oldest[: MAX_FINAL_JOBS // 10]:
         job = jobs[final_jobs[offset]]
         jobs = jobs.delete(job.job_id)
--- a/tests/jobs/test_declared.py
+++ b/tests/jobs/test_declared.py
@@ -117,3 +117,22 @@
         self.run_others(MAX_FINAL_JOBS * 2)
         self.assertNotIn(body.job_id, self.state.jobs)
         self.assertLessEqual(len(self.state.final_jobs), MAX_FINAL_JOBS)
+
+    def test_many_declared_jobs_leave_room_for_others(self):
+        """A caller's key keeps its job although all places are declared."""
+        for number in range(MAX_FINAL_JOBS + 1):
+            document = documents.DeclaredJob("north", "counter", SPEC)
+            self.change(f"{PATH}-{number}", document)
+        for body in self.due():
+            self.run_job(body)
+        self.run_others(MAX_FINAL_JOBS)
+        others = [
+            job_id
+            for job_id in self.state.jobs
+            if not job_id.startswith("declared-")
+        ]
+        self.assertEqual(len(others), MAX_FINAL_JOBS)
+        self.run_others(MAX_FINAL_JOBS)
+        self.assertLessEqual(
+            len(self.state.final_jobs), 2 * MAX_FINAL_JOBS + 2
+        )
