Plan starts again when a record outgrows the limit before they are sent

What callers could see: a job that never starts. Its runs were planned but not sent, and kept their places on the workers until the scheduler changed.

Cause: since a commit is false not only when the claim is lost, but also when the record of a worker is held back, and the sender of the starts took both for the end. A record can outgrow the limit between the plan and the commit.

Evidence: on test_starts_are_planned_again_when_a_record_outgrows_later fails with 'not in time'. Now the starts that do not fit are withdrawn and planned again, as at the plan itself; only a lost claim ends the sender, which stops with its scheduler. Runs stopped or dropped meanwhile are left out, so that the loop ends.

tests.scheduling.test_large_records: 6 OK.

--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -98,7 +98,7 @@
         self._mark_remote(batch)
         self._stage_starts(batch)
         self._withdraw_unrecordable(batch)
-        batch = [run for run in batch if run.phase is runs.Phase.ASSIGNED]
+        batch = self._still_assigned(batch)
         if batch:
             self._cluster.spawn(self._send_when_confirmed(batch))
 
@@ -129,17 +129,27 @@
     def _withdraw_unrecordable(self, batch: list[runs.Run]) -> None:
         """Withdraw starts on workers with too many runs for a record."""
         batch_by_worker = collections.defaultdict(list)
-        for run in batch:
+        for run in self._still_assigned(batch):
             batch_by_worker[run.worker_id].append(run)
         for worker_id, assigned in batch_by_worker.items():
             worker = self._cluster.workers_by_id[worker_id]
-            key = ledgers.Kind.ASSIGNMENT.key(worker_id)
+            key = _record_key(worker_id)
             while assigned and self._cluster.journal.is_held(key):
                 half = len(assigned) // 2
                 self._withdraw(worker, assigned[half:])
                 assigned = assigned[:half]
                 self._cluster.stage_assignment(worker)
 
+    def _still_assigned(self, batch: list[runs.Run]) -> list[runs.Run]:
+        """Return the runs that were neither stopped nor dropped."""
+        return [
+            run
+            for run in batch
+            if run.phase is runs.Phase.ASSIGNED
+            and (worker := self._cluster.workers_by_id.get(run.worker_id))
+            and worker.runs_by_task.get(run.name) is run
+        ]
+
     def _withdraw(self, worker: runs.Worker, starts: list[runs.Run]) -> None:
         avoid_until = self._cluster.clock.monotonic() + FULL_RECORD_AVOIDANCE
         worker.avoid_until = max(worker.avoid_until, avoid_until)
@@ -151,16 +161,19 @@
 
     async def _send_when_confirmed(self, batch: list[runs.Run]) -> None:
         """Send the starts once their record has confirmed the claim."""
-        keys = {ledgers.Kind.ASSIGNMENT.key(run.worker_id) for run in batch}
-        while True:
-            if not await self._cluster.journal.commit(keys):
+        journal = self._cluster.journal
+        while batch:
+            keys = {_record_key(run.worker_id) for run in batch}
+            if await journal.commit(keys):
+                age = self._cluster.clock.monotonic() - journal.confirmed_at
+                if age < MAX_CONFIRMATION_AGE:
+                    break
+            elif journal.is_claim_lost:
                 return
-            age = (
-                self._cluster.clock.monotonic()
-                - self._cluster.journal.confirmed_at
-            )
-            if age < MAX_CONFIRMATION_AGE:
-                break
+            else:
+                # A record has outgrown the store's limit since the plan.
+                self._withdraw_unrecordable(batch)
+                batch = self._still_assigned(batch)
         by_worker: dict[str, list[runs.Run]] = collections.defaultdict(list)
         for run in batch:
             by_worker[run.worker_id].append(run)
@@ -168,3 +181,7 @@
             worker = self._cluster.workers_by_id.get(worker_id)
             if worker is not None:
                 self._cluster.spawn(self._orders.start_all(worker, assigned))
+
+
+def _record_key(worker_id: str) -> str:
+    return ledgers.Kind.ASSIGNMENT.key(worker_id)
--- a/tests/scheduling/test_large_records.py
+++ b/tests/scheduling/test_large_records.py
@@ -142,3 +142,25 @@
             )
             self.check_run_once(job_id)
         self.assertNotIn("too_large", self.store.injected)
+
+    async def test_starts_are_planned_again_when_a_record_outgrows_later(self):
+        """Starts that were never sent do not keep their places."""
+        self.add_workers(1)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        journal = self.nodes_by_name["a"].scheduler.journal
+        key = ledgers.Kind.ASSIGNMENT.key("w1")
+        commit = journal.commit
+        outgrown = []
+
+        async def commit_later(keys=None):
+            if keys and key in keys and not outgrown:
+                outgrown.append(key)
+                journal.stage(key, b"x" * codec.MAX_RECORD_BYTES)
+            return await commit(keys)
+
+        with mock.patch.object(journal, "commit", commit_later):
+            job_id = self.submit(harness.make_step(4))
+            await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.assertEqual(outgrown, [key])
+        self.check_run_once(job_id)
