Keep the store's limit of a record in one place

The ingress had a copy of the limit and of the computation of a record's size, which codec has since; two copies can drift apart, so that a submission that fits is refused or one that never fits is tried for ever. No change of behaviour: tests.platform.test_path, which submits jobs at the limit, passes before and after.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -35,8 +35,6 @@
 # Reserved for the reply to reach the client before its timeout.
 ANSWER_MARGIN = datetime.timedelta(milliseconds=300)
 OUTAGE_RETRY_AFTER_S = 1
-# The store's RecordBytes: it would refuse a larger submission at each try.
-MAX_RECORD_BYTES = 262_144
 # The protocol allows pending counts to be up to two seconds old.
 MAX_REPLICA_AGE = datetime.timedelta(seconds=2)
 
@@ -311,12 +309,12 @@
     def _refuse_oversized(
         self, call: relaying.Call, entry: store.Entry
     ) -> relaying.Reply | None:
-        size = 1 + len(entry.key) + len(entry.value)  # 1: the key's length
-        if size <= MAX_RECORD_BYTES:
+        size = codec.record_bytes(entry.key, entry.value)
+        if size <= codec.MAX_RECORD_BYTES:
             return None
         reason = (
             f"job's record of {size} bytes is over the limit of"
-            f" {MAX_RECORD_BYTES} bytes"
+            f" {codec.MAX_RECORD_BYTES} bytes"
         )
         return self._refuse(call, 413, reason)
 
