Let instances with more processor take the scheduler's role first

After a takeover chance decides which kind of instance schedules; at the first start the larger ones are up first. Change: instances register their processor; those with a much faster peer wait 0.5 s longer before they claim.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -21,6 +21,7 @@
 from cardamomcroft.relaying import peer_view
 from cardamomcroft.relaying import registrar as registrars
 from cardamomcroft.relaying import rpc as relay_rpc
+from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration_view
@@ -133,6 +134,7 @@
             workers.decode_listing,
             parameters,
             random.Random(),
+            candidates.Rank(settings.cores, self.known_peers),
         )
         view = configuration_view.ConfigurationView(
             store,
@@ -164,6 +166,7 @@
             settings.instance,
             settings.peer_address,
             settings.data_centre,
+            settings.cores,
             store,
             self._peers,
             clock,
--- a/cardamomcroft/platform/settings.py
+++ b/cardamomcroft/platform/settings.py
@@ -31,6 +31,7 @@
     advice_address: str | None
     config_bound: datetime.timedelta  # for a configuration to be in force
     max_lease: datetime.timedelta
+    cores: float  # processor that the process may use
     stop_bound: datetime.timedelta  # for a worker to stop a run
     grace: datetime.timedelta  # from SIGTERM to SIGKILL
     drain: datetime.timedelta
@@ -59,6 +60,7 @@
             data.get("Advice") or None,
             bounds["ConfigApplyMs"] * _MS,
             bounds["MaxHoldMs"] * _MS,
+            _cores(data.get("Limits") or {}),
             bounds["StopTimeoutMs"] * _MS,
             bounds["GraceS"] * _S,
             bounds["DrainMs"] * _MS,
@@ -76,6 +78,12 @@
         raise SettingsError(f"{path}: {error}") from None
 
 
+def _cores(limits: dict) -> float:
+    """Return the processor that a process may use; a core if not limited."""
+    # CpuShare is the share of one core, CpuCores how fast that core is.
+    return float(limits.get("CpuShare", 1)) * float(limits.get("CpuCores", 1))
+
+
 def load(path: str | None = None) -> Settings:
     """Load the settings from the path or from that in the environment."""
     path = path or os.environ.get(PATH_VARIABLE)
--- a/cardamomcroft/relaying/registrar.py
+++ b/cardamomcroft/relaying/registrar.py
@@ -22,15 +22,17 @@
         instance: str,
         address: str,
         data_centre: str,
+        cores: float,
         target: store.Store,
         view: peer_view.PeerView,
         clock: base.Clock,
         log: events.Events,
     ) -> None:
-        """Register the address at which peers reach this instance."""
+        """Register the address for peers and the processor available."""
         self._instance = instance
         self._address = address
         self._data_centre = data_centre
+        self._cores = cores
         self._store = target
         self._view = view
         self._clock = clock
@@ -44,7 +46,9 @@
 
     async def _register(self) -> bool:
         now = self._clock.now()
-        peer = codec.Peer(self._address, self._data_centre, now.timestamp())
+        peer = codec.Peer(
+            self._address, self._data_centre, now.timestamp(), self._cores
+        )
         own = store.Entry(self._instance, codec.encode_peer(peer))
         gone = self._gone(now)
         if gone:
--- a/cardamomcroft/scheduling/candidate.py
+++ b/cardamomcroft/scheduling/candidate.py
@@ -1,5 +1,7 @@
 """Claim the scheduler's role when its holder stops renewing."""
 
+import collections.abc
+import dataclasses
 import datetime
 import random
 
@@ -16,12 +18,35 @@
 HOLDER_TIMEOUT = datetime.timedelta(milliseconds=1500)
 JITTER = datetime.timedelta(milliseconds=200)
 # After a store outage a live holder renews its claim within one append
-# time-out and one retry pause (journal.APPEND_TIMEOUT, journal.RETRY_PAUSE).
+# time-out and one retry pause (journal.APPEND_TIMEOUTS, journal.RETRY_PAUSE).
 STORE_RECOVERY_GRACE = datetime.timedelta(milliseconds=1100)
 CLAIM_TIMEOUT = datetime.timedelta(milliseconds=900)
+# Slower instances let faster ones claim first: a scheduling round of hundreds
+# of jobs on half a core delays every start. Covers the pause between two reads
+# of a follower and an append to the store.
+DEFERENCE = datetime.timedelta(milliseconds=500)
+MIN_SPEED_RATIO = 1.5  # of instances that count as faster
+# Instances that start together know each other by then. Only the first claim
+# of a deployment waits for this, and only on an instance of less than a core.
+PEERS_KNOWN_WAIT = datetime.timedelta(milliseconds=1500)
 _ZERO = datetime.timedelta()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rank:
+    """An instance's processor, and the peers that it compares itself with."""
+
+    cores: float
+    peers: collections.abc.Callable[
+        [], collections.abc.Mapping[str, codec.Peer]
+    ]
+
+    def has_faster_peer(self) -> bool:
+        """Return whether a much faster instance is registered."""
+        limit = self.cores * MIN_SPEED_RATIO
+        return any(peer.cores >= limit for peer in self.peers().values())
+
+
 class Candidate:
     """Claim the scheduler's role when it is vacant."""
 
@@ -33,6 +58,7 @@
         clock: base.Clock,
         log: events.Events,
         rng: random.Random,
+        rank: Rank,
     ) -> None:
         """Claim as ``holder``, a name that no other process has ever had."""
         self.holder = holder
@@ -41,7 +67,10 @@
         self._clock = clock
         self._log = log
         self._holder_timeout = HOLDER_TIMEOUT + JITTER * rng.random()
+        self._rank = rank
         self._first_claim_at = clock.monotonic() + JITTER * rng.random()
+        if rank.cores < 1:
+            self._first_claim_at += PEERS_KNOWN_WAIT
 
     @property
     def instance(self) -> str:
@@ -60,21 +89,22 @@
         if not self._replica.is_loaded or fresh_at is None:
             return False
         claim = ledger.claim
+        deference = DEFERENCE if self._rank.has_faster_peer() else _ZERO
         if claim is None:
-            return self._clock.monotonic() >= self._first_claim_at
-        if not claim.holder:
-            return True  # released at a planned stop
+            return self._clock.monotonic() >= self._first_claim_at + deference
+        seen_at = ledger.holder_seen_at or _ZERO
+        if not claim.holder:  # released at a planned stop
+            return fresh_at - seen_at >= deference
         if claim.holder != self.holder and (
             claim.holder.partition(" ")[0] == self.instance
         ):
             return True  # an earlier process of this instance
-        seen_at = ledger.holder_seen_at or _ZERO
         store_regained_at = self._replica.store_regained_at
         if store_regained_at is not None and (
             fresh_at - store_regained_at <= STORE_RECOVERY_GRACE
         ):
             return False
-        return fresh_at - seen_at > self._holder_timeout
+        return fresh_at - seen_at > self._holder_timeout + deference
 
     async def claim(self) -> bool:
         """Append a claim, which fails if another record came before it."""
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -311,16 +311,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
-    """Record of the address at which an instance accepts peer calls."""
+    """Record of an instance: where it accepts peer calls, and its size."""
 
     address: str  # HOST:PORT
     data_centre: str
     seen_at: float  # Unix time of the record
+    cores: float = 1.0  # processor that it may use
 
 
 def encode_peer(peer: Peer) -> bytes:
     """Encode the record of an instance."""
-    return dump([peer.address, peer.data_centre, peer.seen_at])
+    return dump([peer.address, peer.data_centre, peer.seen_at, peer.cores])
 
 
 def decode_peer(value: bytes) -> Peer:
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -43,6 +43,7 @@
         decode_listing: directories.Decoder,
         parameters: cluster_state.SchedulingParameters,
         rng: random.Random,
+        rank: candidates.Rank,
     ) -> None:
         """Assemble the components; ``run`` starts them."""
         self._store = target
@@ -54,7 +55,7 @@
         self.replica = replicas.Replica(target, clock, log)
         self.replica.on_updates = self._apply_updates
         self._candidate = candidates.Candidate(
-            holder, target, self.replica, clock, log, rng
+            holder, target, self.replica, clock, log, rng, rank
         )
         self.scheduler: schedulers.Scheduler | None = None
         self._scheduler_task: asyncio.Task | None = None
--- a/cardamomcroft/standin/cluster.py
+++ b/cardamomcroft/standin/cluster.py
@@ -29,6 +29,7 @@
         advice_address=None,
         config_bound=2 * _S,
         max_lease=10 * _S,
+        cores=1.0,
         stop_bound=0.2 * _S,
         grace=6 * _S,
         drain=2 * _S,
--- a/tests/relaying/harness.py
+++ b/tests/relaying/harness.py
@@ -104,6 +104,7 @@
             name,
             f"{name}:7000",
             "dc",
+            1.0,
             self.client(name),
             self.follow(name),
             self.clock,
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -1,6 +1,7 @@
 """Run several nodes against fakes of the store and the workers."""
 
 import asyncio
+import collections.abc
 import datetime
 import itertools
 import os
@@ -10,6 +11,7 @@
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import events
@@ -87,7 +89,13 @@
                 store.Stream.SERVERS, worker_id, str(number).encode()
             )
 
-    def start_node(self, name: str, seed: int = 0) -> nodes.Node:
+    def start_node(
+        self,
+        name: str,
+        seed: int = 0,
+        cores: float = 1.0,
+        peers: collections.abc.Callable[[], dict[str, codec.Peer]] = dict,
+    ) -> nodes.Node:
         """Start a node as a new process of an instance."""
         log = events.Events(self.clock, name, metrics.Metrics(), self.sink)
         node = nodes.Node(
@@ -99,6 +107,7 @@
             lambda record: self.listings.get(record.key),
             PARAMETERS,
             random.Random(f"{name}{seed}"),
+            candidates.Rank(cores, peers),
         )
         self.nodes_by_name[name] = node
         self.tasks_by_name[name] = asyncio.ensure_future(node.run())
