Survive malformed messages and unexpected errors

Cause: a test run met aiohttp's RuntimeError 'Connection closed.', which a call to the store may raise when the connection closes between two reads; no call expected it, and an error in one of the four loops ended the process. Looked for the same class: JSON nested too deeply (RecursionError), a RemainingMs that overflows, an answer to a start that is no object (the run stayed 'starting' for good), a directory entry whose decoding fails (the directory stopped), and submissions that would fail every round of every scheduler or fill its memory (lists as names, dates and durations that overflow, billions of tasks). Change: one list of the errors of a call; submissions are checked in full; loops are started again, five times at most without a minute between.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+import traceback
 import uuid
 
 import aiohttp
@@ -42,6 +43,11 @@
 # the process.
 STOP_MARGIN_S = 2.0
 SHUTDOWN_TIMEOUT_S = 0.3
+# One unexpected error must not end a process. A loop that keeps failing may
+# have a state that only a restart mends.
+LOOP_RESTART_PAUSE = datetime.timedelta(seconds=1)
+MAX_LOOP_CRASHES = 5  # without a minute between two of them
+LOOP_CRASH_MEMORY = datetime.timedelta(minutes=1)
 VERSION = "0.3.0"
 WRONG_USE = 2
 
@@ -155,7 +161,9 @@
             log,
             random.Random(),
         )
-        ingress = ingresses.Ingress(node, store, view, clock, log, forwarder)
+        ingress = ingresses.Ingress(
+            node, store, view, clock, log, forwarder, random.Random()
+        )
         peers = relay_rpc.make_server(
             settings.peer_address,
             ingress,
@@ -181,10 +189,13 @@
             ),
         ]
         tasks = [
-            asyncio.ensure_future(view.run()),
-            asyncio.ensure_future(node.run()),
-            asyncio.ensure_future(self._peers.run()),
-            asyncio.ensure_future(registrar.run()),
+            asyncio.ensure_future(self.keep_running(name, run))
+            for name, run in (
+                ("configuration", view.run),
+                ("node", node.run),
+                ("peers", self._peers.run),
+                ("registrar", registrar.run),
+            )
         ]
         try:
             await self._wait_until_leaving(tasks)
@@ -199,6 +210,35 @@
             for runner in runners:
                 await runner.cleanup()
 
+    async def keep_running(
+        self,
+        name: str,
+        run: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    ) -> None:
+        """Run a loop; start it again after an unexpected error.
+
+        Raise the error if it comes MAX_LOOP_CRASHES times.
+        """
+        crashes = 0
+        while True:
+            began_at = self._clock.monotonic()
+            try:
+                return await run()
+            except Exception as error:
+                if self._clock.monotonic() - began_at > LOOP_CRASH_MEMORY:
+                    crashes = 0
+                crashes += 1
+                self._log.emit(
+                    "loop_crashed",
+                    loop=name,
+                    crashes=crashes,
+                    error=repr(error),
+                    trace=traceback.format_exc(limit=-3),
+                )
+                if crashes >= MAX_LOOP_CRASHES:
+                    raise
+            await self._clock.sleep(LOOP_RESTART_PAUSE)
+
     async def _serve_metrics(
         self, node: nodes.Node, view: configuration_view.ConfigurationView
     ) -> web.Response:
--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from cardamomcroft.platform import errors
 from cardamomcroft.ports import base
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import metrics
@@ -29,13 +30,6 @@
 _OFFSETS = struct.Struct(">QQ")
 # Raised before anything was sent: the store did nothing.
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
-_CALL_ERRORS = (
-    TimeoutError,
-    aiohttp.ClientError,
-    OSError,
-    ValueError,
-    KeyError,
-)
 
 
 def _describe(error: Exception) -> str:
@@ -143,7 +137,7 @@
                     received += part
                 outcome = str(response.status)
                 return response.status, bytes(received)
-        except _CALL_ERRORS as error:
+        except errors.CALL_ERRORS as error:
             took_s = (self._clock.monotonic() - began_at).total_seconds()
             error.add_note(
                 f"{call} failed after {took_s:.2f} s,"
@@ -178,7 +172,7 @@
             return store.Appended(
                 store.AppendStatus.NOT_RUN, detail=_describe(error)
             )
-        except _CALL_ERRORS as error:
+        except errors.CALL_ERRORS as error:
             return store.Appended(
                 store.AppendStatus.MAY_HAVE_RUN, detail=_describe(error)
             )
@@ -196,9 +190,11 @@
             status, raw = await self._call("GET", path, timeout + wait)
             if status == 200:
                 return decode_page(offset, raw)
-        except _CALL_ERRORS as error:
+        except errors.CALL_ERRORS as error:
             return store.ReadFailure(
-                store.ReadStatus.UNAVAILABLE, _describe(error)
+                store.ReadStatus.UNAVAILABLE,
+                _describe(error),
+                isinstance(error, TimeoutError),
             )
         if status == 410:
             return store.ReadFailure(store.ReadStatus.EXPIRED)
@@ -224,7 +220,7 @@
             records = tuple(map(_decode_newest_record, data["items"]))
             has_more = bool(data["HasMore"] and records)
             return store.Page(records, data["EndOffset"], has_more)
-        except _CALL_ERRORS as error:
+        except errors.CALL_ERRORS as error:
             return store.ReadFailure(
                 store.ReadStatus.UNAVAILABLE, _describe(error)
             )
--- a/cardamomcroft/platform/submissions.py
+++ b/cardamomcroft/platform/submissions.py
@@ -3,8 +3,14 @@
 import datetime
 import json
 
+from cardamomcroft.platform import errors
 from cardamomcroft.scheduling import models
 
+# A job beyond these would fill a scheduler's memory (200 MB), and that of each
+# successor in turn.
+MAX_TASKS = 500_000
+MAX_STEPS = 50_000
+MAX_COUNT = 10**10  # in milliseconds 115 days; no sum or product overflows
 _MS = datetime.timedelta(milliseconds=1)
 
 
@@ -16,18 +22,27 @@
     value = data.get(name, 0)
     if not isinstance(value, int | float) or value < 0:
         raise SubmissionError(f"{name} must be a non-negative number")
+    if value > MAX_COUNT:
+        raise SubmissionError(f"{name} must be at most {MAX_COUNT}")
     return int(value)
 
 
+def _decode_text(data: dict, name: str) -> str:
+    value = data.get(name) or ""
+    if not isinstance(value, str):
+        raise SubmissionError(f"{name} must be text")
+    return value
+
+
 def _decode_step(data: dict, number: int) -> models.Step:
     after = tuple(data.get("After") or ())
     if any(not isinstance(a, int) or not 0 <= a < number for a in after):
         raise SubmissionError("After must list indices of earlier phases")
     target_ms = _decode_count(data, "TargetMs")
-    budget = data.get("MaxUnavailable")
-    label = data.get("Requirements") or ""
+    has_budget = data.get("MaxUnavailable") is not None
+    label = data.get("Requirements")
     if isinstance(label, list):
-        label = label[0] if label else ""
+        data = data | {"Requirements": label[0] if label else ""}
     return models.Step(
         _decode_count(data, "Count"),
         models.Demand(
@@ -43,12 +58,12 @@
         bool(data.get("LongRunning")),
         bool(data.get("Fills")),
         bool(data.get("Speculative")),
-        label,
-        data.get("Affinity") or "",
+        _decode_text(data, "Requirements"),
+        _decode_text(data, "Affinity"),
         _decode_count(data, "AntiAffinity"),
-        data.get("Image") or "",
+        _decode_text(data, "Image"),
         target_ms * _MS if target_ms else None,
-        budget,
+        _decode_count(data, "MaxUnavailable") if has_budget else None,
     )
 
 
@@ -71,12 +86,21 @@
             first_due = datetime.datetime.fromtimestamp(
                 data["StartAtMs"] / 1000, datetime.UTC
             )
-            timetable = models.Timetable(
-                first_due, data["IntervalMs"] * _MS, data["RepeatCount"]
-            )
+            count = _decode_count(data, "RepeatCount")
+            interval = _decode_count(data, "IntervalMs") * _MS
+            timetable = models.Timetable(first_due, interval, count)
+            timetable.due(count)  # raises OverflowError if it has no date
         payload = data.get("Spec", "")
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except errors.CALL_ERRORS as error:
         raise SubmissionError(repr(error)) from None
     if not steps or not isinstance(payload, str):
         raise SubmissionError("Phases must not be empty and Spec must be text")
-    return models.Job(job_id, queue, account, payload, steps, timetable, now)
+    job = models.Job(job_id, queue, account, payload, steps, timetable, now)
+    step_count = len(steps) * job.occurrences
+    task_count = sum(step.width for step in steps) * job.occurrences
+    if step_count > MAX_STEPS or task_count > MAX_TASKS:
+        raise SubmissionError(
+            f"{task_count} tasks in {step_count} phases are over the limit of"
+            f" {MAX_TASKS} tasks in {MAX_STEPS} phases, repetitions included"
+        )
+    return job
--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from cardamomcroft.platform import answers
+from cardamomcroft.platform import errors
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
@@ -14,16 +15,10 @@
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips between data centres
 ADVICE_TIMEOUT_S = 2.0
+MAX_REMAINING_MS = 86_400_000  # a day; larger numbers overflow a duration
 _CONNECT_LIMIT = aiohttp.ClientTimeout(
     total=None, sock_connect=CONNECT_TIMEOUT_S
 )
-_CALL_ERRORS = (
-    TimeoutError,
-    aiohttp.ClientError,
-    OSError,
-    ValueError,
-    KeyError,
-)
 _ENDS_BY_CODE = {
     "done": fleet.End.DONE,
     "failed": fleet.End.FAILED,
@@ -103,11 +98,13 @@
                 else:
                     raw = await answers.receive(response, limit, silence)
             data = json.loads(raw) if raw else {}
+            if not isinstance(data, dict):
+                raise ValueError(f"answer is no object: {raw[:50]!r}")
             return _decode_result(response.status, data), data
         except aiohttp.ClientConnectorError as error:
             status = fleet.OrderStatus.NOT_RUN
             return fleet.OrderResult(status, detail=repr(error)), {}
-        except _CALL_ERRORS as error:
+        except errors.CALL_ERRORS as error:
             status = fleet.OrderStatus.MAY_HAVE_RUN
             return fleet.OrderResult(status, detail=repr(error)), {}
 
@@ -168,7 +165,7 @@
             return result
         try:
             return decode_inventory(data)
-        except (ValueError, KeyError, TypeError, IndexError) as error:
+        except errors.CALL_ERRORS as error:
             status = fleet.OrderStatus.MAY_HAVE_RUN
             return fleet.OrderResult(status, detail=repr(error))
 
@@ -192,7 +189,7 @@
                     tuple(fleet.Ticket(*row) for row in data["Allowed"]),
                     datetime.timedelta(milliseconds=data["ValidMs"]),
                 )
-        except (*_CALL_ERRORS, TypeError):
+        except errors.CALL_ERRORS:
             return None
 
 
@@ -245,6 +242,12 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
+def _remaining(remaining_ms: object) -> datetime.timedelta | None:
+    if not _is_count(remaining_ms):
+        return None
+    return datetime.timedelta(milliseconds=min(remaining_ms, MAX_REMAINING_MS))
+
+
 def decode_listing(record: store.Record) -> fleet.Listing | None:
     """Decode a worker's entry; return None if it is deleted or invalid."""
     if record.value is None:
@@ -267,7 +270,7 @@
         )
         state = fleet.ServerState(data["State"])
         remaining_ms = data.get("RemainingMs")
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except errors.CALL_ERRORS:
         return None
     if not all(_is_count(value) and value >= 0 for value in counts):
         return None
@@ -287,7 +290,5 @@
         counts[0],
         counts[1],
         counts[2],
-        datetime.timedelta(milliseconds=remaining_ms)
-        if _is_count(remaining_ms)
-        else None,
+        _remaining(remaining_ms),
     )
--- a/cardamomcroft/ports/store.py
+++ b/cardamomcroft/ports/store.py
@@ -86,6 +86,7 @@
 
     status: ReadStatus
     detail: str = ""
+    is_silent: bool = False  # no answer came in time
 
 
 class Store(abc.ABC):
--- a/cardamomcroft/scheduling/directory.py
+++ b/cardamomcroft/scheduling/directory.py
@@ -95,7 +95,14 @@
             if self.listings_by_id.pop(record.key, None):
                 self._log.emit("worker_unlisted", worker_id=record.key)
             return
-        listing = self._decode(record)
+        try:
+            listing = self._decode(record)
+        except Exception as error:
+            # Entries may come from any writer; one must not end the scheduler.
+            listing = None
+            self._log.emit(
+                "listing_invalid", worker_id=record.key, error=repr(error)
+            )
         if listing is None:
             # A damaged entry names no worker; the last valid one stays.
             return
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -80,6 +80,23 @@
         self.assertLess(took_s, (WAIT + TIMEOUT).total_seconds() + STALL_S)
 
 
+class ClosedConnectionTest(ConnectionTestCase):
+    """The connection closes between two reads of an answer."""
+
+    async def test_read_fails_as_if_unanswered(self):
+        """The library's RuntimeError is a failed call, not a crash."""
+        closed = RuntimeError("Connection closed.")
+        with mock.patch.object(aiohttp.ClientSession, "request") as request:
+            request.side_effect = closed
+            page = await self.store.read(store.Stream.JOBS, 0, WAIT, TIMEOUT)
+            result = await self.store.append(
+                store.Stream.JOBS, [store.Entry("a", b"")], TIMEOUT
+            )
+        self.assertIs(page.status, store.ReadStatus.UNAVAILABLE)
+        self.assertIn("Connection closed", page.detail)
+        self.assertIs(result.status, store.AppendStatus.MAY_HAVE_RUN)
+
+
 class TricklingStoreTest(ConnectionTestCase):
     """Read a page of which a byte arrives now and then."""
 
--- a/tests/platform/test_worker_link.py
+++ b/tests/platform/test_worker_link.py
@@ -3,6 +3,8 @@
 import asyncio
 from unittest import mock
 
+import aiohttp
+
 from cardamomcroft.platform import answers
 from cardamomcroft.platform import workers
 from cardamomcroft.ports import clock as clocks
@@ -52,6 +54,38 @@
         await self.check_given_up(LIMIT_S, LIMIT_S)
 
 
+class MalformedAnswerTest(WorkerLinkTestCase):
+    """Send orders to a worker whose answers are no JSON object."""
+
+    answer = b""
+
+    async def serve(self, reader, writer) -> None:
+        """Answer every call on the connection."""
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % len(self.answer) + self.answer)
+
+    async def test_outcome_is_unknown(self):
+        """A start may have run, so that it is looked for at the worker."""
+        link = workers.HttpWorkerLink(
+            self.session, None, clocks.SystemClock(), metrics.Metrics()
+        )
+        host, port = self.server.sockets[0].getsockname()
+        address = fleet.Address("w1", f"{host}:{port}")
+        for answer in (b"[1]", b"5", b"{", b"[" * 100_000, b'"x"'):
+            self.answer = answer
+            result = await link.start(
+                address,
+                fleet.StartOrder("t", 1, "", 1, 1, "", ""),
+                test_store.TIMEOUT,
+            )
+            self.assertIs(result.status, fleet.OrderStatus.MAY_HAVE_RUN)
+            await self.session.close()
+            self.session = aiohttp.ClientSession()
+            link = workers.HttpWorkerLink(
+                self.session, None, clocks.SystemClock(), metrics.Metrics()
+            )
+
+
 class SlowWorkerTest(WorkerLinkTestCase):
     """Poll a worker whose inventory takes longer than the time-out."""
 
