Refuse in an outage with a wait that grows with its age

Change: the wait follows the time for which the instance has lacked the store, within 1 and 8 s and spread by a quarter. A submission that reaches an instance whose store is silent, and which no peer can store, is refused at once: an append would leave its outcome unknown.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import datetime
+import random
 import re
 
 from aiohttp import web
@@ -19,6 +20,7 @@
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import node as nodes
+from cardamomcroft.scheduling import outage_waits
 from cardamomcroft.scheduling import queue_waits
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
@@ -34,7 +36,6 @@
 DEFAULT_CLIENT_TIMEOUT = datetime.timedelta(seconds=3)
 # Reserved for the reply to reach the client before its timeout.
 ANSWER_MARGIN = datetime.timedelta(milliseconds=300)
-OUTAGE_RETRY_AFTER_S = 1
 # The protocol allows pending counts to be up to two seconds old.
 MAX_REPLICA_AGE = datetime.timedelta(seconds=2)
 
@@ -50,6 +51,7 @@
         clock: base.Clock,
         log: events.Events,
         forwarder: relaying.Forwarder,
+        rng: random.Random,
     ) -> None:
         """Serve from the node's replica; forward calls without the store."""
         self._node = node
@@ -58,6 +60,8 @@
         self._clock = clock
         self._log = log
         self._forwarder = forwarder
+        self._rng = rng
+        self._started_at = clock.monotonic()
         self.is_leaving = False
         self.in_flight = 0
         self.last_call_at = clock.monotonic()
@@ -130,6 +134,9 @@
         reply = await self._forwarder.forward(call)
         if reply is not None:
             return reply
+        if call.is_change and self._node.replica.is_store_silent:
+            # An append would only make the outcome unknown.
+            return self._refuse(call, 503, "store does not answer")
         call = self._deduct_time(call, began_at)
         return await self._answer(call, relaying.NoForwarder())
 
@@ -186,7 +193,9 @@
         version = self._config.current.version if self._config.current else 0
         lacks_store = status == 503 and not retry_after_s
         if lacks_store:
-            retry_after_s = OUTAGE_RETRY_AFTER_S
+            retry_after_s = outage_waits.retry_after_s(
+                self._outage_age(), self._rng
+            )
         self._log.emit(
             "request_refused",
             method=call.method,
@@ -200,6 +209,12 @@
             status, {"error": reason}, retry_after_s, lacks_store
         )
 
+    def _outage_age(self) -> datetime.timedelta:
+        """Return for how long this instance has lacked what it serves from."""
+        since_start = self._clock.monotonic() - self._started_at
+        ages = self._node.replica.age, self._config.age
+        return max(since_start if age is None else age for age in ages)
+
     def _is_replica_fresh(self) -> bool:
         age = self._node.replica.age
         return age is not None and age < MAX_REPLICA_AGE
--- a/cardamomcroft/scheduling/journal.py
+++ b/cardamomcroft/scheduling/journal.py
@@ -16,7 +16,7 @@
 RENEWAL_INTERVAL = datetime.timedelta(milliseconds=400)
 # Of the first tries of an append and of all further ones. A store that is
 # slow takes 0.25 s; where answers are lost, two may be lost in a row within
-# candidate.HOLDER_TIMEOUT. Repeating is harmless, as the sequence number stays.
+# candidate.HOLDER_TIMEOUT. The sequence number makes repeats harmless.
 APPEND_TIMEOUTS = tuple(
     datetime.timedelta(milliseconds=number) for number in (300, 400, 600, 900)
 )
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -34,6 +34,7 @@
         self.is_loaded = False
         self.fresh_at: datetime.timedelta | None = None
         self.is_reachable = True
+        self.is_store_silent = False  # the last read got no answer in time
         self.store_regained_at: datetime.timedelta | None = None
         self.is_behind = False  # the last read did not reach the end
         self._load: loading.Load | None = self._make_load()
@@ -97,6 +98,7 @@
                 self._load = self._load or self._make_load()
                 return await self._finish_load()
             self._set_reachable(False, page.detail)
+            self.is_store_silent = page.is_silent
             return False
         self._set_reachable(True)
         if target is not self.ledger:
@@ -171,6 +173,7 @@
             self.on_updates(new_updates)
 
     def _set_reachable(self, is_reachable: bool, detail: str = "") -> None:
+        self.is_store_silent = False
         if is_reachable == self.is_reachable:
             return
         self.is_reachable = is_reachable
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import os
+import random
 import types
 import unittest
 
@@ -84,6 +85,8 @@
         self.ledger = ledger.Ledger()
         self.is_loaded = True
         self.is_reachable = True
+        self.is_store_silent = False
+        self.age = harness.seconds(0)
         self.failing_refresh_delay = None
 
     def expected_wait(self, queue):
@@ -111,11 +114,19 @@
     def make(self, target, forwarder: base.Forwarder) -> ingress.Ingress:
         """Return an ingress with a public route."""
         current = configuration.Configuration(1, (ROUTE,), {}, 0)
-        config = types.SimpleNamespace(current=current, is_stale=False)
+        config = types.SimpleNamespace(
+            current=current, is_stale=False, age=harness.seconds(0)
+        )
         log = events.Events(self.clock, "me", metrics.Metrics(), self.sink)
         node = types.SimpleNamespace(replica=self.replica)
         return ingress.Ingress(
-            node, target, config, self.clock, log, forwarder
+            node,
+            target,
+            config,
+            self.clock,
+            log,
+            forwarder,
+            random.Random(1),
         )
 
     async def call(
@@ -157,6 +168,17 @@
         timeouts = [call.timeout for call in forwarder.calls]
         self.assertEqual(timeouts, [TIMEOUT - harness.seconds(0.6)])
 
+    async def test_nothing_is_sent_to_a_silent_store(self):
+        """A job that can't be stored now is refused, not left unknown."""
+        self.replica.is_reachable = False
+        self.replica.is_store_silent = True
+        self.replica.age = harness.seconds(4)
+        link = SlowLink(self.clock)
+        target = self.make(link, ScriptedForwarder(self.clock, None))
+        reply = await self.call(target, "POST")
+        self.assertEqual((reply.status, link.begun), (503, 0))
+        self.assertGreaterEqual(reply.retry_after_s, 3)
+
     async def test_own_append_gets_the_time_left_by_the_peers(self):
         """An append after silent peers ends before the client gives up."""
         self.replica.is_reachable = False
--- a/tests/scheduling/test_candidate.py
+++ b/tests/scheduling/test_candidate.py
@@ -70,11 +70,11 @@
 
     async def test_role_is_taken_at_once(self):
         """Without a faster instance nobody waits."""
-        for name in ("a", "b", "c"):
-            peers = {
-                peer: codec.Peer(f"{peer}:1", "dc", 0.0, 0.5)
-                for peer in ("a", "b", "c")
-            }
+        peers = {
+            name: codec.Peer(f"{name}:1", "dc", 0.0, 0.5)
+            for name in ("a", "b", "c")
+        }
+        for name in peers:
             self.start_node(name, cores=0.5, peers=lambda: peers)
         await self.wait_until(self.holder)
         self.kill(self.holder())
