Start a gang's refused member on another worker

Ruled out: waiting for the first start (half within 0.5 s). Change: the refused member starts elsewhere under the same run number, before any other placement; the gang is stopped if that takes over 1 s. A refusal counts as a strike, so that healthy workers come first and a worker that refuses again is avoided longer.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -56,6 +56,7 @@
         self.jobs_by_id: dict[str, runs.JobState] = {}
         self.workers_by_id: dict[str, runs.Worker] = {}
         self.durations = estimates.Durations()
+        self.open_gangs: set[runs.StepState] = set()  # lack refused members
         self.changed = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
 
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -79,10 +79,14 @@
         gang_numbers: dict[runs.StepState, int] = {}
         for start in starts:
             step = start.step
+            if step not in gang_numbers and step.open_gang_number:
+                gang_numbers[step] = step.open_gang_number
             if not step.model.is_gang or step not in gang_numbers:
                 step.runs_started += 1
-            number = self._cluster.parameters.run_base + step.runs_started
-            gang_numbers[step] = number
+                gang_numbers[step] = (
+                    self._cluster.parameters.run_base + step.runs_started
+                )
+            number = gang_numbers[step]
             run = runs.Run(
                 step.key(start.index),
                 number,
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -14,6 +14,9 @@
 STOP_MARGIN = datetime.timedelta(milliseconds=150)
 REFUSAL_AVOID_DURATION = datetime.timedelta(milliseconds=300)
 UNHEALTHY_AVOID_DURATION = datetime.timedelta(seconds=1)
+# The other members wait at least 3 s for a refused one (protocol), but keep
+# their capacity idle meanwhile.
+GANG_REFILL_TIMEOUT = datetime.timedelta(seconds=1)
 
 Contact = collections.abc.Callable[[runs.Worker], None]
 Status = fleet.OrderStatus
@@ -114,6 +117,7 @@
         now = self._clock.monotonic()
         if result.status is Status.UNHEALTHY:
             worker.avoid_until = now + UNHEALTHY_AVOID_DURATION
+            self._cluster.record_strike(worker)
         elif result.status is Status.NO_TICKET:
             run.step.tickets_by_worker.pop(worker.worker_id, None)
         elif result.status is not Status.STALE_RUN:
@@ -121,7 +125,30 @@
         run.checkpoint = ""
         self._cluster.detach(run)
         if run.step.model.is_gang:
-            self.stop_gang(run.step, "gang member's start order refused")
+            self._open_gang(worker, run)
+
+    def _open_gang(self, worker: runs.Worker, refused: runs.Run) -> None:
+        """Let another worker run the refused member of a gang."""
+        step = refused.step
+        if step.refill_number != refused.number:
+            step.refill_number = refused.number
+            step.refill_until = self._clock.monotonic() + GANG_REFILL_TIMEOUT
+        if not step.open_gang_number:
+            self.stop_gang(step, "gang member's start order refused")
+            return
+        self._cluster.open_gangs.add(step)
+        # Or a successor could look for the member at this worker.
+        self._cluster.stage_assignment(worker)
+
+    def stop_open_gangs(self) -> None:
+        """Stop the gangs whose refused members found no other worker."""
+        now = self._clock.monotonic()
+        for step in list(self._cluster.open_gangs):
+            if not step.waiting or not step.open_gang_number:
+                self._cluster.open_gangs.discard(step)
+            elif now >= step.refill_until:
+                self._cluster.open_gangs.discard(step)
+                self.stop_gang(step, "gang member's start order refused")
 
     def stop_gang(self, step: runs.StepState, reason: str) -> None:
         """Stop all members of a gang that cannot run completely."""
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -76,6 +76,7 @@
     durations: estimates.Durations
     headroom: headroom.Headroom
     holds: holding.Holds
+    open_gangs: tuple[runs.StepState, ...] = ()
 
 
 class Planner:
@@ -123,6 +124,8 @@
             self._start_reserved(step)
         for entry in self._reservations.all():
             self._allocate(entry.worker_id, entry.demand())
+        for step in self._inputs.open_gangs:
+            self._refill(step)
         self._headroom_ids: frozenset[str] | None = None
         self._held: set[str] = set()
         self._completions_by_worker: dict[str, holding.Completions] = {}
@@ -177,6 +180,36 @@
             waiting = waiting[count:]
             self._reservations.use(entry, entry.count)
 
+    def _refill(self, step: runs.StepState) -> None:
+        """Place the missing members of a gang, before any other work."""
+        if not step.open_gang_number:
+            return
+        advised = self._advised(step)
+        if advised is None:
+            return
+        free_workers = self._pool.eligible(
+            step.model, step.job.job.queue.service, advised or None
+        )
+        racks = {
+            self._inputs.workers_by_id[run.worker_id].listing.rack
+            for run in step.runs_by_index.values()
+            if self._inputs.workers_by_id[run.worker_id].listing
+        }
+        if step.model.is_rack_local and len(racks) == 1:
+            free_workers = [w for w in free_workers if w.rack in racks]
+        waiting = sorted(step.waiting)
+        placed = self._pool.place(
+            step.model,
+            len(waiting),
+            free_workers,
+            step.run_count_by_worker(),
+        )
+        if len(placed) < len(waiting):
+            self._pool.release(step.model, placed)
+            return
+        for index, free_worker in zip(waiting, placed, strict=True):
+            self._start(step, index, free_worker)
+
     def _plan_step(self, step: runs.StepState) -> None:
         model = step.model
         if self._unplanned_count(step) <= 0:
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -106,6 +106,23 @@
         dataclasses.field(default_factory=dict)
     )
     is_advice_pending: bool = False
+    # Number of a gang's run of which a member was refused; 0 if none was.
+    refill_number: int = 0
+    refill_until: datetime.timedelta = _ZERO
+
+    @property
+    def open_gang_number(self) -> int:
+        """Return the number of the gang's run that lacks members; 0 if none.
+
+        The members at work wait for a refused one, which may start elsewhere.
+        """
+        members = self.runs_by_index.values()
+        is_open = bool(members) and all(
+            member.number == self.refill_number
+            and member.phase is not Phase.STOPPING
+            for member in members
+        )
+        return self.refill_number if is_open else 0
 
     @property
     def is_done(self) -> bool:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -162,6 +162,7 @@
         self._sync_workers()
         self._poller.expire_leases()
         self._orders.stop_unanswered_starts()
+        self._orders.stop_open_gangs()
         self._end_jobs()
         self._delete_expired_records()
         self._move_runs()
@@ -183,6 +184,7 @@
             self.cluster.durations,
             self._headroom,
             self._holds,
+            tuple(self.cluster.open_gangs),
         )
         plan = planning.Planner(inputs).plan()
         for stop in plan.stops:
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -12,6 +12,7 @@
 ROUND_TRIP = datetime.timedelta(milliseconds=2)
 STOP_BOUND = datetime.timedelta(milliseconds=200)
 GANG_TIMEOUT = datetime.timedelta(seconds=3)
+START_DELAY = datetime.timedelta(seconds=3)  # of orders carried out late
 _MS = datetime.timedelta(milliseconds=1)
 
 Status = fleet.OrderStatus
@@ -57,6 +58,8 @@
         self.is_cut = False
         self.stops_at_by_task: dict[str, datetime.timedelta] = {}
         self.lose_start_answers = 0
+        self.refuse_starts = 0  # answered as by an unhealthy worker
+        self.delay_starts = 0  # unanswered and carried out later
         self.fails_everything = False
         self.hangs = False
         self.born_at = fake_fleet.clock.monotonic()
@@ -161,6 +164,10 @@
         # Delay between the ends of runs that one worker stops together.
         self.stop_spacing = datetime.timedelta(milliseconds=40)
         self.injected: collections.Counter[str] = collections.Counter()
+        # Orders to carry out START_DELAY after they came.
+        self.late_starts: list[
+            tuple[datetime.timedelta, FakeWorker, fleet.StartOrder]
+        ] = []
         self._assembled_at_by_gang: dict[
             tuple[str, int], datetime.timedelta
         ] = {}
@@ -231,6 +238,10 @@
 
     def advance(self) -> None:
         """Update every worker to the current time."""
+        due = self.clock.monotonic() - START_DELAY
+        while self.late_starts and self.late_starts[0][0] <= due:
+            _, worker, order = self.late_starts.pop(0)
+            self._start(worker, order)
         for worker in self.workers_by_id.values():
             worker.advance()
 
@@ -263,6 +274,15 @@
         worker = await self._reach(address)
         if worker is None:
             return await self._time_out(timeout)
+        if worker.refuse_starts:
+            worker.refuse_starts -= 1
+            self.injected["start_unhealthy"] += 1
+            return fleet.OrderResult(Status.UNHEALTHY)
+        if worker.delay_starts:
+            worker.delay_starts -= 1
+            self.injected["start_late"] += 1
+            self.late_starts.append((self.clock.monotonic(), worker, order))
+            return await self._time_out(timeout)
         result = self._start(worker, order)
         if worker.lose_start_answers:
             worker.lose_start_answers -= 1
