Send an unanswered start once more; confirm the claim before each start

Change: a start without an answer after 0.4 s is sent once more, which a worker carries out only once. If that one is refused, the first may still be carried out, so the run is stopped there as before. Each start waits for a confirmation of the claim that is younger than 1 s. The stand-in's workers answered 'no room' to a start that they already ran; by the protocol they confirm it.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -13,6 +13,10 @@
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import runs
 
+# Other instances claim the role when the last record is older than
+# candidate.HOLDER_TIMEOUT; an order sent within this shorter time of a record
+# precedes any such claim.
+MAX_CONFIRMATION_AGE = datetime.timedelta(seconds=1.0)
 STRIKE_LIMIT = 2  # consecutive failures before a worker is avoided
 STRIKE_AVOID_DURATION = datetime.timedelta(seconds=3)
 
@@ -65,6 +69,12 @@
         """Return the fencing token."""
         return self.journal.claim.epoch + 1
 
+    @property
+    def is_claim_confirmed(self) -> bool:
+        """Return whether starts may be ordered under the claim."""
+        age = self.clock.monotonic() - self.journal.confirmed_at
+        return not self.journal.is_claim_lost and age < MAX_CONFIRMATION_AGE
+
     def spawn(self, coroutine: collections.abc.Coroutine) -> asyncio.Task:
         """Run a background task that is cancelled with the scheduler."""
         task = asyncio.ensure_future(coroutine)
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -11,10 +11,6 @@
 from cardamomcroft.scheduling import planning
 from cardamomcroft.scheduling import runs
 
-# Other instances claim the role when the last record is older than
-# candidate.HOLDER_TIMEOUT; an order sent within this shorter time of a record
-# precedes any such claim.
-MAX_CONFIRMATION_AGE = datetime.timedelta(seconds=1.0)
 # A job's objective allows for one advice call per step, on 30 workers.
 MAX_ADVISED_WORKERS = 30  # named in one call
 FULL_RECORD_AVOIDANCE = datetime.timedelta(seconds=1)
@@ -169,8 +165,7 @@
         while batch:
             keys = {_record_key(run.worker_id) for run in batch}
             if await journal.commit(keys):
-                age = self._cluster.clock.monotonic() - journal.confirmed_at
-                if age < MAX_CONFIRMATION_AGE:
+                if self._cluster.is_claim_confirmed:
                     break
             elif journal.is_claim_lost:
                 return
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -8,6 +8,9 @@
 from cardamomcroft.scheduling import runs
 
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=700)  # 30 round trips
+# A start without an answer is sent once more: the first may be carried out
+# late or never, and a worker starts the same run only once.
+START_TIMEOUTS = (datetime.timedelta(milliseconds=400), ORDER_TIMEOUT)
 STOP_RETRY_PAUSE = datetime.timedelta(milliseconds=250)
 # An unanswered start may still appear in the worker's next inventory.
 UNCERTAIN_START_TIMEOUT = datetime.timedelta(milliseconds=400)
@@ -62,12 +65,45 @@
         if run.step.job.is_cancelled or run.step.job.final_state:
             self._cluster.detach(run)
             return
-        now = self._clock.monotonic()
+        # Earlier starts on this worker may have taken long to fail.
+        while not self._cluster.is_claim_confirmed:
+            if not await self._cluster.journal.commit(frozenset()):
+                return
+        if run.phase is not runs.Phase.ASSIGNED:
+            return
         run.phase = runs.Phase.STARTING
+        result = await self._order_start(worker, run)
+        self._handle_start_result(worker, run, result)
+
+    async def _order_start(
+        self, worker: runs.Worker, run: runs.Run
+    ) -> fleet.OrderResult:
+        is_first = True
+        for timeout in START_TIMEOUTS:
+            order = self._start_order(worker, run)
+            result = await self._link.start(worker.address, order, timeout)
+            if result.status in _REFUSED and not is_first:
+                # The unanswered order may still be carried out.
+                return fleet.OrderResult(
+                    Status.MAY_HAVE_RUN, result.clock_ms, result.detail
+                )
+            if (
+                result.status is not Status.MAY_HAVE_RUN
+                or run.phase is not runs.Phase.STARTING
+                or not self._cluster.is_claim_confirmed
+            ):
+                break
+            is_first = False
+        return result
+
+    def _start_order(
+        self, worker: runs.Worker, run: runs.Run
+    ) -> fleet.StartOrder:
         ticket, _ = run.step.tickets_by_worker.get(
             worker.worker_id, ("", None)
         )
-        order = fleet.StartOrder(
+        now = self._clock.monotonic()
+        return fleet.StartOrder(
             run.name,
             run.number,
             run.step.job.job.payload,
@@ -76,8 +112,6 @@
             run.checkpoint,
             ticket,
         )
-        result = await self._link.start(worker.address, order, ORDER_TIMEOUT)
-        self._handle_start_result(worker, run, result)
 
     def _handle_start_result(
         self, worker: runs.Worker, run: runs.Run, result: fleet.OrderResult
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -306,11 +306,11 @@
             return fleet.OrderResult(Status.STALE_RUN, clock_ms)
         job_id, _, step_number, _ = order.task.rsplit(".", 3)
         step = self.steps_of(job_id)[int(step_number)]
-        if not step.demand.fits(worker.free_capacity()):
-            return fleet.OrderResult(Status.NO_ROOM, clock_ms)
         known = worker.runs_by_task.get(order.task)
         if known is not None and known.number == order.run:
             return fleet.OrderResult(Status.DONE, clock_ms)
+        if not step.demand.fits(worker.free_capacity()):
+            return fleet.OrderResult(Status.NO_ROOM, clock_ms)
         if known is not None:
             self.duplicate_starts.append(order.task)
         width = step.width if step.is_gang else 0
