Look at urgent runs more often until their rate is known

A run is found slow from two inventories a second apart, which come every 2 s, so that urgent work of 2.5 s was moved after 4 s (trace of: started at 2.65, moved at 6.66). Change: a worker with an urgent run is polled every 0.6 s until the run's rate is known for 1.8 s.

--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -9,8 +9,12 @@
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import runs
+from cardamomcroft.scheduling import stragglers
 
 LONG_POLL_WAIT = datetime.timedelta(seconds=2)  # workers' maximum
+# Three inventories of an urgent run show its rate (runs.MIN_RATE_SPAN_S)
+# before a slow or hanging worker has made its caller late.
+URGENT_POLL_WAIT = datetime.timedelta(milliseconds=600)
 POLL_TIMEOUT = datetime.timedelta(milliseconds=700)
 # Over a slow link a first answer waits for those of the other workers.
 MAX_TIMEOUT_DOUBLINGS = 3
@@ -163,6 +167,8 @@
             or phases & unsettled_phases
         ):
             return _ZERO
+        if any(map(_is_rate_unknown, worker.runs_by_task.values())):
+            return URGENT_POLL_WAIT
         return LONG_POLL_WAIT
 
     def _poll_timeout(self, worker: runs.Worker) -> datetime.timedelta:
@@ -442,6 +448,17 @@
                 worker.unreachable_since = None
 
 
+def _is_rate_unknown(run: runs.Run) -> bool:
+    """Return whether an urgent run may still turn out slow or hanging."""
+    step = run.step.model
+    if step.is_lasting or step.is_filling or run.step.job.job.queue.priority:
+        return False
+    if run.reported_at is None:
+        return True
+    span = run.reported_at - run.first_reported_at
+    return span < stragglers.STALL_TIMEOUT
+
+
 def _is_unheard(worker: runs.Worker, now: datetime.timedelta) -> bool:
     """Return whether a worker is unreachable or its inventory is late.
 
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -62,6 +62,7 @@
         self.delay_starts = 0  # unanswered and carried out later
         self.fails_everything = False
         self.hangs = False
+        self.slowness = 1.0  # tasks take so many times as long
         self.born_at = fake_fleet.clock.monotonic()
 
     def clock_ms(self) -> int:
@@ -97,7 +98,10 @@
         if self.hangs:
             return 10
         worked = self._fleet.clock.monotonic() - run.began_at
-        return min(int(worked / self._fleet.duration_of(task) * 100), 99)
+        return min(int(worked / self._duration_of(task) * 100), 99)
+
+    def _duration_of(self, task: str) -> datetime.timedelta:
+        return self._fleet.duration_of(task) * self.slowness
 
     def advance(self) -> None:
         """End the runs that are due, stopped or without a lease."""
@@ -115,7 +119,7 @@
                 self._advance_gang_member(task, run, now)
             elif self.hangs:
                 continue
-            elif now - run.began_at >= self._fleet.duration_of(task):
+            elif now - run.began_at >= self._duration_of(task):
                 self.end(task, self._outcome())
 
     def _outcome(self) -> fleet.End:
--- a/tests/scheduling/test_stragglers.py
+++ b/tests/scheduling/test_stragglers.py
@@ -31,6 +31,50 @@
         self.assertEqual({i.worker_id for i in stopped}, {"w1"})
 
 
+class SlowWorkerTest(harness.SchedulingTestCase):
+    """One worker takes eight times as long as the others."""
+
+    duration = harness.seconds(2.5)
+
+    async def asyncSetUp(self):
+        """Let the scheduler learn the usual run times."""
+        await super().asyncSetUp()
+        self.add_workers(4)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        self.urgent = harness.make_queue(priority=0)
+        for _ in range(2):
+            step = harness.make_step(width=4, accelerators=8)
+            job_id = self.submit(step, queue=self.urgent)
+            await self.wait_until(
+                lambda j=job_id: self.state(j) == "completed"
+            )
+
+    async def test_urgent_task_leaves_a_slow_worker_soon(self):
+        """Its job ends well before three times the run time of a task."""
+        self.fleet.workers_by_id["w2"].slowness = 8.0
+        step = harness.make_step(width=3, accelerators=8)
+        job_id = self.submit(step, queue=self.urgent)
+        took = await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.check_run_once(job_id)
+        moved = [
+            i.worker_id
+            for i in self.fleet.intervals
+            if i.end is fleet.End.STOPPED
+        ]
+        self.assertEqual(moved, ["w2"])
+        self.assertLess(took, 2 * 2.5 + 0.5)
+
+    async def test_urgent_task_leaves_a_hanging_worker_soon(self):
+        """A task without progress moves after the stall time-out."""
+        self.fleet.workers_by_id["w2"].hangs = True
+        step = harness.make_step(width=3, accelerators=8)
+        job_id = self.submit(step, queue=self.urgent)
+        took = await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.check_run_once(job_id)
+        self.assertLess(took, 2 * 2.5 + 1)
+
+
 class LongTest(harness.SchedulingTestCase):
     """One task takes far longer than its queue's others."""
 
