--- a/cardamomcroft/scheduling/ordering.py
+++ b/cardamomcroft/scheduling/ordering.py
@@ -63,20 +63,6 @@
         state.objective_valid_until = now + MAX_OBJECTIVE_AGE
 
 
-def can_end_by_final_deadline(
-    state: runs.JobState, now: datetime.timedelta
-) -> bool:
-    """Return whether the job would end in time to have some value.
-
-    Its objective and slack must have been refreshed.
-    """
-    if state.job.is_lasting or state.job.timetable or state.is_start_recorded:
-        return True
-    critical_path = state.objective - state.slack
-    deadline = state.accepted_at + state.objective * FINAL_DEADLINE_FACTOR
-    return now + critical_path <= deadline
-
-
 def is_slack_exhausted(
     state: runs.JobState, now: datetime.timedelta, share: float = 1.0
 ) -> bool:
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -25,8 +25,6 @@
 # to four times its own work: it is worth more per core-second than what it
 # stops.
 MAX_COST_RATIO_AFTER_WAIT = 4.0
-# A job that would be late in any case has a fifth of its value left.
-MAX_COST_RATIO_LATE = 1.0
 # These two bound the duration of rounds while hundreds of jobs wait.
 MAX_PREEMPTION_SEARCHES = 8  # per round
 PREEMPTION_SEARCH_INTERVAL = datetime.timedelta(milliseconds=150)  # per step
@@ -391,8 +389,8 @@
             is_urgent or waited > NON_URGENT_PREEMPTION_WAIT
         ):
             return
-        if not self._is_guaranteed(step.job) and self._is_worthless(step.job):
-            return  # even with preemption it would end too late
+        if not self._is_guaranteed(step.job) and self._is_too_late(step.job):
+            return  # even with preemption it would not finish in time
         count = self._unplanned_count(step)
         if step.model.is_gang and count < step.model.width:
             return
@@ -430,17 +428,11 @@
             job.job.queue.priority == 0 and job.job.account in self._guaranteed
         )
 
-    def _is_worthless(self, job: runs.JobState) -> bool:
-        """Return whether preemption for a job would serve nobody.
-
-        Less urgent work waits for free capacity once it would be late.
-        """
+    def _is_too_late(self, job: runs.JobState) -> bool:
         now = self._inputs.now
-        if ordering.is_past_final_deadline(job, now, job.objective):
-            return True
-        if job.job.queue.priority == 0:
-            return not ordering.can_end_by_final_deadline(job, now)
-        return ordering.is_slack_exhausted(job, now)
+        return ordering.is_past_final_deadline(
+            job, now, job.objective
+        ) or ordering.is_slack_exhausted(job, now)
 
     def _hold(self, step: runs.StepState) -> None:
         """Keep less urgent work off the workers that fit the step soonest."""
@@ -512,8 +504,6 @@
         )
         own = preempting.core_equivalent(step.model.demand) * step.model.width
         factor = MAX_COST_RATIO_AFTER_WAIT if has_waited else MAX_COST_RATIO
-        if ordering.is_slack_exhausted(step.job, self._inputs.now):
-            factor = MAX_COST_RATIO_LATE
         return own * expected.total_seconds() * factor
 
 
