--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -86,7 +86,9 @@
     async def test_read_fails_as_if_unanswered(self):
         """The library's RuntimeError is a failed call, not a crash."""
         closed = RuntimeError("Connection closed.")
-        with mock.patch.object(aiohttp.ClientSession, "request") as request:
+        with mock.patch.object(
+            aiohttp.ClientSession, "request", autospec=True
+        ) as request:
             request.side_effect = closed
             page = await self.store.read(store.Stream.JOBS, 0, WAIT, TIMEOUT)
             result = await self.store.append(
