--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -14,6 +14,8 @@
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import configuration
+from cardamomcroft.scheduling import configuration_view
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import metrics
@@ -79,6 +81,23 @@
         await asyncio.sleep(0)
         os.close(self.sink)
 
+    def make_log(self, name: str) -> events.Events:
+        """Return an instance's log."""
+        return events.Events(self.clock, name, metrics.Metrics(), self.sink)
+
+    def make_view(
+        self, source: store.Store, max_age: datetime.timedelta
+    ) -> configuration_view.ConfigurationView:
+        """Return a view of configurations that are numbers."""
+        return configuration_view.ConfigurationView(
+            source,
+            self.clock,
+            self.make_log("a"),
+            lambda raw: configuration.Configuration(int(raw), (), {}, 0),
+            "config",
+            max_age,
+        )
+
     def add_workers(self, count: int, accelerators: int = 8) -> None:
         """Add workers with their entries in the directory."""
         for number in range(count):
@@ -97,13 +116,12 @@
         peers: collections.abc.Callable[[], dict[str, codec.Peer]] = dict,
     ) -> nodes.Node:
         """Start a node as a new process of an instance."""
-        log = events.Events(self.clock, name, metrics.Metrics(), self.sink)
         node = nodes.Node(
             f"{name} {next(self.numbers)}",
             self.store.client(name),
             self.fleet,
             self.clock,
-            log,
+            self.make_log(name),
             lambda record: self.listings.get(record.key),
             PARAMETERS,
             random.Random(f"{name}{seed}"),
--- a/tests/scheduling/test_configuration_view.py
+++ b/tests/scheduling/test_configuration_view.py
@@ -1,13 +1,8 @@
 """Test for how long a configuration counts as current."""
 
 import asyncio
-import os
 
 from cardamomcroft.ports import store
-from cardamomcroft.scheduling import configuration
-from cardamomcroft.scheduling import configuration_view
-from cardamomcroft.scheduling import events
-from cardamomcroft.scheduling import metrics
 from cardamomcroft.standin import store as standin_store
 from tests.scheduling import harness
 
@@ -35,17 +30,7 @@
         await super().asyncSetUp()
         self.store.put(store.Stream.OPERATOR, "config", b"1")
         self.source = SlowAnswers(self.store, "a")
-        sink = os.open(os.devnull, os.O_WRONLY)
-        self.addCleanup(os.close, sink)
-        log = events.Events(self.clock, "a", metrics.Metrics(), sink)
-        self.view = configuration_view.ConfigurationView(
-            self.source,
-            self.clock,
-            log,
-            lambda raw: configuration.Configuration(int(raw), (), {}, 0),
-            "config",
-            MAX_AGE,
-        )
+        self.view = self.make_view(self.source, MAX_AGE)
         self.task = asyncio.ensure_future(self.view.run())
         self.addCleanup(self.task.cancel)
 
--- a/tests/scheduling/test_silent_store.py
+++ b/tests/scheduling/test_silent_store.py
@@ -1,13 +1,8 @@
 """An instance notices soon that a silent store answers again."""
 
 import asyncio
-import os
 
 from cardamomcroft.ports import store
-from cardamomcroft.scheduling import configuration
-from cardamomcroft.scheduling import configuration_view
-from cardamomcroft.scheduling import events
-from cardamomcroft.scheduling import metrics
 from cardamomcroft.scheduling import node
 from cardamomcroft.scheduling import replica
 from cardamomcroft.standin import store as standin_store
@@ -45,18 +40,10 @@
         await super().asyncSetUp()
         self.store.put(store.Stream.OPERATOR, "config", b"1")
         self.source = SilentStore(self.store, "a")
-        sink = os.open(os.devnull, os.O_WRONLY)
-        self.addCleanup(os.close, sink)
-        log = events.Events(self.clock, "a", metrics.Metrics(), sink)
-        self.view = configuration_view.ConfigurationView(
-            self.source,
-            self.clock,
-            log,
-            lambda raw: configuration.Configuration(int(raw), (), {}, 0),
-            "config",
-            MAX_AGE,
+        self.view = self.make_view(self.source, MAX_AGE)
+        self.replica = replica.Replica(
+            self.source, self.clock, self.make_log("a")
         )
-        self.replica = replica.Replica(self.source, self.clock, log)
         for loop in (self.view.run(), self.follow()):
             task = asyncio.ensure_future(loop)
             self.addCleanup(task.cancel)
