--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -377,6 +377,7 @@
             await self.clock.sleep(POLL_INTERVAL)
             worker.advance()
         if worker.is_cut:
+            self.injected["unreachable"] += 1
             return await self._time_out(timeout)
         return fleet.Inventory(
             worker.clock_ms(),
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,6 +1,7 @@
 """Test the path of a call over HTTP: submit, run, query, cancel, refuse."""
 
 import asyncio
+import contextlib
 import datetime
 import unittest
 
@@ -168,6 +169,27 @@
 
         await self.wait_for(is_refused, 2)
 
+    async def test_revoked_key_is_refused_after_a_restart(self):
+        """A new process never serves by a configuration of before."""
+        self.platform.configure(configuration(2, ["k2"]))
+        name = NAMES[0]
+        self.cluster.tasks_by_name[name].cancel()
+        await asyncio.gather(
+            self.cluster.tasks_by_name[name], return_exceptions=True
+        )
+        await self.cluster.start(name)
+        statuses = set()
+
+        async def is_ready() -> bool:
+            with contextlib.suppress(aiohttp.ClientConnectorError):
+                statuses.add((await self.call("GET", "/scan/"))[0])
+            return await self.is_ready(name)
+
+        await self.wait_for(is_ready)
+        statuses.add((await self.call("GET", "/scan/"))[0])
+        self.assertIn(401, statuses)
+        self.assertLessEqual(statuses, {401, 503})
+
     async def test_cancelled_job_is_shown_as_such(self):
         """A cancellation is acknowledged and its tasks stop."""
         self.platform.fleet.duration = seconds(30)
