Play the fault machine on at further seeds until every fault happened

Cause: at seeds 17 and 8, and with few examples, a kind of fault did not happen by chance, and the test failed with no promise broken. As strict as it was: every kind has to happen, and the promises hold in all passes.

--- a/tests/faults/test_faults_cluster.py
+++ b/tests/faults/test_faults_cluster.py
@@ -11,6 +11,8 @@
 SEED = os.environ.get("CARDAMOMCROFT_SEED")
 EXAMPLES = int(os.environ.get("CARDAMOMCROFT_EXAMPLES", "120"))
 STEPS = 40
+# A seed may lack a kind of fault by chance; further passes have other seeds.
+MAX_PASSES = 5
 PHASES = [hypothesis.Phase.generate]  # shrinking takes minutes
 if os.environ.get("CARDAMOMCROFT_SHRINK"):
     PHASES.append(hypothesis.Phase.shrink)
@@ -41,24 +43,38 @@
     """Check the reported outcomes under every kind of fault."""
 
     def test_promises_hold_and_every_fault_happened(self):
-        factory = machine.ClusterMachine
-        if SEED is not None:
-            factory = hypothesis.seed(int(SEED))(factory)
         machine.FAULTS.clear()
+        seed = None if SEED is None else int(SEED)
+        for number in range(MAX_PASSES):
+            self.play(seed)
+            if not self.missing():
+                break
+            seed = (seed or 0) + 1000 + number
+        if os.environ.get("CARDAMOMCROFT_TABLE"):
+            print(dict(sorted(machine.FAULTS.items())))
+        self.assertEqual([], self.missing(), "faults that did not happen")
+
+    def missing(self) -> list[str]:
+        """Return the kinds of faults that have not happened yet."""
+        return [
+            fault for fault in EXPECTED_FAULTS if not machine.FAULTS[fault]
+        ]
+
+    def play(self, seed: int | None) -> None:
+        """Check the promises in one pass; without a seed, in CI's."""
+        factory = machine.ClusterMachine
+        if seed is not None:
+            # A class keeps its first seed.
+            factory = type("SeededMachine", (machine.ClusterMachine,), {})
+            factory = hypothesis.seed(seed)(factory)
         settings = hypothesis.settings(
             max_examples=EXAMPLES,
             stateful_step_count=STEPS,
             deadline=None,
-            derandomize=SEED is None,
+            derandomize=seed is None,
             database=None,
             print_blob=False,
             phases=PHASES,
             suppress_health_check=list(hypothesis.HealthCheck),
         )
         stateful.run_state_machine_as_test(factory, settings=settings)
-        if os.environ.get("CARDAMOMCROFT_TABLE"):
-            print(dict(sorted(machine.FAULTS.items())))
-        missing = [
-            fault for fault in EXPECTED_FAULTS if not machine.FAULTS[fault]
-        ]
-        self.assertEqual([], missing, "faults that did not happen")
