Answer what needs no append while the store is silent

Found at the last reading of the change: a repeated submission of a job that the instance knows, and a cancellation of an ended one, were refused with 503 though their answer was ready. Change: only the instance's own append is left out; peers are asked as before. Test: a repeated submission in a silence got 503, now 200.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -134,9 +134,6 @@
         reply = await self._forwarder.forward(call)
         if reply is not None:
             return reply
-        if call.is_change and self._node.replica.is_store_silent:
-            # An append would only make the outcome unknown.
-            return self._refuse(call, 503, "store does not answer")
         call = self._deduct_time(call, began_at)
         return await self._answer(call, relaying.NoForwarder())
 
@@ -276,6 +273,11 @@
         self, entry: store.Entry, left: datetime.timedelta
     ) -> store.Appended:
         """Append within the time left, which a large entry may need whole."""
+        if self._node.replica.is_store_silent:
+            # An append would only make the outcome unknown.
+            return store.Appended(
+                store.AppendStatus.NOT_RUN, detail="store does not answer"
+            )
         left = max(left, MIN_APPEND_TIMEOUT)
         appending = self._store.append(
             store.Stream.JOBS, [entry], min(left, APPEND_TIMEOUT)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -6,6 +6,7 @@
 import random
 import types
 import unittest
+from unittest import mock
 
 from cardamomcroft.platform import ingress
 from cardamomcroft.ports import clock as clocks
@@ -179,6 +180,17 @@
         self.assertEqual((reply.status, link.begun), (503, 0))
         self.assertGreaterEqual(reply.retry_after_s, 3)
 
+    async def test_repeated_submission_is_confirmed_in_a_silence(self):
+        """An answer that needs no append is given while the store is away."""
+        self.replica.is_reachable = False
+        self.replica.is_store_silent = True
+        self.replica.ledger = mock.Mock(spec_set=ledger.Ledger)
+        self.replica.ledger.state.return_value = "queued"
+        link = SlowLink(self.clock)
+        target = self.make(link, ScriptedForwarder(self.clock, None))
+        reply = await self.call(target, "POST")
+        self.assertEqual((reply.status, link.begun), (200, 0))
+
     async def test_own_append_gets_the_time_left_by_the_peers(self):
         """An append after silent peers ends before the client gives up."""
         self.replica.is_reachable = False
