Take no run for absent before a worker has listed all its ends

Cause: a worker lists its ends 500 at a time. A run in neither list of the first answer was taken for absent, though its end stood in a later answer, and its task was placed and started again. Change: an inventory says whether it is complete, which is decided where it is decoded (fewer than 500 ends); only a complete one shows that a run is absent. Why it works: ends are numbered and listed in order, those applied are forgotten at the next polls, and these follow at once as long as ends are not acknowledged, so that the last part comes soon and is the one that counts. The fake fleet lists its ends in parts as the protocol says.

--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -16,6 +16,8 @@
 CONNECT_TIMEOUT_S = 0.5  # several round trips between data centres
 ADVICE_TIMEOUT_S = 2.0
 MAX_REMAINING_MS = 86_400_000  # a day; larger numbers overflow a duration
+# The protocol returns the remaining ends in later answers.
+ENDS_PER_ANSWER = 500
 _CONNECT_LIMIT = aiohttp.ClientTimeout(
     total=None, sock_connect=CONNECT_TIMEOUT_S
 )
@@ -235,6 +237,7 @@
             )
             for row in data["Finished"]
         ),
+        len(data["Finished"]) < ENDS_PER_ANSWER,
     )
 
 
--- a/cardamomcroft/ports/fleet.py
+++ b/cardamomcroft/ports/fleet.py
@@ -104,6 +104,8 @@
     born_ms: int
     running: tuple[RunningTask, ...]
     finished: tuple[FinishedTask, ...]
+    # If further ends may follow, a run in neither list may have ended.
+    is_complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -351,6 +351,8 @@
         for running in inventory.running:
             listed.add((running.task, running.run))
             self._apply_running_task(worker, running, now)
+        if not inventory.is_complete:
+            return  # a run in neither list may be among the ends to come
         for run in list(worker.runs_by_task.values()):
             if (run.name, run.number) in listed:
                 continue
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -13,6 +13,7 @@
 STOP_BOUND = datetime.timedelta(milliseconds=200)
 GANG_TIMEOUT = datetime.timedelta(seconds=3)
 START_DELAY = datetime.timedelta(seconds=3)  # of orders carried out late
+ENDS_PER_ANSWER = 500
 _MS = datetime.timedelta(milliseconds=1)
 
 Status = fleet.OrderStatus
@@ -101,6 +102,12 @@
         if run.width:
             self._fleet.end_gang(task.rpartition(".")[0], run.number, end)
 
+    def highest(self, task: str) -> int:
+        """Return the highest number of a run of a task; 0 if it had none."""
+        run = self.runs_by_task.get(task)
+        number = run.number if run else 0
+        return max(number, self.highest_run_by_task.get(task, 0))
+
     def percent(self, task: str, run: FakeRun) -> int:
         """Return a run's progress; it is constant while the worker hangs."""
         if self.hangs:
@@ -171,6 +178,7 @@
         self.durations_by_job: dict[str, datetime.timedelta] = {}
         # Delay between the ends of runs that one worker stops together.
         self.stop_spacing = datetime.timedelta(milliseconds=40)
+        self.ends_per_answer = ENDS_PER_ANSWER
         # Completions (task, run) that ended with their worker, unacknowledged.
         self.lost_completions: list[tuple[str, int]] = []
         self.injected: collections.Counter[str] = collections.Counter()
@@ -413,7 +421,8 @@
                 )
                 for task, run in worker.runs_by_task.items()
             ),
-            tuple(worker.finished),
+            tuple(worker.finished[: self.ends_per_answer]),
+            len(worker.finished) < self.ends_per_answer,
         )
 
     async def advise(self, step, worker_ids) -> fleet.Advice | None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -120,6 +120,15 @@
         self.assertEqual(inventory.running[0].gauge, 12)
         end = inventory.finished[0].end
         self.assertIs(end, fleet.End.GANG_INCOMPLETE)
+        self.assertTrue(inventory.is_complete)
+
+    def test_inventory_with_a_full_page_of_ends_is_a_part(self):
+        """The protocol lists 500 ends at a time."""
+        ends = [[n, f"j.0.0.{n}", 1, "done", ""] for n in range(1, 501)]
+        for count, is_complete in ((499, True), (500, False)):
+            data = {"ClockMs": 9, "Running": [], "Finished": ends[:count]}
+            inventory = workers.decode_inventory(data)
+            self.assertIs(inventory.is_complete, is_complete)
 
 
 class SubmissionTest(unittest.TestCase):
