Send no task that is done, and stop a later run of it

Cause: a success was recorded for the step, and nothing told the task's other runs. An assigned run stayed attached, and its start checks its phase alone. Evidence: test_task_that_is_done_is_not_sent and test_run_of_a_task_that_is_done_is_stopped failed before, the first with the task at work on a second worker. Change: when a task is done, its runs with another number are stopped; one not sent yet is detached, and a detached run can't be sent. Such a run does not count among those whose worker has to be asked by a successor. Members of a gang's run that is done share its number and end by themselves.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -133,6 +133,7 @@
 
     def detach(self, run: runs.Run) -> None:
         """Remove a run that has certainly ended or was never sent."""
+        was_sent = run.phase is not runs.Phase.ASSIGNED
         run.phase = runs.Phase.ENDED
         index = run.key.index
         step = run.step
@@ -143,7 +144,7 @@
         worker = self.workers_by_id.get(run.worker_id)
         if worker and worker.runs_by_task.get(run.name) is run:
             del worker.runs_by_task[run.name]
-            if index in step.done and self._is_held(step.job):
+            if index in step.done and was_sent and self._is_held(step.job):
                 worker.unrecorded_by_task[run.name] = run
         if run.checkpoint:
             self._keep_checkpoint(run)
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -468,11 +468,26 @@
             self._observe_duration(worker, finished, step)
             if not step.model.is_lasting:
                 self._cluster.record_success(step, index)
+                self._stop_other_runs(step, index, finished.run)
         elif finished.end is fleet.End.FAILED:
             self._cluster.record_strike(worker)
             if index not in step.done:
                 self._cluster.record_failure(step, index, finished.run)
 
+    def _stop_other_runs(
+        self, step: runs.StepState, index: int, number: int
+    ) -> None:
+        """Stop the later runs of a task that is done; never send them.
+
+        The members of the gang that is done end by themselves.
+        """
+        is_gang = step.model.is_gang
+        run = step.runs_by_index.get(index)
+        others = step.runs_by_index.values() if is_gang else [run]
+        for other in list(others):
+            if other is not None and other.number != number:
+                self._orders.stop(other, "task is done")
+
     def _observe_duration(
         self,
         worker: runs.Worker,
