Keep no steps of occurrences that are not due or that are done

Cause: the state of a job held a step for each declared occurrence. Admission and each takeover built 43,200 of them a job, each round, look and forecast walked over all, each end encoded all that was done (up to 256 KiB a record), and readers of the record expanded its ranges again, all without giving the event loop back, in which the claim is renewed. The next holder did the same. Change: occurrences are opened in order when they are due (at most 64 of a job that wait for a first run, or 256 steps) and closed when they are done; closed ones are ranges in memory and in the record. Sets of task indexes are bits of a number. The forecast counts what is due and not open by arithmetic, and leaves out what is not due: it was counted as a queue, for which others were refused (TimetableTest). A name of a task outside its job's declared size is unknown. Why it works: all that a round, an end, a takeover and a record cost follows the open occurrences, which are due or at work.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -13,6 +13,7 @@
 from cardamomcroft.scheduling import failures
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import ledger as ledgers
+from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import runs
 
 # Other instances claim the role when the last record is older than
@@ -119,8 +120,10 @@
             state = self.jobs_by_id.get(job_id)
             if state is None:
                 return None
-            step = state.steps_by_key.get((int(occurrence), int(number)))
-            return (step, int(index)) if step else None
+            step = occurrences.find_step(state, int(occurrence), int(number))
+            if step is None or not 0 <= int(index) < step.model.width:
+                return None
+            return step, int(index)
         except ValueError:
             return None
 
@@ -141,6 +144,8 @@
             del step.runs_by_index[index]
             if index not in step.done:
                 step.waiting.add(index)
+            if step.is_done:
+                occurrences.close_if_done(step.job, step.occurrence)
         worker = self.workers_by_id.get(run.worker_id)
         if worker and worker.runs_by_task.get(run.name) is run:
             del worker.runs_by_task[run.name]
@@ -162,8 +167,10 @@
         """Stage the record of a job's progress for the next flush."""
         ended_at = self.clock.now().timestamp() if job.final_state else 0.0
         key = ledgers.Kind.PROGRESS.key(job.job.job_id)
-        max_bytes = codec.MAX_RECORD_BYTES - codec.record_bytes(key, None)
-        value = codec.encode_progress(job.progress(ended_at), max_bytes)
+        value = codec.encode_progress(job.progress(ended_at))
+        if codec.record_bytes(key, value) > codec.MAX_RECORD_BYTES:
+            short = job.progress(ended_at, max_listed=0)
+            value = codec.encode_progress(short)
         was_held = self._is_held(job)
         self.journal.stage(key, value)
         if was_held and not self._is_held(job):
@@ -197,8 +204,9 @@
             run_step.waiting.discard(number)
             run_step.checkpoints_by_index.pop(number, None)
         job = run_step.job
-        is_job_done = all(step.is_done for step in job.steps_by_key.values())
-        if is_job_done and not job.final_state:
+        if run_step.is_done:
+            occurrences.close_if_done(job, run_step.occurrence)
+        if job.is_done and not job.final_state:
             job.final_state = "completed"
             self.spawn(self.report_durable_end(job))
         self.stage_progress(job)
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -4,11 +4,11 @@
 import datetime
 import json
 
+from cardamomcroft.scheduling import index_set
 from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import ranges
 
 MAX_RECORD_BYTES = 262_144  # the store refuses larger ones
-# The least that 0.3.0's form needs for a step of an occurrence.
-_MIN_STEP_BYTES = 17
 # Version 0.3.0 does not know ranges and would run all that they hold again.
 # It takes a record with them for that of a job that ended in this year.
 _STATE_FOR_OLD_READERS = "completed"
@@ -140,7 +140,9 @@
 class StepProgress:
     """Durable state of one step of one occurrence."""
 
-    done: frozenset[int] = frozenset()
+    done: index_set.IndexSet = dataclasses.field(
+        default_factory=index_set.IndexSet
+    )
     failures_by_index: dict[int, tuple[int, int]] = dataclasses.field(
         default_factory=dict
     )  # index: (failures, run number of the last)
@@ -156,22 +158,9 @@
     state: str
     steps_by_key: dict[tuple[int, int], StepProgress]
     ended_at: float = 0.0
-    # Occurrence and step of those whose tasks have all succeeded; a record
-    # decoded from 0.3.0's form has them in steps_by_key alone.
-    done_keys: frozenset[tuple[int, int]] = frozenset()
-
-
-def _done_to_hex(done: frozenset[int]) -> str:
-    bits = 0
-    for index in done:
-        bits |= 1 << index
-    return f"{bits:x}"
-
-
-def _done_from_hex(data: str) -> frozenset[int]:
-    bits = int(data, 16)
-    return frozenset(
-        index for index in range(bits.bit_length()) if bits >> index & 1
+    # Further steps that are done: the ranges of their occurrences, by number.
+    done_by_step: dict[int, ranges.Pairs] = dataclasses.field(
+        default_factory=dict
     )
 
 
@@ -180,68 +169,25 @@
     return 1 + len(key.encode()) + len(value or b"")
 
 
-def _to_ranges(
-    keys: frozenset[tuple[int, int]],
-) -> dict[str, list[list[int]]]:
-    """Return the first and last occurrences of each range, by step."""
-    ranges: dict[str, list[list[int]]] = {}
-    for occurrence, step in sorted(keys):
-        known = ranges.setdefault(str(step), [])
-        if known and known[-1][1] == occurrence - 1:
-            known[-1][1] = occurrence
-        else:
-            known.append([occurrence, occurrence])
-    return ranges
-
-
-def _from_ranges(
-    ranges: dict[str, list[list[int]]],
-) -> frozenset[tuple[int, int]]:
-    return frozenset(
-        (occurrence, int(step))
-        for step, known in ranges.items()
-        for first, last in known
-        for occurrence in range(first, last + 1)
-    )
-
-
-def encode_progress(
-    progress: Progress, max_bytes: int = MAX_RECORD_BYTES
-) -> bytes:
+def encode_progress(progress: Progress) -> bytes:
     """Encode the record of a job's progress.
 
-    What fits into ``max_bytes`` has the form that version 0.3.0 reads; a
-    larger record has ranges instead of the steps that are done.
+    Without ranges it has the form that version 0.3.0 reads.
     """
-    if len(progress.steps_by_key) * _MIN_STEP_BYTES <= max_bytes:
-        value = _encode_steps(progress, progress.steps_by_key)
-        if len(value) <= max_bytes or not progress.done_keys:
-            return value
-    open_steps = {
-        key: step
-        for key, step in progress.steps_by_key.items()
-        if key not in progress.done_keys
-    }
-    return _encode_steps(progress, open_steps, _to_ranges(progress.done_keys))
-
-
-def _encode_steps(
-    progress: Progress,
-    steps_by_key: dict[tuple[int, int], StepProgress],
-    done_ranges: dict[str, list[list[int]]] | None = None,
-) -> bytes:
     steps = {
         f"{occurrence}.{step}": [
-            _done_to_hex(value.done),
+            value.done.to_hex(),
             {str(k): list(v) for k, v in value.failures_by_index.items()},
             {str(k): v for k, v in value.checkpoints_by_index.items()},
         ]
-        for (occurrence, step), value in steps_by_key.items()
+        for (occurrence, step), value in progress.steps_by_key.items()
     }
     data = {"state": progress.state, "steps": steps, "at": progress.ended_at}
-    if done_ranges:
+    if progress.done_by_step:
         data["true"] = [progress.state, progress.ended_at]
-        data["done"] = done_ranges
+        data["done"] = {
+            str(step): pairs for step, pairs in progress.done_by_step.items()
+        }
         data["state"] = _STATE_FOR_OLD_READERS
         data["at"] = _ENDED_AT_FOR_OLD_READERS
     return dump(data)
@@ -254,13 +200,16 @@
     for name, (done, failures, checkpoints) in data["steps"].items():
         occurrence, _, step = name.partition(".")
         steps[int(occurrence), int(step)] = StepProgress(
-            _done_from_hex(done),
+            index_set.IndexSet.from_hex(done),
             {int(k): (v[0], v[1]) for k, v in failures.items()},
             {int(k): v for k, v in checkpoints.items()},
         )
     state, ended_at = data.get("true", (data["state"], data["at"]))
-    done_keys = _from_ranges(data.get("done", {}))
-    return Progress(state, steps, ended_at, done_keys)
+    done_by_step = {
+        int(step): tuple((first, last) for first, last in pairs)
+        for step, pairs in data.get("done", {}).items()
+    }
+    return Progress(state, steps, ended_at, done_by_step)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/scheduling/models.py
+++ b/cardamomcroft/scheduling/models.py
@@ -101,6 +101,14 @@
         """Return when an occurrence may begin."""
         return self.first_due + self.interval * occurrence
 
+    def due_count(self, wall: datetime.datetime) -> int:
+        """Return how many occurrences may have begun."""
+        if wall < self.first_due:
+            return 0
+        if not self.interval:
+            return self.count
+        return min((wall - self.first_due) // self.interval + 1, self.count)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -10,6 +10,7 @@
 from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import isolating
 from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import ordering
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import plans
@@ -505,6 +506,7 @@
     """Return the steps with waiting tasks that may start now."""
     ready = []
     timetable = job.job.timetable
+    occurrences.open_due(job, wall)
     for (occurrence, _), step in job.steps_by_key.items():
         if not step.waiting or step.retry_at > now:
             continue
--- a/cardamomcroft/scheduling/queue_waits.py
+++ b/cardamomcroft/scheduling/queue_waits.py
@@ -11,6 +11,7 @@
 from cardamomcroft.scheduling import capacity
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import ordering
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import runs
@@ -35,12 +36,15 @@
         workers: collections.abc.Iterable[runs.Worker],
         durations: estimates.Durations,
         now: datetime.timedelta,
+        wall: datetime.datetime,
     ) -> None:
         """Recompute the waits if the last computation is old enough."""
         if now < self._next_at:
             return
         self._next_at = now + REFRESH_PERIOD
-        self.wait_ms_by_queue = expected_waits(jobs, workers, durations, now)
+        self.wait_ms_by_queue = expected_waits(
+            jobs, workers, durations, now, wall
+        )
 
 
 def expected_waits(
@@ -48,6 +52,7 @@
     workers: collections.abc.Iterable[runs.Worker],
     durations: estimates.Durations,
     now: datetime.timedelta,
+    wall: datetime.datetime,
 ) -> dict[str, int]:
     """Return the waits in milliseconds; queues without a wait are left out.
 
@@ -66,7 +71,7 @@
         if ordering.is_past_final_deadline(job, now, job.objective):
             continue
         work_s = _queued_work_s(
-            job, capacity_by_service[queue.service], durations
+            job, capacity_by_service[queue.service], durations, wall
         )
         work_by_level[queue.service, queue.priority] += work_s
     waits = {}
@@ -96,15 +101,25 @@
 
 
 def _queued_work_s(
-    job: runs.JobState, total: models.Demand, durations: estimates.Durations
+    job: runs.JobState,
+    total: models.Demand,
+    durations: estimates.Durations,
+    wall: datetime.datetime,
 ) -> float:
-    """Return for how long a job's waiting tasks would fill all workers."""
-    work_s = 0.0
+    """Return for how long a job's waiting tasks would fill all workers.
+
+    What is not due yet does not wait.
+    """
+    unopened = occurrences.count_unopened(job, wall)
+    waiting_by_step = [step.width * unopened for step in job.job.steps]
     for step in job.steps_by_key.values():
-        if step.waiting and not step.model.is_lasting:
-            share = dominant_share(placing.demand_of(step.model), total)
-            expected = durations.expected(job.job.queue.name, step.model)
-            work_s += len(step.waiting) * share * expected.total_seconds()
+        waiting_by_step[step.number] += len(step.waiting)
+    work_s = 0.0
+    for model, waiting in zip(job.job.steps, waiting_by_step, strict=True):
+        if waiting and not model.is_lasting:
+            share = dominant_share(placing.demand_of(model), total)
+            expected = durations.expected(job.job.queue.name, model)
+            work_s += waiting * share * expected.total_seconds()
     return work_s
 
 
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -8,7 +8,9 @@
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import index_set
 from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import ranges
 
 MIN_CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
 # Percentages are whole numbers, so rates over shorter spans are inexact.
@@ -16,6 +18,9 @@
 # Until the first poll, which follows the start's answer; covers entries whose
 # clock readings arrive two seconds late.
 START_LEASE = datetime.timedelta(milliseconds=2500)
+# A record that lists steps one by one grows with each occurrence that is done,
+# and is written again at each end of a task.
+MAX_LISTED_STEPS = 64
 MIN_START_LEASE = datetime.timedelta(milliseconds=1500)
 _MS = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
@@ -104,8 +109,10 @@
     occurrence: int
     number: int
     model: models.Step
-    waiting: set[int]
-    done: set[int] = dataclasses.field(default_factory=set)
+    waiting: index_set.IndexSet
+    done: index_set.IndexSet = dataclasses.field(
+        default_factory=index_set.IndexSet
+    )
     runs_by_index: dict[int, Run] = dataclasses.field(default_factory=dict)
     failures_by_index: dict[int, tuple[int, int]] = dataclasses.field(
         default_factory=dict
@@ -167,7 +174,7 @@
     def progress(self) -> codec.StepProgress:
         """Return the step's durable state."""
         return codec.StepProgress(
-            frozenset(self.done),
+            self.done.copy(),
             dict(self.failures_by_index),
             dict(self.checkpoints_by_index),
         )
@@ -179,7 +186,15 @@
 
     job: models.Job
     accepted_at: datetime.timedelta
-    steps_by_key: dict[tuple[int, int], StepState]
+    # By occurrence and number: the steps of the occurrences that are open,
+    # which is what is due or at work (module occurrences).
+    steps_by_key: dict[tuple[int, int], StepState] = dataclasses.field(
+        default_factory=dict
+    )
+    # The occurrences that are done. Their steps are forgotten once they have
+    # no runs left.
+    closed: ranges.Ranges = dataclasses.field(default_factory=ranges.Ranges)
+    next_occurrence: int = 0  # those before it have been opened
     is_start_recorded: bool = False  # the first start is recorded
     is_start_confirmed: bool = False  # a worker has confirmed a start
     final_state: str = ""
@@ -198,51 +213,41 @@
             for run in step.runs_by_index.values()
         ]
 
-    def progress(self, ended_at: float) -> codec.Progress:
-        """Return the job's durable state; of an ended job without steps."""
+    @property
+    def is_done(self) -> bool:
+        """Return whether every task of every occurrence has succeeded."""
+        return len(self.closed) == self.job.occurrences
+
+    def progress(
+        self, ended_at: float, max_listed: int = MAX_LISTED_STEPS
+    ) -> codec.Progress:
+        """Return the job's durable state; of an ended job without steps.
+
+        The steps that are done are listed one by one, as version 0.3.0 reads
+        them, up to ``max_listed`` of them, beyond that in ranges.
+        """
         if self.final_state:
             return codec.Progress(self.final_state, {}, ended_at)
         state = "running" if self.is_start_recorded else "queued"
         steps = {
             key: step.progress()
             for key, step in self.steps_by_key.items()
-            if step.done or step.failures_by_index or step.checkpoints_by_index
-        }
-        done_keys = frozenset(
-            key for key in steps if self.steps_by_key[key].is_done
-        )
-        return codec.Progress(state, steps, ended_at, done_keys)
-
-
-def make_job_state(
-    job: models.Job,
-    progress: codec.Progress | None,
-    accepted_at: datetime.timedelta,
-) -> JobState:
-    """Return a job's state in which every unfinished task waits."""
-    state = JobState(job, accepted_at, {})
-    state.is_start_recorded = (
-        progress is not None and progress.state == "running"
-    )
-    for occurrence in range(job.occurrences):
-        for number, model in enumerate(job.steps):
-            known = codec.StepProgress()
-            if progress and (occurrence, number) in progress.done_keys:
-                known = codec.StepProgress(frozenset(range(model.width)))
-            elif progress:
-                known = progress.steps_by_key.get((occurrence, number), known)
-            state.steps_by_key[occurrence, number] = StepState(
-                state,
-                occurrence,
-                number,
-                model,
-                set(range(model.width)) - known.done,
-                set(known.done),
-                {},
-                dict(known.failures_by_index),
-                dict(known.checkpoints_by_index),
+            if key[0] not in self.closed
+            and (
+                step.done
+                or step.failures_by_index
+                or step.checkpoints_by_index
             )
-    return state
+        }
+        if len(self.closed) * len(self.job.steps) > max_listed:
+            pairs = self.closed.pairs()
+            done = dict.fromkeys(range(len(self.job.steps)), pairs)
+            return codec.Progress(state, steps, ended_at, done)
+        for occurrence in self.closed:
+            for number, model in enumerate(self.job.steps):
+                done_indexes = index_set.IndexSet.full(model.width)
+                steps[occurrence, number] = codec.StepProgress(done_indexes)
+        return codec.Progress(state, steps, ended_at)
 
 
 class Worker:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -19,6 +19,7 @@
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import launching
 from cardamomcroft.scheduling import ledger as ledgers
+from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import planning
 from cardamomcroft.scheduling import plans
@@ -155,7 +156,7 @@
         job = self._replica.ledger.jobs_by_id[job_id]
         now = self._clock.monotonic()
         age = max(self._clock.now() - job.submitted_at, _ZERO)
-        state = runs.make_job_state(job, progress, now - age)
+        state = occurrences.make_job_state(job, progress, now - age)
         state.is_cancelled = job_id in self._replica.ledger.cancelled_ids
         self.cluster.jobs_by_id[job_id] = state
         self._headroom.observe(job)
@@ -205,6 +206,7 @@
             self.cluster.workers_by_id.values(),
             self.cluster.durations,
             self._clock.monotonic(),
+            self._clock.now(),
         )
 
     def _plan(self) -> plans.Plan:
--- a/cardamomcroft/scheduling/standing.py
+++ b/cardamomcroft/scheduling/standing.py
@@ -76,8 +76,6 @@
     def __init__(self) -> None:
         """Track no job yet."""
         self._stands: dict[str, _Stand] = {}
-        # Occurrences before this one are done, so no look visits them again.
-        self._first_open: dict[str, int] = {}
         self._next_look = _ZERO
         self._second = -1
         self._lines = 0
@@ -117,7 +115,7 @@
                 continue
             step = None
             if job_id not in working:
-                steps = self._open_steps(job, view.wall)
+                steps = _open_steps(job, view.wall)
                 step = next(steps, None)
             mark = _mark(step) if step else None
             if known and known.mark != mark:
@@ -145,32 +143,8 @@
         return [line for line in lines if line]
 
     def _forget_untracked(self, view: View) -> None:
-        for known in (self._stands, self._first_open):
-            for job_id in known.keys() - view.jobs_by_id.keys():
-                del known[job_id]
-
-    def _open_steps(
-        self, job: runs.JobState, wall: datetime.datetime
-    ) -> collections.abc.Iterator[runs.StepState]:
-        """Yield the steps whose turn has come and that are not done."""
-        numbers = range(len(job.job.steps))
-        timetable = job.job.timetable
-        first = self._first_open.get(job.job.job_id, 0)
-        for occurrence in range(first, job.job.occurrences):
-            if timetable and timetable.due(occurrence) > wall:
-                return
-            done = {
-                number
-                for number in numbers
-                if job.steps_by_key[occurrence, number].is_done
-            }
-            if occurrence == first and len(done) == len(numbers):
-                first = occurrence + 1
-                self._first_open[job.job.job_id] = first
-            for number in numbers:
-                step = job.steps_by_key[occurrence, number]
-                if number not in done and done.issuperset(step.model.after):
-                    yield step
+        for job_id in self._stands.keys() - view.jobs_by_id.keys():
+            del self._stands[job_id]
 
     def _examine(self, stands: list[_Stand], view: View) -> None:
         """Determine the reasons, first of those not examined for longest."""
@@ -196,7 +170,7 @@
         return [
             (step, held)
             for job in view.jobs_by_id.values()
-            for step in self._open_steps(job, view.wall)
+            for step in _open_steps(job, view.wall)
             if step.waiting and (held := view.holds.of(step))
         ]
 
@@ -245,6 +219,24 @@
         return Line(event, {**common, **fields})
 
 
+def _open_steps(
+    job: runs.JobState, wall: datetime.datetime
+) -> collections.abc.Iterator[runs.StepState]:
+    """Yield the steps whose turn has come and that are not done."""
+    timetable = job.job.timetable
+    for (occurrence, _), step in job.steps_by_key.items():
+        is_due = not timetable or timetable.due(occurrence) <= wall
+        if (
+            is_due
+            and not step.is_done
+            and all(
+                job.steps_by_key[occurrence, number].is_done
+                for number in step.model.after
+            )
+        ):
+            yield step
+
+
 def _jobs_at_work(
     workers_by_id: collections.abc.Mapping[str, runs.Worker],
 ) -> tuple[set[str], dict[str, datetime.timedelta]]:
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -10,6 +10,7 @@
 from cardamomcroft.scheduling import headroom
 from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import planning
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
@@ -44,7 +45,8 @@
     """Return a job that was accepted a second ago."""
     queue = harness.make_queue(priority)
     job = models.Job("0" * 16, queue, "acc", "payload", steps, None, WALL)
-    return runs.make_job_state(job, None, NOW - harness.seconds(1))
+    accepted_at = NOW - harness.seconds(1)
+    return occurrences.make_job_state(job, None, accepted_at)
 
 
 def make_inputs(
--- a/tests/scheduling/test_queue_waits.py
+++ b/tests/scheduling/test_queue_waits.py
@@ -1,9 +1,12 @@
 """Expected waits, and refusal of jobs that would start too late."""
 
 import dataclasses
+import datetime
 import unittest
 
 from cardamomcroft.scheduling import estimates
+from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import queue_waits
 from tests.scheduling import harness
 from tests.scheduling import test_planning
@@ -21,7 +24,11 @@
     """Return the expected waits with four workers of eight accelerators."""
     workers = [test_planning.make_worker(f"w{n}") for n in range(4)]
     return queue_waits.expected_waits(
-        jobs, workers, estimates.Durations(), test_planning.NOW
+        jobs,
+        workers,
+        estimates.Durations(),
+        test_planning.NOW,
+        test_planning.WALL,
     )
 
 
@@ -56,6 +63,31 @@
         self.assertEqual(waits(jobs), {"q1": 2_000})
 
 
+class TimetableTest(unittest.TestCase):
+    """A job fills all workers for 2 s at each hour of a month."""
+
+    def waits(self, hours: int) -> dict[str, int]:
+        """Return the waits when the first hours have passed."""
+        hour = datetime.timedelta(hours=1)
+        first_due = test_planning.WALL - hour * hours + hour / 2
+        timetable = models.Timetable(first_due, hour, 720)
+        (job,) = make_jobs(1, priority=1)
+        declared = dataclasses.replace(job.job, timetable=timetable)
+        state = occurrences.make_job_state(declared, None, job.accepted_at)
+        occurrences.open_due(state, test_planning.WALL)
+        return waits([state])
+
+    def test_occurrences_that_are_not_due_delay_nobody(self):
+        """They were counted as waiting, so that others were refused."""
+        self.assertEqual(self.waits(0), {})
+        self.assertEqual(self.waits(3), {"q1": 6_000})
+
+    def test_occurrences_that_are_due_count_though_not_open(self):
+        """A backlog counts as a whole."""
+        due = 2 * occurrences.MAX_IDLE_OCCURRENCES
+        self.assertEqual(self.waits(due), {"q1": due * 2_000})
+
+
 class RefusalTest(unittest.TestCase):
     """Objective 7 s, final deadline 21 s, run time 2 s."""
 
--- a/tests/scheduling/test_standing_watch.py
+++ b/tests/scheduling/test_standing_watch.py
@@ -3,6 +3,9 @@
 import datetime
 import unittest.mock
 
+from cardamomcroft.ports import store
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import standing
 from cardamomcroft.scheduling import standing_watch
@@ -38,25 +41,36 @@
     DONE = 3000
 
     async def test_looks_do_not_walk_over_what_is_done(self):
-        """Only the first look visits the occurrences that are done."""
+        """A look visits the occurrences that are due and not done."""
         await self.start()
         interval = datetime.timedelta(seconds=1)
-        first_due = self.clock.now() - interval * (self.DONE + 1)
+        first_due = self.clock.now() - interval * self.DONE
         timetable = models.Timetable(first_due, interval, 2 * self.DONE)
         job_id = self.submit(TOO_LARGE, timetable=timetable)
+        done = {0: ((0, self.DONE - 1),)}
+        progress = codec.Progress("running", {}, 0.0, done)
+        self.store.put(
+            store.Stream.JOBS,
+            ledgers.Kind.PROGRESS.key(job_id),
+            codec.encode_progress(progress),
+        )
+        # A new scheduler reads the record of the progress.
+        self.kill("a")
+        self.start_node("b")
+        await self.wait_until(lambda: self.holder() == "b")
         await self.wait_until(lambda: job_id in self.cluster.jobs_by_id)
+        await self.pass_time(2)
         job = self.cluster.jobs_by_id[job_id]
-        for occurrence in range(self.DONE):
-            job.steps_by_key[occurrence, 0].done.add(0)
-        standing_jobs = standing.StandingJobs()
-        for limit in (2 * (self.DONE + 1), 2):
-            steps = unittest.mock.MagicMock()
-            steps.__getitem__.side_effect = job.steps_by_key.__getitem__
-            with unittest.mock.patch.object(job, "steps_by_key", steps):
-                now = self.clock.now()
-                step = next(standing_jobs._open_steps(job, now))
-            self.assertEqual(step.occurrence, self.DONE)
-            self.assertLessEqual(steps.__getitem__.call_count, limit)
+        seconds = (self.clock.now() - first_due).total_seconds()
+        due = int(seconds) + 1 - self.DONE
+        self.assertEqual(
+            [occurrence for occurrence, _ in job.steps_by_key],
+            list(range(self.DONE, self.DONE + due)),
+        )
+        (line,) = self.lines("job_stands", job_id) or [None]
+        if line is None:
+            line = await self.wait_until_stands(job_id)
+        self.assertEqual(line["occurrence"], self.DONE)
 
 
 class PauseTest(standing_harness.StandingTestCase):
