Number the runs of each task by themselves

What callers could see: a job of more than 10,000 tasks stands still or counts its failures wrongly after a change of scheduler. Cause: runs were numbered by step, and a term has 10,000 numbers. With more starts in a step the numbers reached into those of the next terms, whose starts the workers then refuse (409 old, at most one number further each try), and whose failures count as older than the last one. Evidence: test_successor_starts_tasks_under_higher_numbers failed before: starts were refused as stale. Change: the runs of a task are counted a term, a gang's as those of its first task. A bit a task is kept, and a number only for those started again.

--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -119,19 +119,21 @@
         """Return the runs, numbered; a number is never given again."""
         now = self._cluster.clock.monotonic()
         gang_numbers: dict[runs.StepState, int] = {}
+        run_base = self._cluster.parameters.run_base
         batch = []
         for start in starts:
             step = start.step
             if step not in gang_numbers and step.open_gang_number:
                 gang_numbers[step] = step.open_gang_number
-            if not step.model.is_gang or step not in gang_numbers:
-                step.runs_started += 1
-                gang_numbers[step] = (
-                    self._cluster.parameters.run_base + step.runs_started
-                )
+            if not step.model.is_gang:
+                number = run_base + step.count_run(start.index)
+            elif step in gang_numbers:
+                number = gang_numbers[step]
+            else:
+                number = gang_numbers[step] = run_base + step.count_run(0)
             run = runs.Run(
                 step.key(start.index),
-                gang_numbers[step],
+                number,
                 start.worker_id,
                 step,
                 runs.Phase.ASSIGNED,
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -120,7 +120,14 @@
     checkpoints_by_index: dict[int, str] = dataclasses.field(
         default_factory=dict
     )
-    runs_started: int = 0
+    # The runs started in this term: the tasks that had one, and the number of
+    # further ones. The members of a gang count as its first task.
+    started: index_set.IndexSet = dataclasses.field(
+        default_factory=index_set.IndexSet
+    )
+    restarts_by_index: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     moves_by_index: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter
     )  # runs stopped to move because they were stalled or slow
@@ -153,6 +160,13 @@
         """Return whether every task has succeeded."""
         return len(self.done) == self.model.width
 
+    def count_run(self, index: int) -> int:
+        """Count a further run of a task in this term; return how many."""
+        if index in self.started:
+            self.restarts_by_index[index] += 1
+        self.started.add(index)
+        return 1 + self.restarts_by_index[index]
+
     def key(self, index: int) -> models.TaskKey:
         """Return the key of a task."""
         return models.TaskKey(
