Bound the work of a round for steps of thousands of tasks

Change: at most 256 starts of a step a round; the rest follows in the next one. A run is judged as a straggler once for each report: until the next one the time that it still takes only falls.

--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -221,14 +221,14 @@
 
     async def _send(self, batch: list[runs.Run]) -> None:
         """Send starts; release those that no other coroutine will send."""
-        unsent = batch
+        unsent = set(batch)
         try:
             if await self._confirm(batch):
                 for worker, assigned in self._by_worker(batch):
                     self._cluster.spawn(self._start_all(worker, assigned))
-                    unsent = [run for run in unsent if run not in assigned]
+                    unsent.difference_update(assigned)
         finally:
-            self._release(unsent)
+            self._release([run for run in batch if run in unsent])
 
     async def _confirm(self, batch: list[runs.Run]) -> bool:
         """Wait until the starts are recorded and confirm the claim."""
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import itertools
 
 from cardamomcroft.scheduling import capacity as capacities
 from cardamomcroft.scheduling import estimates
@@ -31,6 +32,8 @@
 # These two bound the duration of rounds while hundreds of jobs wait.
 MAX_PREEMPTION_SEARCHES = 8  # per round
 PREEMPTION_SEARCH_INTERVAL = datetime.timedelta(milliseconds=150)  # per step
+# The next round, at most 0.1 s later, starts further tasks of a wide step.
+MAX_STARTS_OF_STEP = 256
 # Less urgent work waits this long for free capacity before it preempts.
 NON_URGENT_PREEMPTION_WAIT = datetime.timedelta(seconds=1)
 # Away from its data or spread over racks, a task takes three times as long
@@ -314,7 +317,7 @@
     def _place_tasks(
         self, step: runs.StepState, free_workers: list[placing.FreeWorker]
     ) -> bool:
-        waiting = self._unplanned_indexes(step)
+        waiting = self._unplanned_indexes(step, MAX_STARTS_OF_STEP)
         counts = self._count_by_worker(step)
         placed = self._pool.place(
             step.model, len(waiting), free_workers, counts
@@ -342,12 +345,15 @@
         planned = sum(start.step is step for start in self._plan.starts)
         return len(step.waiting) - planned - self._reservations.count(step)
 
-    def _unplanned_indexes(self, step: runs.StepState) -> list[int]:
+    def _unplanned_indexes(
+        self, step: runs.StepState, limit: int
+    ) -> list[int]:
         planned = {
             start.index for start in self._plan.starts if start.step is step
         }
-        waiting = sorted(step.waiting - planned)
-        return waiting[: len(waiting) - self._reservations.count(step)]
+        count = min(self._unplanned_count(step), limit)
+        unplanned = (index for index in step.waiting if index not in planned)
+        return list(itertools.islice(unplanned, max(count, 0)))
 
     def _may_span_racks(self, step: runs.StepState) -> bool:
         """Return whether a gang is better spread over racks than waiting."""
@@ -392,6 +398,8 @@
         count = self._unplanned_count(step)
         if step.model.is_gang and count < step.model.width:
             return
+        if not step.model.is_gang:
+            count = min(count, MAX_STARTS_OF_STEP)
         if (
             now < step.search_at
             or self._preemption_searches >= MAX_PREEMPTION_SEARCHES
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -54,6 +54,8 @@
     percent: float = 0.0
     progressed_at: datetime.timedelta = _ZERO
     reported_at: datetime.timedelta | None = None
+    # The report after which the run was found neither stalled nor slow.
+    examined_report: datetime.timedelta | None = None
     first_percent: float | None = None  # in its first inventory
     first_reported_at: datetime.timedelta | None = None
     is_remote: bool = False  # away from its data, or its gang spans racks
--- a/cardamomcroft/scheduling/stragglers.py
+++ b/cardamomcroft/scheduling/stragglers.py
@@ -100,13 +100,32 @@
     """Return the runs to move, each with the reason."""
     found = []
     for worker in workers:
+        listing = worker.listing
+        drains = listing and listing.state is fleet.ServerState.DRAINING
         for run in worker.runs_by_task.values():
-            if worker.listing is not None and outlasts_worker(
-                run, worker.listing, worker.listed_at, durations, now
+            if drains and outlasts_worker(
+                run, listing, worker.listed_at, durations, now
             ):
                 found.append((run, "worker drains"))
-            elif has_stalled(run, now):
-                found.append((run, "stalled"))
-            elif is_slow(run, durations, now):
-                found.append((run, "slow"))
+            elif reason := _straggles(run, durations, now):
+                found.append((run, reason))
     return found
+
+
+def _straggles(
+    run: runs.Run, durations: estimates.Durations, now: datetime.timedelta
+) -> str:
+    """Return why a run should move; empty if it should not.
+
+    Until the next report of a run, the time that it still takes only falls.
+    A gang may also be complete later.
+    """
+    if run.reported_at is None or run.reported_at == run.examined_report:
+        return ""
+    if has_stalled(run, now):
+        return "stalled"
+    if is_slow(run, durations, now):
+        return "slow"
+    if not run.step.model.is_gang:
+        run.examined_report = run.reported_at
+    return ""
