Refuse jobs that an instance might not have the memory for

Cause: only the size of a single job was bounded, by a constant, and nothing bounded the jobs together. Change: every instance adds up an upper estimate of what the accepted jobs need (records, decoded, and the steps that may be open in a scheduler) and knows the memory of the smallest registered instance, which the instances register now. A job over a quarter of that is refused at once: alone with 413, beside others with 503 and a time to return; a repeated submission of an accepted job is not refused. As a timetable costs no more than a short one, the limit of 50,000 steps with repetitions is raised to that of the tasks, 500,000.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -1,6 +1,7 @@
 """Serve client calls: submit, query and cancel jobs, count pending ones."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import datetime
 import random
@@ -17,6 +18,7 @@
 from cardamomcroft.scheduling import configuration
 from cardamomcroft.scheduling import configuration_view
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import footprint
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import node as nodes
@@ -36,6 +38,8 @@
 DEFAULT_CLIENT_TIMEOUT = datetime.timedelta(seconds=3)
 # Reserved for the reply to reach the client before its timeout.
 ANSWER_MARGIN = datetime.timedelta(milliseconds=300)
+# Jobs end within seconds to minutes, and their estimates with them.
+MEMORY_RETRY_S = 15
 # The protocol allows pending counts to be up to two seconds old.
 MAX_REPLICA_AGE = datetime.timedelta(seconds=2)
 
@@ -52,8 +56,13 @@
         log: events.Events,
         forwarder: relaying.Forwarder,
         rng: random.Random,
+        memory_for_jobs: collections.abc.Callable[[], int | None],
     ) -> None:
-        """Serve from the node's replica; forward calls without the store."""
+        """Serve from the node's replica; forward calls without the store.
+
+        ``memory_for_jobs`` returns the bytes that all jobs together may need
+        on the smallest instance, None if no limit is known.
+        """
         self._node = node
         self._store = target
         self._config = config
@@ -61,6 +70,7 @@
         self._log = log
         self._forwarder = forwarder
         self._rng = rng
+        self._memory_for_jobs = memory_for_jobs
         self._started_at = clock.monotonic()
         self.is_leaving = False
         self.in_flight = 0
@@ -305,8 +315,11 @@
             return self._refuse(call, 400, str(error))
         key = ledgers.Kind.SUBMISSION.key(job_id)
         entry = store.Entry(key, codec.encode_job(job))
-        refusal = self._refuse_oversized(call, entry)
-        refusal = refusal or await self._refuse_late(call, job)
+        refusal = (
+            self._refuse_oversized(call, entry)
+            or await self._refuse_beyond_memory(call, job, entry)
+            or await self._refuse_late(call, job)
+        )
         if refusal is not None:
             return refusal
         status = await self._append(call, forwarder, entry)
@@ -335,6 +348,38 @@
         )
         return self._refuse(call, 413, reason)
 
+    async def _refuse_beyond_memory(
+        self, call: relaying.Call, job: models.Job, entry: store.Entry
+    ) -> relaying.Reply | None:
+        """Refuse a job that an instance might not have the memory for."""
+        budget = self._memory_for_jobs()
+        if budget is None:
+            return None
+        replica = self._node.replica
+        needed = footprint.job_bytes(job, len(entry.value))
+        if replica.ledger.footprint.total() + needed <= budget:
+            return None
+        await replica.refresh(REFRESH_TIMEOUT)
+        if replica.ledger.state(job.job_id) is not None:
+            return _make_reply(200, {})
+        budget_text = f"{budget / footprint.BYTES_PER_MB:.1f} MB"
+        needed_text = f"{needed / footprint.BYTES_PER_MB:.1f} MB"
+        if needed > budget:
+            reason = (
+                f"job may need {needed_text} of memory, over the"
+                f" {budget_text} that the smallest instance has for jobs"
+            )
+            return self._refuse(call, 413, reason)
+        used = replica.ledger.footprint.total()
+        if used + needed <= budget:
+            return None
+        reason = (
+            f"job may need {needed_text} of memory beside the"
+            f" {used / footprint.BYTES_PER_MB:.1f} MB of other jobs, over the"
+            f" {budget_text} that the smallest instance has for jobs"
+        )
+        return self._refuse(call, 503, reason, MEMORY_RETRY_S)
+
     async def _refuse_late(
         self, call: relaying.Call, job: models.Job
     ) -> relaying.Reply | None:
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -27,6 +27,7 @@
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration_view
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import footprint
 from cardamomcroft.scheduling import metrics
 from cardamomcroft.scheduling import node as nodes
 
@@ -114,6 +115,11 @@
             return {}
         return self._peers.peers_by_instance
 
+    def memory_for_jobs(self) -> int | None:
+        """Return what the smallest instance has for jobs, in bytes."""
+        limits = [peer.memory_mb for peer in self.known_peers().values()]
+        return footprint.budget_bytes([self._settings.memory_mb, *limits])
+
     async def _serve(self, session: aiohttp.ClientSession) -> None:
         settings, clock, log = self._settings, self._clock, self._log
         store = platform_store.HttpStore(
@@ -164,7 +170,14 @@
             random.Random(),
         )
         ingress = ingresses.Ingress(
-            node, store, view, clock, log, forwarder, random.Random()
+            node,
+            store,
+            view,
+            clock,
+            log,
+            forwarder,
+            random.Random(),
+            self.memory_for_jobs,
         )
         peers = relay_rpc.make_server(
             settings.peer_address,
@@ -177,6 +190,7 @@
             settings.peer_address,
             settings.data_centre,
             settings.cores,
+            settings.memory_mb,
             store,
             self._peers,
             clock,
--- a/cardamomcroft/platform/settings.py
+++ b/cardamomcroft/platform/settings.py
@@ -32,6 +32,7 @@
     config_bound: datetime.timedelta  # for a configuration to be in force
     max_lease: datetime.timedelta
     cores: float  # processor that the process may use
+    memory_mb: int  # that the process may use; 0 if it is not limited
     stop_bound: datetime.timedelta  # for a worker to stop a run
     grace: datetime.timedelta  # from SIGTERM to SIGKILL
     drain: datetime.timedelta
@@ -61,6 +62,7 @@
             bounds["ConfigApplyMs"] * _MS,
             bounds["MaxHoldMs"] * _MS,
             _cores(data.get("Limits") or {}),
+            int((data.get("Limits") or {}).get("MemoryMb") or 0),
             bounds["StopTimeoutMs"] * _MS,
             bounds["GraceS"] * _S,
             bounds["DrainMs"] * _MS,
@@ -74,7 +76,7 @@
         )
     except KeyError as error:
         raise SettingsError(f"{path}: {error.args[0]} is missing") from None
-    except (TypeError, IndexError) as error:
+    except (TypeError, ValueError, IndexError) as error:
         raise SettingsError(f"{path}: {error}") from None
 
 
--- a/cardamomcroft/platform/submissions.py
+++ b/cardamomcroft/platform/submissions.py
@@ -6,10 +6,10 @@
 from cardamomcroft.platform import errors
 from cardamomcroft.scheduling import models
 
-# A job beyond these would fill a scheduler's memory (200 MB), and that of each
-# successor in turn.
+# Repetitions included. The record of an end has a bit for each task of its
+# step: with more tasks, a list of 500 ends would stop the event loop for long.
 MAX_TASKS = 500_000
-MAX_STEPS = 50_000
+MAX_STEPS = 500_000
 MAX_COUNT = 10**10  # in milliseconds 115 days; no sum or product overflows
 _MS = datetime.timedelta(milliseconds=1)
 
--- a/cardamomcroft/relaying/registrar.py
+++ b/cardamomcroft/relaying/registrar.py
@@ -23,16 +23,18 @@
         address: str,
         data_centre: str,
         cores: float,
+        memory_mb: int,
         target: store.Store,
         view: peer_view.PeerView,
         clock: base.Clock,
         log: events.Events,
     ) -> None:
-        """Register the address for peers and the processor available."""
+        """Register the address for peers and the resources available."""
         self._instance = instance
         self._address = address
         self._data_centre = data_centre
         self._cores = cores
+        self._memory_mb = memory_mb
         self._store = target
         self._view = view
         self._clock = clock
@@ -47,7 +49,11 @@
     async def _register(self) -> bool:
         now = self._clock.now()
         peer = codec.Peer(
-            self._address, self._data_centre, now.timestamp(), self._cores
+            self._address,
+            self._data_centre,
+            now.timestamp(),
+            self._cores,
+            self._memory_mb,
         )
         own = store.Entry(self._instance, codec.encode_peer(peer))
         gone = self._gone(now)
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -266,13 +266,14 @@
     data_centre: str
     seen_at: float  # Unix time of the record
     cores: float = 1.0  # processor that it may use
+    memory_mb: int = 0  # that it may use; 0 if unknown
 
 
 def encode_peer(peer: Peer) -> bytes:
     """Encode the record of an instance."""
-    return dump([peer.address, peer.data_centre, peer.seen_at, peer.cores])
+    return dump(list(dataclasses.astuple(peer)))
 
 
 def decode_peer(value: bytes) -> Peer:
-    """Decode the record of an instance."""
-    return Peer(*json.loads(value))
+    """Decode the record of an instance; ignore fields of later versions."""
+    return Peer(*json.loads(value)[: len(dataclasses.fields(Peer))])
--- a/cardamomcroft/scheduling/lazy.py
+++ b/cardamomcroft/scheduling/lazy.py
@@ -36,6 +36,10 @@
             self._values[name] = self._decode(name, self._raw[name])
         return self._values[name]
 
+    def size(self, name: str) -> int:
+        """Return the bytes of a record; raise KeyError if there is none."""
+        return len(self._raw[name])
+
     def __contains__(self, name: object) -> bool:
         """Return whether there is a record, without decoding it."""
         return name in self._raw
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -5,6 +5,7 @@
 
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import footprint
 from cardamomcroft.scheduling import lazy
 from cardamomcroft.scheduling import models
 
@@ -65,6 +66,7 @@
             Kind.PROGRESS: self.progress_by_id,
             Kind.ASSIGNMENT: self.assignments_by_worker,
         }
+        self.footprint = footprint.Footprint(self._weigh)
         self.claim: codec.Claim | None = None
         self.holder_seen_at: datetime.timedelta | None = None
         # A load shows no deletions, so the holder may have been alive then.
@@ -118,10 +120,12 @@
         if kind is Kind.SUBMISSION:
             if value is None:
                 self.jobs_by_id.drop(name)
+                self.footprint.drop(name)
                 return False
             if name in self.jobs_by_id:
                 return False
             self.jobs_by_id.put(name, value)
+            self.footprint.note_change(name)
             return True
         if kind is Kind.CANCELLATION:
             if value is None:
@@ -135,8 +139,16 @@
             records.drop(name)
         else:
             records.put(name, value)
+        if kind is Kind.PROGRESS and name in self.jobs_by_id:
+            self.footprint.note_change(name)
         return False
 
+    def _weigh(self, job_id: str) -> int:
+        size = self.jobs_by_id.size(job_id)
+        if self.state(job_id) in FINAL_STATES:
+            return footprint.record_bytes(size)
+        return footprint.job_bytes(self.jobs_by_id[job_id], size)
+
     def leftover_ids(self) -> set[str]:
         """Return the ids whose records have lost their submission."""
         named = self.progress_by_id.keys() | self.cancelled_ids
--- a/cardamomcroft/scheduling/occurrences.py
+++ b/cardamomcroft/scheduling/occurrences.py
@@ -104,14 +104,18 @@
     close_if_done(state, occurrence)  # without any task
 
 
+def max_idle(step_count: int) -> int:
+    """Return how many occurrences of a job may be open without a run."""
+    return max(min(MAX_IDLE_OCCURRENCES, MAX_IDLE_STEPS // step_count), 1)
+
+
 def open_due(state: runs.JobState, wall: datetime.datetime) -> None:
     """Open the occurrences that are due, in order, some at a time."""
     timetable = state.job.timetable
     due = timetable.due_count(wall) if timetable else 0
     if state.next_occurrence >= due:
         return
-    per_steps = MAX_IDLE_STEPS // len(state.job.steps)
-    limit = max(min(MAX_IDLE_OCCURRENCES, per_steps), 1)
+    limit = max_idle(len(state.job.steps))
     idle = _count_idle(state)
     while state.next_occurrence < due and idle < limit:
         occurrence = state.closed.next_missing(state.next_occurrence)
--- a/cardamomcroft/standin/cluster.py
+++ b/cardamomcroft/standin/cluster.py
@@ -30,6 +30,7 @@
         config_bound=2 * _S,
         max_lease=10 * _S,
         cores=1.0,
+        memory_mb=300,
         stop_bound=0.2 * _S,
         grace=6 * _S,
         drain=2 * _S,
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -222,3 +222,26 @@
         """The error names the file and the field."""
         with self.assertRaisesRegex(settings.SettingsError, "f: Bounds"):
             settings.decode({}, "f")
+
+    def test_limits_are_those_of_the_process(self):
+        """A process without limits has a core and no limit of memory."""
+        names = (
+            "ConfigApplyMs MaxHoldMs StopTimeoutMs GraceS DrainMs RemoteFactor"
+            " CheckpointS RestoreMs GangTimeoutMs status_s"
+        )
+        listen = {"FrontendAddr": "h:1", "Ready": "h:2"}
+        data = {
+            "NodeName": "a",
+            "Zone": "z",
+            "Ip": "h",
+            "InternalPorts": [7000],
+            "HeartbeatMs": 1500,
+            "ListenAddrs": listen,
+            "Bounds": dict.fromkeys(names.split(), 1),
+            "platform": {"Address": "h:3"},
+        }
+        limits = {"CpuShare": 0.5, "CpuCores": 3, "MemoryMb": 160}
+        found = settings.decode(data | {"Limits": limits}, "f")
+        self.assertEqual((found.cores, found.memory_mb), (1.5, 160))
+        found = settings.decode(data, "f")
+        self.assertEqual((found.cores, found.memory_mb), (1.0, 0))
--- a/tests/relaying/harness.py
+++ b/tests/relaying/harness.py
@@ -105,6 +105,7 @@
             f"{name}:7000",
             "dc",
             1.0,
+            300,
             self.client(name),
             self.follow(name),
             self.clock,
--- a/tests/relaying/test_peer_view.py
+++ b/tests/relaying/test_peer_view.py
@@ -1,6 +1,7 @@
 """Test that a view of the instances' records stays current and cheap."""
 
 from cardamomcroft.relaying import peer_view
+from cardamomcroft.scheduling import codec
 from tests.relaying import harness
 
 SILENCE_S = (peer_view.POLL_WAIT + peer_view.READ_TIMEOUT).total_seconds()
@@ -42,6 +43,19 @@
         peer = self.views["a"].peers_by_instance["c"]
         self.assertEqual(peer.address, "y:2")
 
+    async def test_records_of_other_versions_are_read(self):
+        """Fields that an earlier one lacks, or that a later one adds."""
+        await self.start_with_one()
+        for name, fields in (
+            ("old", ["x:1", "dc", 5.0, 2.0]),
+            ("new", ["x:1", "dc", 5.0, 2.0, 160, "more"]),
+        ):
+            self.store.put(harness.STREAM, name, codec.dump(fields))
+        await self.wait_until(lambda: "new" in self.known("a"), PAUSE_S + 1)
+        peers = self.views["a"].peers_by_instance
+        self.assertEqual(peers["old"], codec.Peer("x:1", "dc", 5.0, 2.0))
+        self.assertEqual(peers["new"].memory_mb, 160)
+
     async def test_peers_stay_known_while_the_store_is_lost(self):
         """A lost store takes away no peer and is not asked in haste."""
         client = await self.start_with_one()
--- a/tests/relaying/test_registrar.py
+++ b/tests/relaying/test_registrar.py
@@ -23,6 +23,7 @@
         await self.wait_until(lambda: self.known("a") == {"b"}, 2)
         peer = self.views["a"].peers_by_instance["b"]
         self.assertEqual(peer.address, "b:7000")
+        self.assertEqual((peer.cores, peer.memory_mb), (1.0, 300))
 
     async def test_registration_waits_for_the_store(self):
         """An outage at startup only delays the registration."""
