Give the event loop back during a takeover

Evidence: test_claim_is_renewed_during_a_takeover failed before (400 jobs without a turn, 50 allowed).

--- a/cardamomcroft/scheduling/inheriting.py
+++ b/cardamomcroft/scheduling/inheriting.py
@@ -1,5 +1,6 @@
 """Take over runs that an earlier scheduler may have started."""
 
+import asyncio
 import datetime
 
 from cardamomcroft.ports import fleet
@@ -9,7 +10,7 @@
 from cardamomcroft.scheduling import runs
 
 
-def inherit(
+async def inherit(
     cluster: cluster_state.ClusterState,
     ledger: ledgers.Ledger,
     lease_expires_at: datetime.timedelta,
@@ -17,11 +18,13 @@
     """Return the workers that may have runs, still without inventories.
 
     All leases that earlier schedulers granted end by ``lease_expires_at``.
+    Other tasks have a turn after each worker.
     Only the newest recorded run of a task can still exist: earlier ones had
     certainly ended before it was recorded.
     """
     latest = _latest_runs(ledger)
-    for worker_id, known in ledger.assignments_by_worker.items():
+    for worker_id, known in list(ledger.assignments_by_worker.items()):
+        await asyncio.sleep(0)
         worker = _make_worker(worker_id, known)
         worker.lease_expires_at = lease_expires_at
         worker.unheard_lease = cluster.parameters.lease
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -1,5 +1,6 @@
 """Schedule jobs on all workers while this instance holds the claim."""
 
+import asyncio
 import collections
 import collections.abc
 import datetime
@@ -37,6 +38,7 @@
 ROUND_PAUSE = datetime.timedelta(milliseconds=20)
 # Bounds the delay of due times, lease expiry and unanswered orders.
 MAX_ROUND_WAIT = datetime.timedelta(milliseconds=100)
+ADMISSION_SLICE = 50  # jobs, a few milliseconds
 _ZERO = datetime.timedelta()
 _Result = typing.TypeVar("_Result")
 
@@ -90,18 +92,12 @@
     async def run(self) -> None:
         """Run scheduling rounds until the claim is lost."""
         cluster = self.cluster
-        for job_id in self._replica.ledger.jobs_by_id:
-            self._admit(job_id)
-        self._ending.record_leftovers()
-        for worker in inheriting.inherit(
-            cluster, self._replica.ledger, self._inherited_leases_end_at
-        ):
-            self._poller.ensure_polling(worker)
         self.journal.on_claim_lost = cluster.wake
         self._directory.on_change = cluster.wake
-        cluster.spawn(self.journal.run())
-        cluster.spawn(self._directory.run())
         try:
+            cluster.spawn(self.journal.run())
+            await self._take_over()
+            cluster.spawn(self._directory.run())
             while not self.journal.is_claim_lost:
                 began_at = self._clock.monotonic()
                 self._round()
@@ -120,6 +116,25 @@
         finally:
             cluster.cancel_tasks()
 
+    async def _take_over(self) -> None:
+        """Admit the jobs and inherit the runs, in slices.
+
+        Between two slices the journal renews the claim.
+        """
+        job_ids = list(self._replica.ledger.jobs_by_id)
+        for number, job_id in enumerate(job_ids):
+            if number % ADMISSION_SLICE == 0:
+                await asyncio.sleep(0)
+            # The ledger may have been replaced by a newer one meanwhile.
+            if job_id in self._replica.ledger.jobs_by_id:
+                self._admit(job_id)
+        self._ending.record_leftovers()
+        inherited = await inheriting.inherit(
+            self.cluster, self._replica.ledger, self._inherited_leases_end_at
+        )
+        for worker in inherited:
+            self._poller.ensure_polling(worker)
+
     def count_jobs(self) -> collections.Counter[tuple[str, str]]:
         """Count unfinished jobs by queue and state."""
         return collections.Counter(
--- a/tests/scheduling/test_declared_work.py
+++ b/tests/scheduling/test_declared_work.py
@@ -1,13 +1,18 @@
 """Cost and memory follow the work that is due, not what is declared."""
 
+import asyncio
 import datetime
 import sys
 import tracemalloc
+from unittest import mock
 
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import inheriting
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import occurrences
+from cardamomcroft.scheduling import scheduler as schedulers
 from tests.scheduling import harness
 
 MONTH = 30 * 24 * 60  # minutes
@@ -155,3 +160,60 @@
             {interval.task[:-4] for interval in self.fleet.intervals},
             {f"{job_id}.999", f"{job_id}.1000"},
         )
+
+
+class TakeoverInSlicesTest(harness.SchedulingTestCase):
+    """A new scheduler admits hundreds of jobs and inherits their runs."""
+
+    JOBS = 400
+    WORKERS = 20
+
+    async def asyncSetUp(self):
+        """Record jobs of an earlier scheduler, with a run each."""
+        await super().asyncSetUp()
+        self.add_workers(self.WORKERS, accelerators=30)
+        runs_by_worker: dict[str, dict[str, int]] = {}
+        for number in range(self.JOBS):
+            job_id = self.submit(harness.make_step())
+            worker_id = f"w{1 + number % self.WORKERS}"
+            runs = runs_by_worker.setdefault(worker_id, {})
+            runs[f"{job_id}.0.0.0"] = 1
+        for worker_id, runs in runs_by_worker.items():
+            listing = self.listings[worker_id]
+            record = codec.Assignment(
+                listing.address.host_port, listing.born_ms, runs
+            )
+            key = ledgers.Kind.ASSIGNMENT.key(worker_id)
+            value = codec.encode_assignment(record)
+            self.store.put(store.Stream.JOBS, key, value)
+
+    async def test_claim_is_renewed_during_a_takeover(self):
+        """The loop stood still until all jobs were admitted."""
+        counts = {"admit": 0, "inherit": 0}
+        most = dict(counts)  # without a turn for other tasks
+
+        def count(kind, function):
+            def call(*arguments):
+                if not any(counts.values()):
+                    reset = dict.fromkeys(counts, 0)
+                    loop = asyncio.get_running_loop()
+                    loop.call_soon(counts.update, reset)
+                counts[kind] += 1
+                most[kind] = max(most[kind], counts[kind])
+                return function(*arguments)
+
+            return call
+
+        admit = count("admit", occurrences.make_job_state)
+        inherit = count("inherit", inheriting._inherit_run)
+        with (
+            mock.patch.object(occurrences, "make_job_state", admit),
+            mock.patch.object(inheriting, "_inherit_run", inherit),
+        ):
+            self.start_node("a")
+            await self.wait_until(self.holder)
+            await self.pass_time(0.5)
+        cluster = self.nodes_by_name["a"].scheduler.cluster
+        self.assertEqual(len(cluster.jobs_by_id), self.JOBS)
+        self.assertLessEqual(most["admit"], schedulers.ADMISSION_SLICE)
+        self.assertLessEqual(most["inherit"], self.JOBS // self.WORKERS)
