--- a/cardamomcroft/scheduling/index_set.py
+++ b/cardamomcroft/scheduling/index_set.py
@@ -1,7 +1,6 @@
 """Sets of task indexes that cost a bit a task."""
 
 import collections.abc
-import itertools
 import typing
 
 
@@ -48,10 +47,6 @@
         """Return a set that changes independently."""
         return self._of_bits(self._bits)
 
-    def first(self, count: int) -> list[int]:
-        """Return the lowest indexes, at most ``count``."""
-        return list(itertools.islice(self, count))
-
     def add(self, value: int) -> None:
         """Add an index."""
         self._bits |= 1 << value
--- a/tests/scheduling/test_number_sets.py
+++ b/tests/scheduling/test_number_sets.py
@@ -30,7 +30,6 @@
         self.assertEqual(number in found, number in left)
         self.assertEqual(found - index_set.IndexSet(right), left - right)
         self.assertEqual(found - right, left - right)
-        self.assertEqual(found.first(3), sorted(left)[:3])
         copied = found.copy()
         copied.add(number)
         copied.discard(min(left, default=0))
