Take no empty page for the end of a list that goes on

What callers could see: jobs, workers or instances count as deleted if the store answers a page of newest records without any, though more follow. Cause: such a page was decoded as the last one. Evidence: test_empty_page_is_not_taken_for_the_end_of_the_list failed before. Change: it is a failed read; the load goes on where it was.

--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -218,8 +218,12 @@
                 )
             data = json.loads(raw)
             records = tuple(map(_decode_newest_record, data["items"]))
-            has_more = bool(data["HasMore"] and records)
-            return store.Page(records, data["EndOffset"], has_more)
+            if data["HasMore"] and not records:
+                # Neither the end of the list nor a key to go on from.
+                return store.ReadFailure(
+                    store.ReadStatus.UNAVAILABLE, "empty page with HasMore"
+                )
+            return store.Page(records, data["EndOffset"], data["HasMore"])
         except errors.CALL_ERRORS as error:
             return store.ReadFailure(
                 store.ReadStatus.UNAVAILABLE, _describe(error)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -147,3 +147,20 @@
         self.assertIs(result.status, store.AppendStatus.APPENDED)
         self.assertEqual(self.calls, 1)
         self.assertGreater(took_s, APPEND_TIMEOUT.total_seconds())
+
+
+class EmptyPageTest(ConnectionTestCase):
+    """A page of the newest records has none, and says that more follow."""
+
+    async def serve(self, reader, writer) -> None:
+        """Answer with an empty page."""
+        await reader.readuntil(b"\r\n\r\n")
+        body = b'{"items":[],"HasMore":true,"EndOffset":7}'
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % len(body) + body)
+        await writer.drain()
+
+    async def test_empty_page_is_not_taken_for_the_end_of_the_list(self):
+        """What it does not name would count as deleted."""
+        page = await self.store.newest(store.Stream.JOBS, "", TIMEOUT)
+        self.assertIsInstance(page, store.ReadFailure)
