Complete jobs that have no tasks

What callers saw: a job whose steps have no tasks is accepted, shown as queued, and never ends. Cause: a job completes when the end of a task is recorded, and it has none. Evidence: test_job_without_tasks_completes failed before (not in time). Change: a job of which every occurrence is done is completed by the round that ends jobs. A timetable of such steps completes when its last one is due.

--- a/cardamomcroft/scheduling/ending.py
+++ b/cardamomcroft/scheduling/ending.py
@@ -52,10 +52,13 @@
     def _end_job(self, job_id: str, job: runs.JobState) -> None:
         if job.is_cancelled and not job.final_state:
             self._cancel(job_id, job)
+        elif job.is_done and not job.final_state:
+            self._complete_empty(job)
         if job.final_state:
             self._stop_remaining_runs(job)
             if not job.runs:
                 del self._cluster.jobs_by_id[job_id]
+                self._replica.ledger.jobs_by_id.forget_value(job_id)
                 self._expiry.record_ended(job_id, self._cluster.clock.now())
 
     def _cancel(self, job_id: str, job: runs.JobState) -> None:
@@ -68,6 +71,16 @@
         self._cluster.log.emit("job_cancelled", job_id=job_id)
         self._cluster.spawn(self._cluster.report_durable_end(job))
 
+    def _complete_empty(self, job: runs.JobState) -> None:
+        """Complete a job without tasks, of which no end will be listed."""
+        job.final_state = "completed"
+        try:
+            self._cluster.stage_progress(job)
+        except Exception:
+            job.final_state = ""
+            raise
+        self._cluster.spawn(self._cluster.report_durable_end(job))
+
     def _stop_remaining_runs(self, job: runs.JobState) -> None:
         for run in job.runs:
             # The members of a gang that is done end by themselves.
--- a/tests/scheduling/test_declared_work.py
+++ b/tests/scheduling/test_declared_work.py
@@ -217,3 +217,23 @@
         self.assertEqual(len(cluster.jobs_by_id), self.JOBS)
         self.assertLessEqual(most["admit"], schedulers.ADMISSION_SLICE)
         self.assertLessEqual(most["inherit"], self.JOBS // self.WORKERS)
+
+
+class EmptyJobTest(harness.SchedulingTestCase):
+    """A job declares no tasks."""
+
+    async def test_job_without_tasks_completes(self):
+        """It stayed queued, as no end was ever listed for it."""
+        self.add_workers(1)
+        self.start_node("a")
+        job_ids = [
+            self.submit(harness.make_step(0)),
+            self.submit(
+                harness.make_step(0),
+                timetable=models.Timetable(self.clock.now(), MINUTE, 1),
+            ),
+        ]
+        for job_id in job_ids:
+            await self.wait_until(
+                lambda j=job_id: self.state(j) == "completed", 5
+            )
