Estimate the memory of jobs as closely as it is bounded

Cause: an estimate of eight times the record for its texts, also of jobs that have ended, whose records stay for minutes; and every instance kept the decoded submissions of ended jobs. Change: ended jobs count with their record alone, and their decoded values are dropped; texts count twice, steps by themselves; jobs may take 40% of the smallest instance (47 MB peak of a process without jobs, of 160 MB).

--- a/cardamomcroft/scheduling/footprint.py
+++ b/cardamomcroft/scheduling/footprint.py
@@ -11,19 +11,21 @@
 
 # Of an instance's memory; the rest is for the process itself (50 MB), the
 # workers, their runs, and calls under way.
-JOBS_SHARE = 0.25
-# Measured with tracemalloc and rounded up; test_footprint checks them.
-JOB_BYTES = 3_000
-STEP_BYTES = 1_600
-DECODED_BYTES_PER_RECORD_BYTE = 8  # with the record itself
+JOBS_SHARE = 0.4
+# Checked by test_footprint.
+RECORD_BYTES = 1_000  # beside the bytes of the record itself
+JOB_BYTES = 2_000
+COPIES_OF_RECORD = 2  # as it was read, and its texts decoded
+DECODED_STEP_BYTES = 500
+STEP_BYTES = 1_600  # of an open occurrence
 _BITS_PER_TASK = 3  # waiting, done, started
 _BITS_PER_BYTE = 8
 BYTES_PER_MB = 1_000_000
 
 
-def record_bytes(record_size: int) -> int:
-    """Return the memory of a job's record, decoded, in bytes."""
-    return JOB_BYTES + record_size * DECODED_BYTES_PER_RECORD_BYTE
+def ended_job_bytes(record_size: int) -> int:
+    """Return the memory of a job that has ended, in bytes."""
+    return RECORD_BYTES + record_size
 
 
 def job_bytes(job: models.Job, record_size: int) -> int:
@@ -35,8 +37,13 @@
     open_count = min(job.occurrences, occurrences.max_idle(step_count))
     tasks = sum(step.width for step in job.steps)
     bits = tasks * _BITS_PER_TASK // _BITS_PER_BYTE
-    open_bytes = (step_count * STEP_BYTES + bits) * open_count
-    return record_bytes(record_size) + open_bytes
+    return (
+        RECORD_BYTES
+        + JOB_BYTES
+        + record_size * COPIES_OF_RECORD
+        + step_count * DECODED_STEP_BYTES
+        + (step_count * STEP_BYTES + bits) * open_count
+    )
 
 
 def budget_bytes(memory_mb: collections.abc.Iterable[int]) -> int | None:
--- a/cardamomcroft/scheduling/lazy.py
+++ b/cardamomcroft/scheduling/lazy.py
@@ -36,6 +36,10 @@
             self._values[name] = self._decode(name, self._raw[name])
         return self._values[name]
 
+    def forget_value(self, name: str) -> None:
+        """Keep a record, but not its decoded value."""
+        self._values.pop(name, None)
+
     def size(self, name: str) -> int:
         """Return the bytes of a record; raise KeyError if there is none."""
         return len(self._raw[name])
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -146,7 +146,8 @@
     def _weigh(self, job_id: str) -> int:
         size = self.jobs_by_id.size(job_id)
         if self.state(job_id) in FINAL_STATES:
-            return footprint.record_bytes(size)
+            self.jobs_by_id.forget_value(job_id)
+            return footprint.ended_job_bytes(size)
         return footprint.job_bytes(self.jobs_by_id[job_id], size)
 
     def leftover_ids(self) -> set[str]:
@@ -168,6 +169,7 @@
     def pending(self, queue: str) -> int:
         """Count a queue's jobs of which no task has started."""
         return sum(
-            job.queue.name == queue and self.state(job_id) == "queued"
-            for job_id, job in self.jobs_by_id.items()
+            self.state(job_id) == "queued"
+            and self.jobs_by_id[job_id].queue.name == queue
+            for job_id in self.jobs_by_id
         )
