Record that an unsent run of a task that is done is gone

What callers could see: after a takeover a task whose end could not be recorded yet runs again (only beside a record over the store's limit). Cause: the worker's record still named the run that was dropped unsent, with the highest number of the task, so that a successor would ask that worker for it and not the one with the end. Evidence: test_task_that_is_done_is_not_sent failed before ("unexpectedly found in"), with a second step that no worker may run. Change: the record of the worker is staged anew.

--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -485,8 +485,14 @@
         run = step.runs_by_index.get(index)
         others = step.runs_by_index.values() if is_gang else [run]
         for other in list(others):
-            if other is not None and other.number != number:
-                self._orders.stop(other, "task is done")
+            if other is None or other.number == number:
+                continue
+            was_sent = other.phase is not runs.Phase.ASSIGNED
+            self._orders.stop(other, "task is done")
+            if not was_sent:
+                # Or a successor would ask its worker for the task.
+                worker = self._cluster.workers_by_id[other.worker_id]
+                self._cluster.stage_assignment(worker)
 
     def _observe_duration(
         self,
--- a/tests/scheduling/test_partial_lists.py
+++ b/tests/scheduling/test_partial_lists.py
@@ -55,9 +55,9 @@
         await super().asyncSetUp()
         self.add_workers(1)
         self.start_node("a")
-        self.job_id = self.submit(
-            harness.make_step(), harness.make_step(after=(0,))
-        )
+        # The second step, which no worker may run, keeps the job open.
+        last = harness.make_step(after=(0,), required_label="none")
+        self.job_id = self.submit(harness.make_step(), last)
         await self.wait_until(lambda: self.fleet.running())
         self.worker = self.fleet.workers_by_id["w1"]
         self.worker.is_cut = True
@@ -102,6 +102,10 @@
             [],
         )
         self.assertEqual(self.fleet.workers_by_id["w2"].highest(self.task), 0)
+        # A successor has nothing to ask the second worker for.
+        ledger = self.nodes_by_name["a"].replica.ledger
+        recorded = ledger.assignments_by_worker["w2"].runs_by_task
+        self.assertNotIn(self.task, recorded)
 
     async def test_run_of_a_task_that_is_done_is_stopped(self):
         """It would take the room of other work until its end."""
