Bound the list of what is done by its size

What operators could see: the record of a timetable of wide steps, up to 125 kB in its first 64 occurrences, is written again at each end. Cause: the list kept for 0.3.0 was bounded by the number of its steps, whatever their width. Evidence: test_record_of_an_end_is_short_after_some_occurrences failed before for a step of 5,000 tasks. Change: it is bounded by its size, 2 kB. With that a record can't outgrow the store's limit by this list, so the second form that was tried then is gone.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -168,9 +168,6 @@
         ended_at = self.clock.now().timestamp() if job.final_state else 0.0
         key = ledgers.Kind.PROGRESS.key(job.job.job_id)
         value = codec.encode_progress(job.progress(ended_at))
-        if codec.record_bytes(key, value) > codec.MAX_RECORD_BYTES:
-            short = job.progress(ended_at, max_listed=0)
-            value = codec.encode_progress(short)
         was_held = self._is_held(job)
         self.journal.stage(key, value)
         if was_held and not self._is_held(job):
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -20,7 +20,8 @@
 START_LEASE = datetime.timedelta(milliseconds=2500)
 # A record that lists steps one by one grows with each occurrence that is done,
 # and is written again at each end of a task.
-MAX_LISTED_STEPS = 64
+MAX_LISTED_BYTES = 2_000
+_LISTED_STEP_BYTES = 22  # beside a hexadecimal digit for four tasks
 MIN_START_LEASE = datetime.timedelta(milliseconds=1500)
 _MS = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
@@ -234,13 +235,11 @@
         """Return whether every task of every occurrence has succeeded."""
         return len(self.closed) == self.job.occurrences
 
-    def progress(
-        self, ended_at: float, max_listed: int = MAX_LISTED_STEPS
-    ) -> codec.Progress:
+    def progress(self, ended_at: float) -> codec.Progress:
         """Return the job's durable state; of an ended job without steps.
 
         The steps that are done are listed one by one, as version 0.3.0 reads
-        them, up to ``max_listed`` of them, beyond that in ranges.
+        them, while that is short, and then in ranges.
         """
         if self.final_state:
             return codec.Progress(self.final_state, {}, ended_at)
@@ -255,7 +254,10 @@
                 or step.checkpoints_by_index
             )
         }
-        if len(self.closed) * len(self.job.steps) > max_listed:
+        occurrence_bytes = sum(
+            model.width // 4 + _LISTED_STEP_BYTES for model in self.job.steps
+        )
+        if len(self.closed) * occurrence_bytes > MAX_LISTED_BYTES:
             pairs = self.closed.pairs()
             done = dict.fromkeys(range(len(self.job.steps)), pairs)
             return codec.Progress(state, steps, ended_at, done)
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -19,10 +19,13 @@
 
 
 def make_state(
-    count: int, *done: tuple[int, int], steps: int = 1
+    count: int,
+    done: tuple[tuple[int, int], ...] = (),
+    steps: int = 1,
+    width: int = WIDTH,
 ) -> runs.JobState:
     """Return a timetable's state; ``done`` are first and last occurrences."""
-    step = harness.make_step(WIDTH)
+    step = harness.make_step(width)
     timetable = models.Timetable(NOW, MINUTE, count)
     queue = harness.make_queue()
     job = models.Job("j", queue, "a", "", (step,) * steps, timetable, NOW)
@@ -75,20 +78,21 @@
 
     def test_record_does_not_grow_with_the_occurrences_done(self):
         """A job that repeats each minute fits after two months as well."""
-        state = make_state(90_000, (0, 88_999))
+        state = make_state(90_000, ((0, 88_999),))
         self.assertLess(len(encode(state)), 200)
 
     def test_record_of_an_end_is_short_after_some_occurrences(self):
         """It was written anew at each end, up to 256 KiB (review/4)."""
-        longest = max(
-            len(encode(make_state(90_000, (0, last), steps=2)))
-            for last in range(0, 20_000, 11)
-        )
-        self.assertLess(longest, 2_000)
+        for width in (1, WIDTH, 5_000):
+            longest = max(
+                len(encode(make_state(90_000, ((0, last),), 2, width)))
+                for last in (*range(100), 20_000)
+            )
+            self.assertLess(longest, runs.MAX_LISTED_BYTES * 1.1)
 
     def test_successor_knows_each_task_from_ranges(self):
         """Neither an end nor an attempt nor a checkpoint is lost."""
-        state = make_state(16_000, (0, 76), (78, 15_899), (15_990, 15_990))
+        state = make_state(16_000, ((0, 76), (78, 15_899), (15_990, 15_990)))
         late = open_step(state, 77, set(range(WIDTH)) - {5})
         late.failures_by_index[5] = (2, 10_007)
         late.checkpoints_by_index[5] = "c"
@@ -98,20 +102,20 @@
 
     def test_successor_knows_each_task_of_later_steps(self):
         """An occurrence of which only the first step is done goes on."""
-        state = make_state(16_000, (0, 99), (101, 15_899), steps=2)
+        state = make_state(16_000, ((0, 99), (101, 15_899)), steps=2)
         open_step(state, 100, range(WIDTH))
         self.check_restored(state)
         self.assertFalse(restore(state).steps_by_key[100, 1].is_done)
 
     def test_short_record_has_the_form_of_the_old_version(self):
         """In a rolling upgrade 0.3.0 runs no task again."""
-        state = make_state(9_000, (0, runs.MAX_LISTED_STEPS - 1))
+        state = make_state(9_000, ((0, 59),))
         open_step(state, 70, {3})
         data = json.loads(encode(state))
         self.assertEqual(data.keys(), {"state", "steps", "at"})
         self.assertEqual(data["state"], "running")
-        self.assertEqual(len(data["steps"]), runs.MAX_LISTED_STEPS + 1)
-        self.assertEqual(data["steps"]["63.0"], ["ffffffff", {}, {}])
+        self.assertEqual(len(data["steps"]), 61)
+        self.assertEqual(data["steps"]["59.0"], ["ffffffff", {}, {}])
         self.check_restored(state)
 
     def test_record_of_the_old_version_is_read(self):
@@ -158,7 +162,7 @@
 
     def test_old_version_takes_ranges_for_an_ended_job(self):
         """0.3.0, which reads no ranges, neither runs nor drops the job."""
-        state = make_state(16_000, (0, 15_899))
+        state = make_state(16_000, ((0, 15_899),))
         open_step(state, 15_950, {3})
         data = json.loads(encode(state))
         self.assertIn(data["state"], ledgers.FINAL_STATES)
@@ -168,7 +172,7 @@
 
     def test_end_of_a_job_always_fits(self):
         """Whatever a job has recorded, its end becomes durable."""
-        state = make_state(2, (0, 0))
+        state = make_state(2, ((0, 0),))
         step = open_step(state, 1, set())
         step.checkpoints_by_index[0] = "c" * LIMIT
         state.final_state = "failed"
