--- a/cardamomcroft/scheduling/occurrences.py
+++ b/cardamomcroft/scheduling/occurrences.py
@@ -28,7 +28,7 @@
     if progress is not None:
         state.is_start_recorded = progress.state == "running"
         _restore(state, progress)
-    if not job.timetable and 0 not in state.closed:
+    if not job.timetable:
         open_occurrence(state, 0)
     return state
 
@@ -97,7 +97,9 @@
 
 
 def open_occurrence(state: runs.JobState, occurrence: int) -> None:
-    """Let all tasks of an occurrence wait that has not begun."""
+    """Let all tasks of an occurrence wait, unless it is open or closed."""
+    if _is_open(state, occurrence) or occurrence in state.closed:
+        return
     for number in range(len(state.job.steps)):
         step = _make_step(state, occurrence, number)
         state.steps_by_key[occurrence, number] = step
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -1,5 +1,6 @@
 """A job's progress stays within a record, also for version 0.3.0."""
 
+import dataclasses
 import datetime
 import json
 import unittest
@@ -107,6 +108,16 @@
         self.check_restored(state)
         self.assertFalse(restore(state).steps_by_key[100, 1].is_done)
 
+    def test_successor_knows_each_task_of_a_plain_job(self):
+        """A job without a timetable has one occurrence, which is open."""
+        job = dataclasses.replace(make_state(1).job, timetable=None)
+        state = occurrences.make_job_state(job, None, harness.seconds(0))
+        state.is_start_recorded = True
+        step = open_step(state, 0, {1, 3})
+        step.failures_by_index[2] = (2, 10_007)
+        step.checkpoints_by_index[2] = "c"
+        self.check_restored(state)
+
     def test_short_record_has_the_form_of_the_old_version(self):
         """In a rolling upgrade 0.3.0 runs no task again."""
         state = make_state(9_000, ((0, 59),))
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -403,3 +403,37 @@
             {"event": "round_crashed", "outcome": ""},
         )
         self.assertEqual(count, 3)
+
+
+class ProgressOverTakeoverTest(harness.SchedulingTestCase):
+    """A job without a timetable is half done when its scheduler ends."""
+
+    async def test_tasks_that_are_done_do_not_run_again(self):
+        """The successor reads the record of the job's progress."""
+        self.add_workers(1, accelerators=2)
+        self.start_node("a")
+        job_id = self.submit(
+            harness.make_step(4), harness.make_step(2, after=(0,))
+        )
+        await self.wait_until(lambda: len(self.fleet.intervals) == 2)
+        await self.pass_time(1)
+        for name in ("b", "c"):
+            self.kill(self.holder())
+            self.start_node(name)
+            await self.wait_until(lambda n=name: self.holder() == n)
+            await self.pass_time(2.5)
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.check_run_once(job_id)
+
+    async def test_attempts_that_failed_count_under_the_successor(self):
+        """A task has three attempts in all, not under each scheduler."""
+        self.add_workers(1, accelerators=1)
+        self.fleet.workers_by_id["w1"].fails_everything = True
+        self.start_node("a")
+        job_id = self.submit(harness.make_step())
+        await self.wait_until(lambda: len(self.fleet.intervals) == 2, 30)
+        await self.pass_time(0.5)
+        self.kill("a")
+        self.start_node("b")
+        await self.wait_until(lambda: self.state(job_id) == "failed", 30)
+        self.assertEqual(len(self.fleet.intervals), 3)
