Test later steps that never run, and names outside a job

The first fails if occurrences of which only later steps wait count as idle (a mutant); the second if indexes are not bounded by the step's width.

--- a/tests/scheduling/test_declared_work.py
+++ b/tests/scheduling/test_declared_work.py
@@ -120,6 +120,31 @@
         }
         self.assertLess(max(started), 400)
 
+    async def test_later_steps_that_never_run_hold_up_no_first_ones(self):
+        """No worker has the label that the second step requires."""
+        due = 6 * occurrences.MAX_IDLE_OCCURRENCES
+        self.add_workers(2)
+        self.start_node("a")
+        first_due = self.clock.now() - MINUTE * (due - 1)
+        self.submit(
+            harness.make_step(1, 0),
+            harness.make_step(1, after=(0,), required_label="none"),
+            timetable=models.Timetable(first_due, MINUTE, due),
+        )
+        await self.wait_until(lambda: len(self.fleet.intervals) == due, 30)
+
+    async def test_task_outside_its_declared_step_is_unknown(self):
+        """A worker's list may name anything, of any size."""
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        job_id = self.submit_timetable(MONTH)
+        await self.pass_time(2)
+        cluster = self.nodes_by_name["a"].scheduler.cluster
+        for name in ("0.0.2", "0.0.-1", "0.1.0", "43200.0.0", "-1.0.0"):
+            self.assertIsNone(cluster.find_task(f"{job_id}.{name}"), name)
+        self.assertIsNone(cluster.find_task(f"{job_id}.0.0.{10**12}"))
+        self.assertIsNotNone(cluster.find_task(f"{job_id}.43199.0.1"))
+
     async def test_timetable_completes_over_a_takeover(self):
         """Each occurrence runs once, in its turn, and the job ends."""
         self.add_workers(2)
