--- a/cardamomcroft/scheduling/footprint.py
+++ b/cardamomcroft/scheduling/footprint.py
@@ -60,7 +60,7 @@
     """Add up the estimates of all jobs; weigh a job when it has changed."""
 
     def __init__(self, weigh: collections.abc.Callable[[str], int]) -> None:
-        """``weigh`` returns the estimate of a job in bytes."""
+        """Estimate a job with ``weigh``, which returns bytes."""
         self._weigh = weigh
         self._bytes_by_job: dict[str, int] = {}
         self._changed: set[str] = set()
