Record the cancelling of a job that is not known yet

Cause: 410 was concluded from a reading of the store, which says nothing of a write in flight, and nothing was recorded that a later submission could meet. Change: a cancelling is recorded before it is answered, also that of an unknown id, directly or through a peer; 410 then means that no submission was stored before. The holder drops such a record after the retention, counted from the latest cancelling, where only a successor did so. Unknown ids are bounded, in all and for each account; beyond that they are refused with 503. A cancelled id is not refused for a long wait. Why it works: the record is durable before the answer, and whichever of the two records comes later, the job is cancelled for every reader of both. The fake store can carry out an append late.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -40,6 +40,8 @@
 ANSWER_MARGIN = datetime.timedelta(milliseconds=300)
 # Jobs end within seconds to minutes, and their estimates with them.
 MEMORY_RETRY_S = 15
+# Cancellations of unknown jobs expire all the time, after some minutes.
+UNMATCHED_RETRY_S = 15
 # The protocol allows pending counts to be up to two seconds old.
 MAX_REPLICA_AGE = datetime.timedelta(seconds=2)
 
@@ -187,7 +189,8 @@
         if call.method == "GET":
             return await self._show_state(call, job_id)
         if call.method == "DELETE":
-            return await self._cancel(call, forwarder, job_id)
+            name = account.name if account else ""
+            return await self._cancel(call, forwarder, name, job_id)
         return self._refuse(call, 405, "method not allowed")
 
     def _refuse(
@@ -266,7 +269,8 @@
             forwarded = await forwarder.forward(
                 dataclasses.replace(call, timeout=left)
             )
-            if forwarded is not None and forwarded.status == 200:
+            # 410: a peer has recorded the cancelling of an unknown job.
+            if forwarded is not None and forwarded.is_confirmation:
                 return store.AppendStatus.APPENDED
             if (
                 forwarded is not None and forwarded.is_outcome_unknown
@@ -385,6 +389,8 @@
     ) -> relaying.Reply | None:
         """Refuse a job that would begin too late, unless already accepted."""
         replica = self._node.replica
+        if job.job_id in replica.ledger.cancelled_ids:
+            return None  # it never begins, whenever its client comes back
         wait = replica.expected_wait(job.queue.name)
         retry_after_s = queue_waits.retry_after_s(job, wait)
         if retry_after_s is None:
@@ -399,27 +405,43 @@
         self,
         call: relaying.Call,
         forwarder: relaying.Forwarder,
+        account: str,
         job_id: str,
     ) -> relaying.Reply:
-        state = self._node.replica.ledger.state(job_id)
+        """Record a cancelling, also that of an unknown job.
+
+        Its submission may be stored later, and must not run then.
+        """
+        replica = self._node.replica
         began_at = self._clock.monotonic()
-        if state is None and not await self._may_exist(job_id):
-            return self._refuse(call, 410, "no such job")
+        is_current = replica.ledger.state(job_id) is None and (
+            await replica.refresh(REFRESH_TIMEOUT)
+        )
+        state = replica.ledger.state(job_id)
         if state in ledgers.FINAL_STATES:
             return _make_reply(200, {})
+        if state is None and not replica.ledger.unmatched.has_room(
+            job_id, account
+        ):
+            reason = "too many unknown jobs were cancelled"
+            return self._refuse(call, 503, reason, UNMATCHED_RETRY_S)
         call = self._deduct_time(call, began_at)
+        now = self._clock.now().timestamp()
+        value = codec.encode_cancellation(codec.Cancellation(account, now))
         key = ledgers.Kind.CANCELLATION.key(job_id)
-        status = await self._append(call, forwarder, store.Entry(key, b"1"))
-        self._log.emit("cancel_requested", job_id=job_id, outcome=status.value)
-        if status is store.AppendStatus.APPENDED:
-            return _make_reply(200, {})
-        return relaying.OUTCOME_UNKNOWN
-
-    async def _may_exist(self, job_id: str) -> bool:
-        """Refresh the replica; return whether the job may exist."""
-        if not await self._node.replica.refresh(REFRESH_TIMEOUT):
-            return True
-        return self._node.replica.ledger.state(job_id) is not None
+        status = await self._append(call, forwarder, store.Entry(key, value))
+        is_absent = is_current and replica.ledger.state(job_id) is None
+        self._log.emit(
+            "cancel_requested",
+            job_id=job_id,
+            is_known=not is_absent,
+            outcome=status.value,
+        )
+        if status is not store.AppendStatus.APPENDED:
+            return relaying.OUTCOME_UNKNOWN
+        if is_absent:
+            return self._refuse(call, 410, "no such job")
+        return _make_reply(200, {})
 
 
 def _make_call(request: web.BaseRequest) -> relaying.Call:
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -272,6 +272,7 @@
                 self._metrics.jobs.labels(*labels).set(count)
             for reason, count in node.scheduler.count_standing().items():
                 self._metrics.standing.labels(reason).set(count)
+        self._metrics.unmatched.set(len(node.replica.ledger.unmatched))
         self._metrics.is_scheduler.set(node.scheduler is not None)
         return web.Response(body=self._metrics.render())
 
--- a/cardamomcroft/relaying/base.py
+++ b/cardamomcroft/relaying/base.py
@@ -38,7 +38,7 @@
 
     @property
     def is_confirmation(self) -> bool:
-        """Return whether the change is made, or its job doesn't exist."""
+        """Return whether the change is made, maybe to an unknown job."""
         return self.status in (200, 410)
 
 
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -136,6 +136,25 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancellation:
+    """Record of a job's cancelling; empty if an old version wrote it."""
+
+    account: str = ""
+    requested_at: float | None = None  # Unix time
+
+
+def encode_cancellation(cancellation: Cancellation) -> bytes:
+    """Encode the record of a job's cancelling."""
+    return dump([cancellation.account, cancellation.requested_at])
+
+
+def decode_cancellation(value: bytes) -> Cancellation:
+    """Decode the record of a job's cancelling."""
+    data = json.loads(value)
+    return Cancellation(*data) if isinstance(data, list) else Cancellation()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepProgress:
     """Durable state of one step of one occurrence."""
--- a/cardamomcroft/scheduling/ending.py
+++ b/cardamomcroft/scheduling/ending.py
@@ -35,9 +35,21 @@
 
     def record_leftovers(self) -> None:
         """Record the ids whose records have lost their submission."""
-        now = self._cluster.clock.now()
         for job_id in self._replica.ledger.leftover_ids():
+            self.record_leftover(job_id)
+
+    def record_leftover(self, job_id: str) -> None:
+        """Record an id that has records but no submission."""
+        now = self._cluster.clock.now()
+        cancellation = self._replica.ledger.unmatched.get(job_id)
+        if cancellation is None or cancellation.requested_at is None:
             self._leftovers.record_ended(job_id, now)
+            return
+        requested_at = datetime.datetime.fromtimestamp(
+            cancellation.requested_at, datetime.UTC
+        )
+        # Of another instance's clock, which may be ahead.
+        self._leftovers.record_ended(job_id, min(requested_at, now))
 
     def end_jobs(self) -> None:
         """End the jobs that are over; one that fails is tried again."""
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -4,6 +4,7 @@
 import enum
 
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import cancellations
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import footprint
 from cardamomcroft.scheduling import lazy
@@ -56,6 +57,7 @@
             codec.decode_job
         )
         self.cancelled_ids: set[str] = set()
+        self.unmatched = cancellations.UnmatchedCancellations()
         self.progress_by_id: lazy.LazyMap[codec.Progress] = lazy.LazyMap(
             lambda _, raw: codec.decode_progress(raw)
         )
@@ -126,14 +128,10 @@
                 return False
             self.jobs_by_id.put(name, value)
             self.footprint.note_change(name)
+            self.unmatched.drop(name)
             return True
         if kind is Kind.CANCELLATION:
-            if value is None:
-                self.cancelled_ids.discard(name)
-                return False
-            is_new = name not in self.cancelled_ids
-            self.cancelled_ids.add(name)
-            return is_new
+            return self._fold_cancellation(name, value)
         records = self._maps_by_kind[kind]
         if value is None:
             records.drop(name)
@@ -143,6 +141,19 @@
             self.footprint.note_change(name)
         return False
 
+    def _fold_cancellation(self, job_id: str, value: bytes | None) -> bool:
+        if value is None:
+            self.cancelled_ids.discard(job_id)
+            self.unmatched.drop(job_id)
+            return False
+        is_new = job_id not in self.cancelled_ids
+        self.cancelled_ids.add(job_id)
+        if job_id in self.jobs_by_id:
+            return is_new
+        # A repeated one is kept for longer.
+        self.unmatched.put(job_id, codec.decode_cancellation(value))
+        return True
+
     def _weigh(self, job_id: str) -> int:
         size = self.jobs_by_id.size(job_id)
         if self.state(job_id) in FINAL_STATES:
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -89,6 +89,11 @@
             ("reason",),
             registry=registry,
         )
+        self.unmatched = prometheus_client.Gauge(
+            "cardamomcroft_unmatched_cancellations",
+            "Cancelled job ids without a stored submission",
+            registry=registry,
+        )
         self.rounds = prometheus_client.Histogram(
             "cardamomcroft_round_seconds",
             "Scheduling rounds",
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -156,6 +156,8 @@
                 self._admit(job_id)
             elif job_id in self.cluster.jobs_by_id:
                 self.cluster.jobs_by_id[job_id].is_cancelled = True
+            elif job_id not in self._replica.ledger.jobs_by_id:
+                self._ending.record_leftover(job_id)
         self.cluster.wake()
 
     def _admit(self, job_id: str) -> None:
--- a/cardamomcroft/standin/store.py
+++ b/cardamomcroft/standin/store.py
@@ -1,5 +1,6 @@
 """In-memory stand-in for the platform's store, with fault injection."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import datetime
@@ -27,6 +28,9 @@
     refused_clients: set[str] = dataclasses.field(default_factory=set)
     lose_answers: int = 0  # appends applied but not answered
     drop_appends: int = 0  # appends neither applied nor answered
+    # Appends of these keys get no answer and are carried out later.
+    late_keys: set[str] = dataclasses.field(default_factory=set)
+    late_after: datetime.timedelta = datetime.timedelta(seconds=5.5)
     expire_reads: int = 0  # reads answered as if the records were deleted
     delay: datetime.timedelta = ROUND_TRIP
     upload_bytes_per_s: int | None = None  # rate of each client's link
@@ -58,6 +62,7 @@
         }
         self._writers: dict[tuple[store.Stream, str], store.Writer] = {}
         self._answers: dict[tuple, store.Appended] = {}
+        self._late: set[asyncio.Task] = set()
 
     def client(self, name: str) -> "StoreClient":
         """Return the client of an instance."""
@@ -107,6 +112,17 @@
             self._answers[key] = answer
         return answer
 
+    def append_late(self, *append) -> None:
+        """Carry out an append after a while."""
+        self.count_fault("late")
+        task = asyncio.ensure_future(self._append_late(append))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _append_late(self, append: tuple) -> None:
+        await self.clock.sleep(self.faults.late_after)
+        self.append(*append)
+
     def _check_writer(
         self, stream: store.Stream, writer: store.Writer
     ) -> store.Appended | None:
@@ -146,6 +162,10 @@
             service.count_fault("dropped")
             await service.clock.sleep(timeout)
             return store.Appended(_Status.MAY_HAVE_RUN, detail="dropped")
+        if service.faults.late_keys & {entry.key for entry in entries}:
+            service.append_late(stream, entries, expected_end, writer)
+            await service.clock.sleep(timeout)
+            return store.Appended(_Status.MAY_HAVE_RUN, detail="late")
         answer = service.append(stream, entries, expected_end, writer)
         if service.faults.lose_answers:
             service.faults.lose_answers -= 1
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -158,10 +158,12 @@
         self.store.put(store.Stream.JOBS, key, codec.encode_job(job))
         return job_id
 
-    def cancel(self, job_id: str) -> None:
+    def cancel(self, job_id: str, account: str = "a") -> None:
         """Store a cancellation as an instance's ingress does."""
         key = ledgers.Kind.CANCELLATION.key(job_id)
-        self.store.put(store.Stream.JOBS, key, b"1")
+        now = self.clock.now().timestamp()
+        value = codec.encode_cancellation(codec.Cancellation(account, now))
+        self.store.put(store.Stream.JOBS, key, value)
 
     def holder(self) -> str | None:
         """Return the instance that schedules, if there is exactly one."""
--- a/tests/scheduling/test_expiry.py
+++ b/tests/scheduling/test_expiry.py
@@ -1,6 +1,9 @@
 """Records of ended jobs are dropped, so the job stream stays bounded."""
 
+import unittest
+
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import expiry
 from cardamomcroft.scheduling import ledger as ledgers
 from tests.scheduling import harness
 
@@ -119,3 +122,68 @@
         started = {i.task.split(".")[0] for i in self.fleet.intervals}
         started |= {task.split(".")[0] for task, _ in self.fleet.running()}
         self.assertNotIn(job_id, started)
+
+    async def test_invented_ids_are_dropped_after_the_retention(self):
+        """Cancellations without a submission do not pile up."""
+        job_ids = [f"{number:016x}" for number in range(100, 103)]
+        for job_id in job_ids:
+            self.cancel(job_id)
+        await self.pass_time(RETENTION_S - 2)
+        self.cancel(job_ids[0])  # this one counts from here on
+        # As before 2026-12-05.
+        key = ledgers.Kind.CANCELLATION.key("old")
+        self.store.put(store.Stream.JOBS, key, b"1")
+        await self.pass_time(4)
+        kept = {ledgers.Kind.CANCELLATION.key(job_ids[0]), key}
+        self.assertEqual(self.kept_keys() - {ledgers.CLAIM_KEY}, kept)
+        await self.pass_time(RETENTION_S)
+        self.assertEqual(self.kept_keys(), {ledgers.CLAIM_KEY})
+        ledger = self.nodes_by_name["a"].replica.ledger
+        self.assertEqual(
+            (len(ledger.unmatched), ledger.cancelled_ids), (0, set())
+        )
+
+    async def test_takeovers_do_not_extend_the_retention(self):
+        """Series of takeovers do not fill the bound of unknown ids."""
+        self.cancel("100")
+        for _ in range(3):
+            await self.pass_time(RETENTION_S / 4)
+            name = self.holder()
+            self.kill(name)
+            self.start_node(name)
+            await self.wait_until(self.holder)
+        await self.pass_time(RETENTION_S / 4 + 2)
+        self.assertNotIn(
+            ledgers.Kind.CANCELLATION.key("100"), self.kept_keys()
+        )
+
+    async def test_job_submitted_again_after_its_cancelling_never_runs(self):
+        """It remains one job, and its records go as those of others."""
+        job_id = f"{9:016x}"
+        self.cancel(job_id)
+        await self.pass_time(1)
+        while self.submit(harness.make_step()) != job_id:
+            pass
+        await self.pass_time(2)
+        self.assertEqual(self.state(job_id), "cancelled")
+        started = {i.task.split(".")[0] for i in self.fleet.intervals}
+        self.assertNotIn(job_id, started)
+        await self.pass_time(RETENTION_S + 2)
+        for kind in ledgers.JOB_KINDS:
+            self.assertNotIn(kind.key(job_id), self.kept_keys())
+
+
+class LatestTimeTest(unittest.TestCase):
+    """An id that is recorded again."""
+
+    def test_latest_time_counts(self):
+        """It is due once, after the retention from its latest time."""
+        clock = harness.clocks.FakeClock()
+        records = expiry.Expiry(harness.seconds(10))
+        now = clock.now()
+        records.record_ended("x", now)
+        records.record_ended("x", now + harness.seconds(5))
+        records.record_ended("x", now + harness.seconds(2))
+        self.assertEqual(records.pop_due(now + harness.seconds(12)), [])
+        self.assertEqual(records.pop_due(now + harness.seconds(15)), ["x"])
+        self.assertEqual(records.pop_due(now + harness.seconds(60)), [])
