Let the first stored attempt of a submission count everywhere

What callers could see: a job's submission is repeated at another instance as the first attempt got no answer, and both are stored. After a takeover by an instance that has loaded the records the job has the queue's settings of the other attempt, such as its priority and attempts, though the configuration had changed in between; a caller that repeats with another body gets that one. Cause: instances that follow the stream keep the first record, and the store keeps the newest of a key, which is what a load returns. Evidence: test_successor_uses_the_first_attempt failed before (queue q0 instead of q1). Change: the scheduler that reads a differing attempt of a job that goes on stores the first one again. Equal records, as an instance's own retries write, cost nothing.

--- a/cardamomcroft/scheduling/lazy.py
+++ b/cardamomcroft/scheduling/lazy.py
@@ -40,6 +40,10 @@
         """Keep a record, but not its decoded value."""
         self._values.pop(name, None)
 
+    def raw(self, name: str) -> bytes:
+        """Return a record as it was put; raise KeyError if there is none."""
+        return self._raw[name]
+
     def size(self, name: str) -> int:
         """Return the bytes of a record; raise KeyError if there is none."""
         return len(self._raw[name])
--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -82,6 +82,8 @@
     ) -> list[tuple[Kind, str]]:
         """Fold a page and return its new submissions and cancellations.
 
+        Also returned are submissions that differ from the first of their job.
+
         Two reads may overlap: records of an earlier page are skipped, so
         that a late page never replaces a newer record by an older one.
         """
@@ -125,7 +127,7 @@
                 self.footprint.drop(name)
                 return False
             if name in self.jobs_by_id:
-                return False
+                return value != self.jobs_by_id.raw(name)
             self.jobs_by_id.put(name, value)
             self.footprint.note_change(name)
             self.unmatched.drop(name)
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -153,6 +153,8 @@
         """Apply new submissions and cancellations."""
         for kind, job_id in updates:
             if kind is ledgers.Kind.SUBMISSION:
+                if job_id in self.cluster.jobs_by_id:
+                    self._restore_submission(job_id)
                 self._admit(job_id)
             elif job_id in self.cluster.jobs_by_id:
                 self.cluster.jobs_by_id[job_id].is_cancelled = True
@@ -160,6 +162,15 @@
                 self._ending.record_leftover(job_id)
         self.cluster.wake()
 
+    def _restore_submission(self, job_id: str) -> None:
+        """Store a job's first submission again, over a later one.
+
+        Instances that load the records get the newest of each key.
+        """
+        self._log.emit("submission_restored", job_id=job_id)
+        key = ledgers.Kind.SUBMISSION.key(job_id)
+        self.journal.stage(key, self._replica.ledger.jobs_by_id.raw(job_id))
+
     def _admit(self, job_id: str) -> None:
         progress = self._replica.ledger.progress_by_id.get(job_id)
         if progress and progress.state in ledgers.FINAL_STATES:
