Try a step that differs from one without room in where it may run

What callers saw: a gang that may run on several racks, or urgent work past its deadline, stands beside workers that fit it. Cause: a round does not try a step again whose like found no room, and two steps counted as alike though one of them has to stay within a rack, to wait for the rack of its data, or to leave the headroom, and the other has not. Change: the signature has what decides where a step may be placed.

--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -213,14 +213,7 @@
         model = step.model
         if self._unplanned_count(step) <= 0:
             return
-        signature = (
-            model.demand,
-            model.required_label,
-            model.data_rack,
-            step.job.job.queue.service,
-            model.is_gang and model.width,
-            model.spread_limit and step.number,
-        )
+        signature = self._signature(step)
         advised = self._advised(step)
         if advised is None:
             return
@@ -240,6 +233,22 @@
             self._preempt(step)
             self._hold(step)
 
+    def _signature(self, step: runs.StepState) -> tuple:
+        """Return what decides on which workers a step may be placed."""
+        model, queue = step.model, step.job.job.queue
+        is_local = model.is_gang and model.is_rack_local
+        return (
+            model.demand,
+            model.required_label,
+            model.data_rack,
+            bool(model.data_rack) and self._accepts_remote_placement(step),
+            queue.service,
+            queue.priority > 0,
+            model.is_gang and model.width,
+            is_local and not self._may_span_racks(step),
+            model.spread_limit and step.number,
+        )
+
     def _advised(self, step: runs.StepState) -> frozenset[str] | None:
         """Return the advised workers: empty for any, None while unknown."""
         if step.job.job.queue.advice is None:
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -120,3 +120,33 @@
         )
         plan = planning.Planner(inputs).plan()
         self.assertEqual([stop.run.worker_id for stop in plan.stops], ["w2"])
+
+
+class SignatureTest(unittest.TestCase):
+    """Steps that are not tried, as a like one found no room."""
+
+    def test_gang_that_may_span_racks_is_tried_after_one_that_may_not(self):
+        """Four workers of two racks are free, two of each."""
+        workers = [make_worker(f"w{n}") for n in range(6)]
+        for number, worker in enumerate(workers):
+            rack = f"r{number % 2}"
+            worker.listing = dataclasses.replace(worker.listing, rack=rack)
+        for worker in workers[4:]:
+            start(worker, make_job(harness.make_step(accelerators=8)), 0)
+        local, spanning = (
+            make_job(
+                harness.make_step(
+                    width=3,
+                    accelerators=8,
+                    is_gang=True,
+                    is_rack_local=is_local,
+                )
+            )
+            for is_local in (True, False)
+        )
+        jobs = [local, spanning]
+        plan = planning.Planner(make_inputs(jobs, workers)).plan()
+        started = collections.Counter(
+            s.step.job is spanning for s in plan.starts
+        )
+        self.assertEqual(started, {True: 3})
