Hold other workers for large tasks than those kept for urgent work

A gang whose own two held workers had become empty found that they were headroom from then on, and did not start. Cause: two reservations of the same room. The headroom takes the emptiest workers, which are those that a hold has emptied; a hold takes the workers that fit soonest, which are those that the headroom keeps idle. Evidence: test_held_workers_do_not_become_headroom and test_headroom_is_not_held_for_less_urgent_tasks failed before; test_urgent_job_is_tried_after_a_late_one_that_is_not too, as the hold of the less urgent job took the headroom from the urgent one. Change: the headroom leaves out held workers, and less urgent steps hold none of it. The line of a standing job counts them in the same way.

--- a/cardamomcroft/scheduling/holding.py
+++ b/cardamomcroft/scheduling/holding.py
@@ -48,6 +48,14 @@
         """Return the workers held for a step."""
         return self._by_step.get(step, ([], _ZERO))[0]
 
+    def worker_ids(self) -> set[str]:
+        """Return the workers held for any step."""
+        return {
+            worker_id
+            for worker_ids, _ in self._by_step.values()
+            for worker_id in worker_ids
+        }
+
     def drop(self, step: runs.StepState) -> None:
         """Release the workers held for a step."""
         self._by_step.pop(step, None)
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -271,13 +271,7 @@
         free_workers = self._pool.eligible(
             model, step.job.job.queue.service, advised or None
         )
-        if step.job.job.queue.priority > 0:
-            headroom_ids = self._headroom_workers()
-            free_workers = [
-                free_worker
-                for free_worker in free_workers
-                if free_worker.worker_id not in headroom_ids
-            ]
+        free_workers = self._outside_headroom(step, free_workers)
         if not model.data_rack:
             return free_workers
         near = [
@@ -289,18 +283,39 @@
             return near
         return free_workers
 
+    def _outside_headroom(
+        self, step: runs.StepState, free_workers: list[placing.FreeWorker]
+    ) -> list[placing.FreeWorker]:
+        """Return the workers that the step may use in an overload."""
+        if step.job.job.queue.priority == 0:
+            return free_workers
+        headroom_ids = self._headroom_workers()
+        return [
+            free_worker
+            for free_worker in free_workers
+            if free_worker.worker_id not in headroom_ids
+        ]
+
     def _headroom_workers(self) -> frozenset[str]:
-        """Return the headroom workers, chosen once urgent work is placed."""
+        """Return the headroom workers, chosen once urgent work is placed.
+
+        Workers held for a step are left out: they become empty so that the
+        step can start there.
+        """
         if self._headroom_ids is None:
+            held = self._inputs.holds.worker_ids()
             total = sum(
                 worker.listing.accelerators
                 for worker in self._inputs.workers_by_id.values()
                 if worker.listing is not None
             )
+            free_workers = [
+                free_worker
+                for free_worker in self._pool.free_workers
+                if free_worker.worker_id not in held
+            ]
             headroom = self._inputs.headroom
-            self._headroom_ids = headroom.headroom_workers(
-                self._pool.free_workers, total
-            )
+            self._headroom_ids = headroom.headroom_workers(free_workers, total)
         return self._headroom_ids
 
     def _accepts_remote_placement(self, step: runs.StepState) -> bool:
@@ -479,8 +494,8 @@
         model = step.model
         within_rack = model.is_rack_local and not self._may_span_racks(step)
         slots_by_rack: dict[str, dict[str, list[datetime.timedelta]]] = {}
-        for free_worker in self._pool.eligible(
-            model, step.job.job.queue.service
+        for free_worker in self._outside_headroom(
+            step, self._pool.eligible(model, step.job.job.queue.service)
         ):
             worker = self._inputs.workers_by_id[free_worker.worker_id]
             is_near = model.data_rack in ("", free_worker.rack)
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -126,10 +126,12 @@
     @functools.cached_property
     def _headroom_ids(self) -> frozenset[str]:
         workers, now = self._inputs.workers_by_id.values(), self._inputs.now
+        held = {worker_id for _, ids in self._holders for worker_id in ids}
         free_workers = [
             free_worker
             for worker in workers
-            if (free_worker := capacities.free_worker(worker, now))
+            if worker.worker_id not in held
+            and (free_worker := capacities.free_worker(worker, now))
         ]
         total = sum(
             worker.listing.accelerators for worker in workers if worker.listing
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import itertools
 import unittest
 
 from cardamomcroft.ports import fleet
@@ -12,6 +13,7 @@
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import planning
+from cardamomcroft.scheduling import plans
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 from tests.scheduling import harness
@@ -122,6 +124,90 @@
         self.assertEqual([stop.run.worker_id for stop in plan.stops], ["w2"])
 
 
+class KeptRoomTest(unittest.TestCase):
+    """Headroom for urgent jobs, and workers held for large tasks."""
+
+    def setUp(self):
+        """Keep holds and headroom over rounds, as a scheduler does."""
+        self.now = NOW
+        self.workers = [make_worker(f"w{n:02}") for n in range(24)]
+        self.jobs: list[runs.JobState] = []
+        self.holds = holding.Holds()
+        # As after urgent jobs of 14 accelerators: three workers.
+        self.headroom = headroom.Headroom(14)
+        self.numbers = itertools.count(1)
+
+    def add_job(self, *steps: models.Step) -> runs.StepState:
+        """Add a job that is not urgent; return its first step."""
+        job = make_job(*steps)
+        job_id = f"{next(self.numbers):016x}"
+        job.job = dataclasses.replace(job.job, job_id=job_id)
+        self.jobs.append(job)
+        return job.steps_by_key[0, 0]
+
+    def occupy(
+        self, worker: runs.Worker, accelerators: int, age_s: float
+    ) -> runs.StepState:
+        """Put a task of another job at work on a worker."""
+        demand = harness.make_step(accelerators=accelerators)
+        step = self.add_job(demand)
+        start(worker, step.job, age_s)
+        return step
+
+    def vacate(self, worker: runs.Worker, step: runs.StepState) -> None:
+        """End a job's task on a worker."""
+        del worker.runs_by_task[step.runs_by_index[0].name]
+        self.jobs.remove(step.job)
+
+    def plan(self) -> plans.Plan:
+        """Return the plan of the next round."""
+        self.now += harness.seconds(0.1)
+        inputs = make_inputs(self.jobs, self.workers)
+        return planning.Planner(
+            dataclasses.replace(
+                inputs,
+                now=self.now,
+                holds=self.holds,
+                headroom=self.headroom,
+            )
+        ).plan()
+
+    def starts_of(self, step: runs.StepState) -> set[str]:
+        """Return where the next round starts a step."""
+        return {s.worker_id for s in self.plan().starts if s.step is step}
+
+    def test_held_workers_do_not_become_headroom(self):
+        """Else nothing starts on them, and they are held again and again."""
+        occupied = {
+            worker.worker_id: self.occupy(worker, 6, 0)
+            for worker in self.workers[5:]
+        }
+        ending = [self.occupy(w, 6, 1.5) for w in self.workers[3:5]]
+        gang = self.add_job(
+            harness.make_step(width=2, accelerators=8, is_gang=True)
+        )
+        self.assertEqual(self.starts_of(gang), set())
+        self.assertEqual(self.holds.of(gang), ["w03", "w04"])
+        # The headroom finds no emptier worker than the held ones.
+        for worker in self.workers[:3]:
+            self.occupy(worker, 2, 0)
+        for worker, step in zip(self.workers[3:5], ending, strict=True):
+            self.vacate(worker, step)
+        self.assertEqual(self.starts_of(gang), {"w03", "w04"})
+        self.assertEqual(len(occupied), 19)
+
+    def test_headroom_is_not_held_for_less_urgent_tasks(self):
+        """They may not start there, so other workers have to be freed."""
+        for worker in self.workers[3:]:
+            self.occupy(worker, 6, 1.5)
+        gang = self.add_job(
+            harness.make_step(width=2, accelerators=8, is_gang=True)
+        )
+        self.plan()
+        self.assertEqual(len(self.holds.of(gang)), 2)
+        self.assertTrue({"w00", "w01", "w02"}.isdisjoint(self.holds.of(gang)))
+
+
 class SignatureTest(unittest.TestCase):
     """Steps that are not tried, as a like one found no room."""
 
@@ -150,3 +236,20 @@
             s.step.job is spanning for s in plan.starts
         )
         self.assertEqual(started, {True: 3})
+
+    def test_urgent_job_is_tried_after_a_late_one_that_is_not(self):
+        """Only the less urgent one must leave the headroom."""
+        workers = [make_worker(f"w{n:02}") for n in range(24)]
+        for worker in workers[3:]:
+            start(worker, make_job(harness.make_step(accelerators=6)), 0)
+        step = harness.make_step(width=2, accelerators=8, is_gang=True)
+        first, urgent = make_job(step, priority=1), make_job(step, priority=0)
+        # An urgent job past its final deadline comes after all others.
+        urgent.accepted_at = NOW - harness.seconds(60)
+        inputs = dataclasses.replace(
+            make_inputs([first, urgent], workers),
+            headroom=headroom.Headroom(14),
+        )
+        plan = planning.Planner(inputs).plan()
+        started = [s.step.job is urgent for s in plan.starts]
+        self.assertEqual(started, [True, True])
