Let a job that stands use kept room while most room is free

Cause: headroom and held workers stay reserved however much room is free. The headroom follows past urgent jobs and does not shrink when no more of them come. What is left beside it may have a small task on each worker. Change: a job of which nothing runs may use both as long as under half of each resource of its service is in use or planned in the round.

--- a/cardamomcroft/scheduling/capacity.py
+++ b/cardamomcroft/scheduling/capacity.py
@@ -1,5 +1,6 @@
 """Compute workers' free capacity from the cluster state."""
 
+import collections.abc
 import datetime
 
 from cardamomcroft.ports import fleet
@@ -15,6 +16,18 @@
     )
 
 
+def use_of(
+    workers: collections.abc.Iterable[runs.Worker], service: str
+) -> tuple[models.Demand, models.Demand]:
+    """Return what runs of a service use, and the capacity of its workers."""
+    used = total = models.Demand()
+    for worker in workers:
+        if worker.listing is not None and worker.listing.service == service:
+            used = used.plus(worker.used())
+            total = total.plus(capacity_of(worker.listing))
+    return used, total
+
+
 def capacity_after_stops(
     worker: runs.Worker, now: datetime.timedelta
 ) -> models.Demand | None:
--- a/cardamomcroft/scheduling/placing.py
+++ b/cardamomcroft/scheduling/placing.py
@@ -79,11 +79,12 @@
         step: models.Step,
         service: str,
         allowed: frozenset[str] | None = None,
+        with_held: bool = False,
     ) -> list[FreeWorker]:
         """Return the workers that may run the step once they have capacity."""
         return [
             worker
-            for worker in self.free_workers
+            for worker in (self._all if with_held else self.free_workers)
             if worker.service == service
             and (
                 not step.required_label or step.required_label in worker.labels
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -93,6 +93,9 @@
             self._guaranteed,
         )
         self._headroom_ids: frozenset[str] | None = None
+        self._use_by_service: dict[
+            str, tuple[models.Demand, models.Demand]
+        ] = {}
         self._completions_by_worker: dict[str, holding.Completions] = {}
         self._max_rack_tasks_by_demand: dict[models.Demand, int] = {}
         self._preemption_searches = 0
@@ -210,7 +213,6 @@
             self._start(step, index, free_worker)
 
     def _plan_step(self, step: runs.StepState) -> None:
-        model = step.model
         if self._unplanned_count(step) <= 0:
             return
         signature = self._signature(step)
@@ -218,18 +220,15 @@
         if advised is None:
             return
         is_unrestricted = not advised
-        if is_unrestricted and signature in self._infeasible:
-            self._preempt(step)
-            self._hold(step)
-            return
-        free_workers = self._candidates(step, advised)
-        if model.is_gang:
-            is_placed = self._place_gang(step, free_workers)
-        else:
-            is_placed = self._place_tasks(step, free_workers)
+        is_placed = (
+            not is_unrestricted or signature not in self._infeasible
+        ) and self._place(step, self._candidates(step, advised))
+        if not is_placed and is_unrestricted:
+            self._infeasible.add(signature)
+        if not is_placed and self._may_use_kept(step):
+            kept = self._candidates(step, advised, with_kept=True)
+            is_placed = self._place(step, kept)
         if not is_placed:
-            if is_unrestricted:
-                self._infeasible.add(signature)
             self._preempt(step)
             self._hold(step)
 
@@ -264,14 +263,44 @@
             return None
         return valid
 
+    def _may_use_kept(self, step: runs.StepState) -> bool:
+        """Return whether a step may use headroom and held workers.
+
+        These ration what is scarce. A job of which nothing runs need not wait
+        beside them while most of the room is free.
+        """
+        job = step.job
+        is_at_work = any(s.runs_by_index for s in job.steps_by_key.values())
+        if is_at_work and not step.model.is_lasting:
+            return False
+        return self._is_mostly_free(job.job.queue.service)
+
+    def _is_mostly_free(self, service: str) -> bool:
+        """Return whether under half of each resource is in use or planned."""
+        if service not in self._use_by_service:
+            self._use_by_service[service] = capacities.use_of(
+                self._inputs.workers_by_id.values(), service
+            )
+        used, total = self._use_by_service[service]
+        if not used.times(2).fits(total):
+            return False
+        for start in self._plan.starts:
+            if start.step.job.job.queue.service == service:
+                used = used.plus(placing.demand_of(start.step.model))
+        return used.times(2).fits(total)
+
     def _candidates(
-        self, step: runs.StepState, advised: frozenset[str]
+        self,
+        step: runs.StepState,
+        advised: frozenset[str],
+        with_kept: bool = False,
     ) -> list[placing.FreeWorker]:
         model = step.model
         free_workers = self._pool.eligible(
-            model, step.job.job.queue.service, advised or None
+            model, step.job.job.queue.service, advised or None, with_kept
         )
-        free_workers = self._outside_headroom(step, free_workers)
+        if not with_kept:
+            free_workers = self._outside_headroom(step, free_workers)
         if not model.data_rack:
             return free_workers
         near = [
@@ -326,6 +355,14 @@
         )
         return waited > expected * (REMOTE_FACTOR - 1)
 
+    def _place(
+        self, step: runs.StepState, free_workers: list[placing.FreeWorker]
+    ) -> bool:
+        """Plan starts on these workers; return whether none is missing."""
+        if step.model.is_gang:
+            return self._place_gang(step, free_workers)
+        return self._place_tasks(step, free_workers)
+
     def _place_gang(
         self, step: runs.StepState, free_workers: list[placing.FreeWorker]
     ) -> bool:
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -207,6 +207,59 @@
         self.assertEqual(len(self.holds.of(gang)), 2)
         self.assertTrue({"w00", "w01", "w02"}.isdisjoint(self.holds.of(gang)))
 
+    def test_headroom_yields_while_most_room_is_free(self):
+        """A job without a run does not wait beside idle workers."""
+        for worker in self.workers[3:]:
+            self.occupy(worker, 3, 0)
+        gang = self.add_job(
+            harness.make_step(width=2, accelerators=8, is_gang=True)
+        )
+        self.assertEqual(len(self.starts_of(gang)), 2)
+
+    def test_holds_yield_while_most_room_is_free(self):
+        """Nor beside workers that are held for another job."""
+        self.headroom = headroom.Headroom()
+        for worker in self.workers[3:]:
+            self.occupy(worker, 2, 1.5)
+        wide = self.add_job(
+            harness.make_step(width=4, accelerators=8, is_gang=True)
+        )
+        gang = self.add_job(
+            harness.make_step(width=2, accelerators=8, is_gang=True)
+        )
+        plan = self.plan()
+        self.assertEqual(len(self.holds.of(wide)), 4)
+        started = {s.worker_id for s in plan.starts if s.step is gang}
+        self.assertEqual(len(started), 2)
+        self.assertTrue(started & set(self.holds.of(wide)))
+
+    def test_wide_step_leaves_the_headroom(self):
+        """Its own starts bring more than half of the room into use."""
+        flood = self.add_job(harness.make_step(width=300))
+        started = self.starts_of(flood)
+        self.assertEqual(len(started), 21)
+
+    def test_job_at_work_leaves_the_headroom(self):
+        """Only a job that stands still uses it."""
+        for worker in self.workers[3:]:
+            self.occupy(worker, 3, 0)
+        step = self.add_job(harness.make_step(width=1, accelerators=3))
+        start(self.workers[3], step.job, 0)
+        more = occurrences.make_job_state(
+            dataclasses.replace(
+                step.job.job,
+                steps=(
+                    step.model,
+                    harness.make_step(width=2, accelerators=8, is_gang=True),
+                ),
+            ),
+            None,
+            NOW - harness.seconds(1),
+        )
+        self.jobs.append(more)
+        start(self.workers[4], more, 0)
+        self.assertEqual(self.starts_of(more.steps_by_key[0, 1]), set())
+
 
 class SignatureTest(unittest.TestCase):
     """Steps that are not tried, as a like one found no room."""
