--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -1,5 +1,7 @@
 """Accepted jobs complete, each task once, across scheduler changes."""
 
+from unittest import mock
+
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import worker_polling
@@ -199,6 +201,37 @@
         self.assertLess(took, 1.0)
         await task
 
+    async def test_holder_grants_nothing_once_its_release_is_sent(self):
+        """The release may be stored although its answer is lost."""
+        holder = self.holder()
+        released = self.nodes_by_name[holder]
+        token = released.scheduler.cluster.token
+        granted: list[fleet.StartOrder | fleet.LeaseRenewal] = []
+        for name in ("start", "renew_lease"):
+            call = getattr(self.fleet, name)
+
+            async def spy(address, order, timeout, call=call):
+                is_start = isinstance(order, fleet.StartOrder)
+                if is_start or order.deadline_ms is not None:
+                    granted.append(order)
+                return await call(address, order, timeout)
+
+            patch = mock.patch.object(self.fleet, name, spy)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.store.faults.lose_answers = 50
+        stopping = harness.asyncio.ensure_future(released.stop())
+        await self.pass_time(0.05)
+        granted.clear()
+        later = self.submit(harness.make_step(width=2))
+        await self.wait_until(lambda: self.store.injected["answer_lost"] > 1)
+        await self.wait_until(lambda: self.holder() not in (None, holder))
+        self.store.faults.lose_answers = 0
+        await self.wait_until(lambda: self.state(later) == "completed", 60)
+        await stopping
+        self.assertTrue(granted)
+        self.assertNotIn(token, {order.token for order in granted})
+
 
 class NewIncarnationTest(harness.SchedulingTestCase):
     """A worker crashes and restarts under the same id."""
