Leave the headroom to others once a job begins elsewhere

A step of which a part is placed in a round took the headroom for the rest of its tasks, though its job has something running then. Evidence: test_job_that_begins_elsewhere_leaves_the_headroom failed before. Change: a job with a planned start counts as one that runs.

--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -270,10 +270,12 @@
         beside them while most of the room is free.
         """
         job = step.job
-        is_at_work = any(s.runs_by_index for s in job.steps_by_key.values())
-        if is_at_work and not step.model.is_lasting:
+        if not self._is_mostly_free(job.job.queue.service):
             return False
-        return self._is_mostly_free(job.job.queue.service)
+        return step.model.is_lasting or not (
+            any(s.runs_by_index for s in job.steps_by_key.values())
+            or any(start.step.job is job for start in self._plan.starts)
+        )
 
     def _is_mostly_free(self, service: str) -> bool:
         """Return whether under half of each resource is in use or planned."""
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -239,6 +239,13 @@
         started = self.starts_of(flood)
         self.assertEqual(len(started), 21)
 
+    def test_job_that_begins_elsewhere_leaves_the_headroom(self):
+        """It has something running without it."""
+        for worker in self.workers[4:]:
+            self.occupy(worker, 3, 0)
+        step = self.add_job(harness.make_step(width=4, accelerators=8))
+        self.assertEqual(self.starts_of(step), {"w03"})
+
     def test_job_at_work_leaves_the_headroom(self):
         """Only a job that stands still uses it."""
         for worker in self.workers[3:]:
