Admit no job anew for another attempt of its submission

A later attempt of a submission that differs from the first was reported to the scheduler as a new one. If the job had ended and the record of its end had not been read back yet, it was admitted without it. Change: the ledger collects the jobs with such an attempt apart from what is new, and each round stores the first attempt again for those that go on. That also covers attempts that were stored while no instance scheduled (test_attempt_that_no_scheduler_saw_is_overwritten failed before).

--- a/cardamomcroft/scheduling/ledger.py
+++ b/cardamomcroft/scheduling/ledger.py
@@ -56,6 +56,8 @@
         self.jobs_by_id: lazy.LazyMap[models.Job] = lazy.LazyMap(
             codec.decode_job
         )
+        # Jobs of which the stream has another submission after the first.
+        self.resubmitted_ids: set[str] = set()
         self.cancelled_ids: set[str] = set()
         self.unmatched = cancellations.UnmatchedCancellations()
         self.progress_by_id: lazy.LazyMap[codec.Progress] = lazy.LazyMap(
@@ -82,8 +84,6 @@
     ) -> list[tuple[Kind, str]]:
         """Fold a page and return its new submissions and cancellations.
 
-        Also returned are submissions that differ from the first of their job.
-
         Two reads may overlap: records of an earlier page are skipped, so
         that a late page never replaces a newer record by an older one.
         """
@@ -122,16 +122,7 @@
 
     def _fold(self, kind: Kind, name: str, value: bytes | None) -> bool:
         if kind is Kind.SUBMISSION:
-            if value is None:
-                self.jobs_by_id.drop(name)
-                self.footprint.drop(name)
-                return False
-            if name in self.jobs_by_id:
-                return value != self.jobs_by_id.raw(name)
-            self.jobs_by_id.put(name, value)
-            self.footprint.note_change(name)
-            self.unmatched.drop(name)
-            return True
+            return self._fold_submission(name, value)
         if kind is Kind.CANCELLATION:
             return self._fold_cancellation(name, value)
         records = self._maps_by_kind[kind]
@@ -143,6 +134,23 @@
             self.footprint.note_change(name)
         return False
 
+    def _fold_submission(self, job_id: str, value: bytes | None) -> bool:
+        if value is None:
+            self.jobs_by_id.drop(job_id)
+            self.footprint.drop(job_id)
+            self.resubmitted_ids.discard(job_id)
+            return False
+        if job_id not in self.jobs_by_id:
+            self.jobs_by_id.put(job_id, value)
+            self.footprint.note_change(job_id)
+            self.unmatched.drop(job_id)
+            return True
+        if value == self.jobs_by_id.raw(job_id):
+            self.resubmitted_ids.discard(job_id)
+        else:
+            self.resubmitted_ids.add(job_id)
+        return False
+
     def _fold_cancellation(self, job_id: str, value: bytes | None) -> bool:
         if value is None:
             self.cancelled_ids.discard(job_id)
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -153,8 +153,6 @@
         """Apply new submissions and cancellations."""
         for kind, job_id in updates:
             if kind is ledgers.Kind.SUBMISSION:
-                if job_id in self.cluster.jobs_by_id:
-                    self._restore_submission(job_id)
                 self._admit(job_id)
             elif job_id in self.cluster.jobs_by_id:
                 self.cluster.jobs_by_id[job_id].is_cancelled = True
@@ -162,14 +160,17 @@
                 self._ending.record_leftover(job_id)
         self.cluster.wake()
 
-    def _restore_submission(self, job_id: str) -> None:
-        """Store a job's first submission again, over a later one.
+    def _restore_submissions(self) -> None:
+        """Store the first submission of jobs again, over a later one.
 
         Instances that load the records get the newest of each key.
         """
-        self._log.emit("submission_restored", job_id=job_id)
-        key = ledgers.Kind.SUBMISSION.key(job_id)
-        self.journal.stage(key, self._replica.ledger.jobs_by_id.raw(job_id))
+        ledger = self._replica.ledger
+        for job_id in ledger.resubmitted_ids & self.cluster.jobs_by_id.keys():
+            self._log.emit("submission_restored", job_id=job_id)
+            key = ledgers.Kind.SUBMISSION.key(job_id)
+            self.journal.stage(key, ledger.jobs_by_id.raw(job_id))
+        ledger.resubmitted_ids.clear()
 
     def _admit(self, job_id: str) -> None:
         progress = self._replica.ledger.progress_by_id.get(job_id)
@@ -196,6 +197,7 @@
         self._try_phase("starts", self._orders.stop_unanswered_starts)
         self._try_phase("gangs", self._orders.stop_open_gangs)
         self._try_phase("ends", self._ending.end_jobs)
+        self._try_phase("submissions", self._restore_submissions)
         self._try_phase("expiry", self._ending.delete_expired_records)
         self._try_phase("moves", self._move_runs)
         self._try_phase("forecast", self._refresh_forecast)
--- a/tests/scheduling/test_repeated_submissions.py
+++ b/tests/scheduling/test_repeated_submissions.py
@@ -1,5 +1,7 @@
 """Of several stored attempts of a submission the first one counts."""
 
+from unittest import mock
+
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import ledger as ledgers
@@ -67,6 +69,43 @@
         await self.pass_time(1)
         self.assertEqual(self.submission_count(job_id), 2)
 
+    async def test_attempts_around_the_end_of_the_job_restart_nothing(self):
+        """Its end may not have been read back by the scheduler (soak)."""
+        journal = self.nodes_by_name["a"].scheduler.journal
+        append = journal._store.append
+
+        async def append_slowly(*arguments, **options):
+            await self.clock.sleep(harness.seconds(0.25))
+            return await append(*arguments, **options)
+
+        patch = mock.patch.object(journal._store, "append", append_slowly)
+        patch.start()
+        self.addCleanup(patch.stop)
+        job_id = self.submit(harness.make_step())
+        for number in range(90):
+            await self.pass_time(harness.STEP.total_seconds())
+            queue = harness.make_queue(attempts=4 + number)
+            self.submit_again(job_id, queue)
+        self.assertEqual(self.state(job_id), "completed")
+        self.assertEqual(len(self.fleet.intervals), 1)
+        self.assertEqual(self.fleet.running(), [])
+
+    async def test_attempt_that_no_scheduler_saw_is_overwritten(self):
+        """A follower that saw both stores the first when it takes over."""
+        self.start_node("b")
+        await self.pass_time(1)
+        first = harness.make_queue(attempts=3)
+        job_id = self.submit(harness.make_step(is_lasting=True), queue=first)
+        await self.pass_time(0.5)
+        self.kill("a")
+        self.submit_again(job_id, harness.make_queue(attempts=1))
+        await self.wait_until(lambda: self.holder() == "b")
+        await self.pass_time(1)
+        self.kill("b")
+        node = self.start_node("c")
+        await self.wait_until(self.holder)
+        self.assertEqual(node.replica.ledger.jobs_by_id[job_id].queue, first)
+
     async def test_attempt_after_the_end_of_the_job_restarts_nothing(self):
         """Nor is it stored again: the job's state counts."""
         job_id = self.submit(harness.make_step())
