Reserve no headroom for a batch gang that has to leave it

What callers could see (stand-alone path): an account's batch gang waits beside idle workers that it must leave as headroom, and an urgent job that fits them waits too, as the gang has reserved them. A gang that finds no room reserves the cells that are free first; idle cells are free first, and the headroom keeps the gang from ever starting on them. Evidence: test_batch_gang_that_must_leave_the_headroom_does_not_reserve_it failed before (no start instead of the urgent job's). Change: a reservation that could start now is not made; only the headroom can be the reason that it did not start.

--- a/cardamomcroft/policy/borrowed.py
+++ b/cardamomcroft/policy/borrowed.py
@@ -176,10 +176,19 @@
                 best is None or found.expected_start < best.expected_start
             ):
                 best = found
-        if best is not None:
-            self.reservations.append(best)
+        if best is None:
+            return None
+        if self._is_free_now(best):
+            return None  # the cells are headroom, kept for urgent work
+        self.reservations.append(best)
         return best
 
+    def _is_free_now(self, reservation: Reservation) -> bool:
+        return reservation.expected_start <= self._ledger.view.now and all(
+            self._ledger.idle[worker_id] & mask == mask
+            for worker_id, mask in reservation.masks.items()
+        )
+
     def _earliest_reservation(
         self,
         job: base.WaitingJob,
