--- a/tests/scheduling/test_expiry.py
+++ b/tests/scheduling/test_expiry.py
@@ -130,7 +130,7 @@
             self.cancel(job_id)
         await self.pass_time(RETENTION_S - 2)
         self.cancel(job_ids[0])  # this one counts from here on
-        # As before 2026-12-05.
+        # Version 0.3.0 names neither an account nor a time.
         key = ledgers.Kind.CANCELLATION.key("old")
         self.store.put(store.Stream.JOBS, key, b"1")
         await self.pass_time(4)
--- a/tests/scheduling/test_repeated_submissions.py
+++ b/tests/scheduling/test_repeated_submissions.py
@@ -70,7 +70,7 @@
         self.assertEqual(self.submission_count(job_id), 2)
 
     async def test_attempts_around_the_end_of_the_job_restart_nothing(self):
-        """Its end may not have been read back by the scheduler (soak)."""
+        """Its end may not have been read back by the scheduler."""
         journal = self.nodes_by_name["a"].scheduler.journal
         append = journal._store.append
 
