Let a guarantee stop work that lasts

Cause: preemption left out each run of a step that lasts. Evidence: test_guaranteed_job_begins_beside_lasting_work and test_disruption_budgets_hold failed before: nothing of the job ran within 2.7 s. Work beyond a guarantee still waits. The stand-in's workers can run tasks that last.

--- a/cardamomcroft/scheduling/preempting.py
+++ b/cardamomcroft/scheduling/preempting.py
@@ -19,6 +19,11 @@
 # late. Less urgent runs younger than an urgent job's usual objective are
 # therefore stopped first.
 URGENT_PENALTY_S = 8.0
+# Lost seconds of a task that lasts, whatever its age: it starts again with
+# nothing lost but its absence, and is stopped after other work.
+LASTING_LOSS_S = 60.0
+# A task that lasts is at work from this percentage on (protocol).
+AT_WORK_PERCENT = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +69,7 @@
         self._chosen: set[runs.Run] = set()
         self.allocations = 0
         self._victim_groups: dict[tuple[str, int, bool], _VictimGroups] = {}
+        self._at_work_by_step: dict[runs.StepState, frozenset[runs.Run]] = {}
 
     def save(self) -> "Savepoint":
         """Return the state to restore if a job cannot be planned."""
@@ -196,6 +202,8 @@
         for group_cost, group in candidates.groups:
             if group[0] in victims or group[0] in stopped:
                 continue
+            if not self._is_within_budget(group, stopped.union(victims)):
+                continue
             victims.extend(group)
             cost += group_cost
             for member in group:
@@ -232,7 +240,9 @@
         self, run: runs.Run, priority: int, is_guaranteed: bool
     ) -> bool:
         victim = run.step.model
-        if run.phase is not runs.Phase.AT_WORK or victim.is_lasting:
+        if run.phase is not runs.Phase.AT_WORK:
+            return False
+        if victim.is_lasting and not is_guaranteed:
             return False
         victim_job = run.step.job.job
         if victim_job.queue.priority > priority:
@@ -240,6 +250,30 @@
         # Urgent work beyond its account's guarantee only borrows capacity.
         return is_guaranteed and victim_job.account not in self._guaranteed
 
+    def _is_within_budget(
+        self, group: list[runs.Run], stopped: collections.abc.Set[runs.Run]
+    ) -> bool:
+        """Return whether a step may lack the group beside those stopped."""
+        step = group[0].step
+        limit = step.model.max_unavailable
+        if not step.model.is_lasting or limit is None:
+            return True
+        at_work = self._at_work_of(step)
+        lost = at_work.intersection(group)
+        missing = step.model.width - len(at_work)
+        return not lost or missing + len(at_work & stopped | lost) <= limit
+
+    def _at_work_of(self, step: runs.StepState) -> frozenset[runs.Run]:
+        """Return the runs of a step of lasting tasks that are at work."""
+        if step not in self._at_work_by_step:
+            self._at_work_by_step[step] = frozenset(
+                run
+                for run in step.runs_by_index.values()
+                if run.phase is runs.Phase.AT_WORK
+                and run.percent >= AT_WORK_PERCENT
+            )
+        return self._at_work_by_step[step]
+
 
 def _group(run: runs.Run) -> list[runs.Run]:
     if run.step.model.is_gang:
@@ -260,6 +294,8 @@
 def lost_work(run: runs.Run, now: datetime.timedelta) -> float:
     """Return the core-seconds of work that a stop would lose."""
     step = run.step.model
+    if step.is_lasting:
+        return LASTING_LOSS_S * core_equivalent(step.demand)
     lost_s = (now - run.began_at).total_seconds()
     if run.step.job.job.queue.priority == 0:
         lost_s += URGENT_PENALTY_S
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -14,6 +14,7 @@
 GANG_TIMEOUT = datetime.timedelta(seconds=3)
 START_DELAY = datetime.timedelta(seconds=3)  # of orders carried out late
 ENDS_PER_ANSWER = 500
+STARTUP = datetime.timedelta(seconds=1)  # of a task that lasts
 _MS = datetime.timedelta(milliseconds=1)
 
 Status = fleet.OrderStatus
@@ -113,6 +114,8 @@
         if self.hangs:
             return 10
         worked = self._fleet.clock.monotonic() - run.began_at
+        if self._fleet.is_lasting(task):
+            return 100 if worked >= STARTUP else 50
         return min(int(worked / self._duration_of(task) * 100), 99)
 
     def _duration_of(self, task: str) -> datetime.timedelta:
@@ -134,7 +137,9 @@
                 self._advance_gang_member(task, run, now)
             elif self.hangs:
                 continue
-            elif now - run.began_at >= self._duration_of(task):
+            elif not self._fleet.is_lasting(
+                task
+            ) and now - run.began_at >= self._duration_of(task):
                 self.end(task, self._outcome())
 
     def _outcome(self) -> fleet.End:
@@ -176,6 +181,7 @@
         # Tasks started on a worker that still had an earlier run of them.
         self.duplicate_starts: list[str] = []
         self.durations_by_job: dict[str, datetime.timedelta] = {}
+        self.lasting_job_ids: set[str] = set()
         # Delay between the ends of runs that one worker stops together.
         self.stop_spacing = datetime.timedelta(milliseconds=40)
         self.ends_per_answer = ENDS_PER_ANSWER
@@ -194,6 +200,10 @@
         """Return a job's steps."""
         return self.steps_by_job[job_id]
 
+    def is_lasting(self, task: str) -> bool:
+        """Return whether a task goes on until it is stopped."""
+        return task[:16] in self.lasting_job_ids
+
     def duration_of(self, task: str) -> datetime.timedelta:
         """Return how long a task runs."""
         return self.durations_by_job.get(task[:16], self.duration)
--- a/tests/scheduling/test_preemption.py
+++ b/tests/scheduling/test_preemption.py
@@ -102,3 +102,89 @@
             if task.startswith(job_id)
         }
         self.assertEqual(len(workers), 4)
+
+
+class LastingWorkTest(harness.SchedulingTestCase):
+    """Work of another account that lasts fills all workers."""
+
+    async def asyncSetUp(self):
+        """Start a node with three workers and a guarantee for one."""
+        await super().asyncSetUp()
+        self.add_workers(3)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        self.nodes_by_name["a"].scheduler._guarantees = lambda: {"b": 8}
+
+    async def fill(self, **fields: object) -> str:
+        """Fill the workers with two steps that last."""
+        step = harness.make_step(
+            width=3, accelerators=4, is_lasting=True, **fields
+        )
+        job_id = self.submit(step, step)
+        self.fleet.lasting_job_ids.add(job_id)
+        await self.wait_until(lambda: len(self.fleet.running()) == 6)
+        await self.pass_time(4)
+        return job_id
+
+    def running_of(self, job_id: str) -> int:
+        """Count a job's tasks at work."""
+        return sum(task.startswith(job_id) for task, _ in self.fleet.running())
+
+    async def check_reclaims(self) -> None:
+        """Check that a guaranteed job begins within its bound."""
+        reclaiming = self.submit(
+            harness.make_step(accelerators=8),
+            queue=harness.make_queue(priority=0),
+            account="b",
+        )
+        await self.wait_until(lambda: self.running_of(reclaiming) == 1, 2.7)
+
+    async def test_guaranteed_job_begins_beside_lasting_work(self):
+        """It stops what it needs, and no more."""
+        lasting = await self.fill()
+        await self.check_reclaims()
+        self.assertEqual(self.running_of(lasting), 4)
+
+    async def test_disruption_budgets_hold(self):
+        """Each step may lack one task, and both lie on one worker."""
+        lasting = await self.fill(max_unavailable=1, spread_limit=1)
+        await self.check_reclaims()
+        steps = {task.split(".")[2] for task, _ in self.fleet.running()}
+        self.assertEqual(steps, {"0", "1"})
+        for step in steps:
+            self.assertEqual(self.running_of(f"{lasting}.0.{step}."), 2)
+
+    async def test_work_without_a_budget_left_is_not_stopped(self):
+        """None of its tasks may be unavailable."""
+        lasting = await self.fill(max_unavailable=0)
+        self.submit(
+            harness.make_step(accelerators=8),
+            queue=harness.make_queue(priority=0),
+            account="b",
+        )
+        await self.pass_time(4)
+        self.assertEqual(self.running_of(lasting), 6)
+
+    async def test_urgent_work_beyond_a_guarantee_leaves_lasting_work(self):
+        """It only borrows."""
+        lasting = await self.fill()
+        self.submit(
+            harness.make_step(accelerators=8),
+            queue=harness.make_queue(priority=0),
+            account="c",
+        )
+        await self.pass_time(4)
+        self.assertEqual(self.running_of(lasting), 6)
+
+    async def test_other_work_is_stopped_first(self):
+        """Old work that ends by itself goes before work that lasts."""
+        step = harness.make_step(width=2, accelerators=8, is_lasting=True)
+        lasting = self.submit(step)
+        self.fleet.lasting_job_ids.add(lasting)
+        await self.wait_until(lambda: self.running_of(lasting) == 2)
+        other = self.submit(harness.make_step(accelerators=8))
+        self.fleet.durations_by_job[other] = harness.seconds(60)
+        await self.wait_until(lambda: self.running_of(other) == 1)
+        await self.pass_time(20)
+        await self.check_reclaims()
+        self.assertEqual(self.running_of(lasting), 2)
