Count a job as pending until a worker has begun one of its tasks

Cause: a job counted as running from the record of its first start on, which precedes the start. Evidence: test_jobs_whose_starts_are_refused_are_pending failed before: 0 in place of 8 at both instances. Change: the start is recorded when a worker confirms it, or when an inventory shows the run, also after a takeover; an end implies it. As before, it is one record for each job.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -201,6 +201,7 @@
             run_step.waiting.discard(number)
             run_step.checkpoints_by_index.pop(number, None)
         job = run_step.job
+        job.is_start_recorded = True
         if run_step.is_done:
             occurrences.close_if_done(job, run_step.occurrence)
         if job.is_done and not job.final_state:
@@ -226,6 +227,7 @@
         )
         step.failures_by_index[index] = (count + 1, number)
         previous_state = job.final_state
+        job.is_start_recorded = True
         if has_failed:
             job.final_state = "failed"
         try:
@@ -298,8 +300,25 @@
             objective_s=objective.total_seconds(),
         )
 
+    def record_begun(self, job: runs.JobState) -> None:
+        """Record that a worker has begun a task of the job.
+
+        After an error the next report of its runs tries again.
+        """
+        if job.is_start_recorded or job.final_state:
+            return
+        job.is_start_recorded = True
+        try:
+            self.stage_progress(job)
+        except Exception as error:
+            job.is_start_recorded = False
+            self.failures.report(
+                "job_begin_failed", job.job.job_id, repr(error)
+            )
+
     def record_first_start(self, job: runs.JobState) -> None:
         """Record a job's wait at its first confirmed start."""
+        self.record_begun(job)
         if job.is_start_confirmed:
             return
         job.is_start_confirmed = True
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -106,7 +106,7 @@
             self._mark_remote(batch)
             for run in batch:
                 self._cluster.attach(run)
-            self._stage_starts(job, batch)
+            self._stage_starts(batch)
             self._withdraw_unrecordable(batch)
         except Exception as error:
             self._cluster.failures.report(
@@ -164,18 +164,11 @@
             racks_by_step[run.step].add(rack)
             run.is_remote = run.is_remote or len(racks_by_step[run.step]) > 1
 
-    def _stage_starts(self, job: runs.JobState, batch: list[runs.Run]) -> None:
+    def _stage_starts(self, batch: list[runs.Run]) -> None:
         for worker_id in {run.worker_id for run in batch}:
             self._cluster.stage_assignment(
                 self._cluster.workers_by_id[worker_id]
             )
-        if not job.is_start_recorded:
-            job.is_start_recorded = True
-            try:
-                self._cluster.stage_progress(job)
-            except Exception:
-                job.is_start_recorded = False
-                raise
 
     def _withdraw_unrecordable(self, batch: list[runs.Run]) -> None:
         """Withdraw starts on workers with too many runs for a record."""
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -212,7 +212,7 @@
     # no runs left.
     closed: ranges.Ranges = dataclasses.field(default_factory=ranges.Ranges)
     next_occurrence: int = 0  # those before it have been opened
-    is_start_recorded: bool = False  # the first start is recorded
+    is_start_recorded: bool = False  # a worker has begun a task
     is_start_confirmed: bool = False  # a worker has confirmed a start
     final_state: str = ""
     # Computed by ordering and cached until objective_valid_until.
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -416,6 +416,7 @@
             run.is_inherited = run.phase is runs.Phase.INHERITED
             run.phase = runs.Phase.AT_WORK
             run.absence_valid_from = now
+        self._cluster.record_begun(run.step.job)
         if running.checkpoint:
             run.checkpoint = running.checkpoint
         run.record_percent(running.percent, now)
