Ask for advice on each worker in turn

Cause: each call named the 30 emptiest workers anew and replaced the tickets of the call before, so that of 36 workers the six busiest were never asked about; and a step with tickets for busy workers asked for no others. Preemption and holds took workers that advice leaves out. Change: a step keeps its tickets and the lives of workers that may not run it, asks about those of which neither is known, the emptiest first, and asks on while its tickets do not place it. Preemption and holds keep to advised workers. Why it works: the answer does not change in a worker's life, so each worker is asked about once in its life and the validity of its ticket.

--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -18,6 +18,7 @@
 RELEASE_PAUSE = datetime.timedelta(milliseconds=200)  # before the next start
 # Longer than RELEASE_PAUSE, so that the next start is on another worker.
 FAILED_AVOIDANCE = datetime.timedelta(milliseconds=300)
+_ZERO = datetime.timedelta()
 
 
 class Launcher:
@@ -35,54 +36,64 @@
         self._link = link
 
     def request_advice(self, step: runs.StepState) -> None:
-        """Ask which workers a step may run on, one call at a time."""
-        if not step.is_advice_pending:
+        """Ask which workers a step may run on, one call at a time.
+
+        Each worker has its turn, the emptiest first. What is known of a
+        worker's life is not asked again before its ticket has expired.
+        """
+        now = self._cluster.clock.monotonic()
+        if step.is_advice_pending or now < step.advice_at:
+            return
+        step.advice_at = now + ADVICE_RETRY_PAUSE
+        asked = self._workers_to_ask(step, now)
+        if asked:
             step.is_advice_pending = True
-            self._cluster.spawn(self._request_tickets(step))
+            self._cluster.spawn(self._request_tickets(step, asked))
 
-    async def _request_tickets(self, step: runs.StepState) -> None:
+    async def _request_tickets(
+        self, step: runs.StepState, asked: list[runs.Worker]
+    ) -> None:
         is_advised = False
         try:
-            is_advised = await self._update_tickets(step)
+            is_advised = await self._update_tickets(step, asked)
         finally:
             step.is_advice_pending = False
-            if not is_advised:
-                step.retry_at = (
-                    self._cluster.clock.monotonic() + ADVICE_RETRY_PAUSE
-                )
+            pause = _ZERO if is_advised else ADVICE_RETRY_PAUSE
+            step.advice_at = self._cluster.clock.monotonic() + pause
 
-    async def _update_tickets(self, step: runs.StepState) -> bool:
+    async def _update_tickets(
+        self, step: runs.StepState, asked: list[runs.Worker]
+    ) -> bool:
         """Ask for advice once; return whether there was an answer."""
         now = self._cluster.clock.monotonic()
-        ids = self._emptiest_workers(step.job.job.queue.service, now)
+        born_by_id = {worker.worker_id: worker.born_ms for worker in asked}
         name = str(step.key(0)).rpartition(".")[0]
-        advice = await self._link.advise(name, ids) if ids else None
+        advice = await self._link.advise(name, tuple(born_by_id))
         if advice is None:
             return False
         until = now + advice.valid
-        step.tickets_by_worker = {
-            ticket.worker_id: (ticket.ticket, until)
-            for ticket in advice.tickets
-        }
+        for ticket in advice.tickets:
+            step.tickets_by_worker[ticket.worker_id] = ticket.ticket, until
+            born_by_id.pop(ticket.worker_id, None)
+        step.barred_by_worker.update(born_by_id)
         self._cluster.wake()
         return True
 
-    def _emptiest_workers(
-        self, service: str, now: datetime.timedelta
-    ) -> tuple[str, ...]:
-        free_workers = [
-            free_worker
-            for worker in self._cluster.workers_by_id.values()
+    def _workers_to_ask(
+        self, step: runs.StepState, now: datetime.timedelta
+    ) -> list[runs.Worker]:
+        """Return the emptiest workers of which too little is known."""
+        workers_by_id = self._cluster.workers_by_id
+        free_by_id = {
+            worker.worker_id: free_worker.free.accelerators
+            for worker in workers_by_id.values()
             if (free_worker := capacities.free_worker(worker, now))
-            and free_worker.service == service
-        ]
-        free_workers.sort(
-            key=lambda free_worker: -free_worker.free.accelerators
-        )
-        return tuple(
-            free_worker.worker_id
-            for free_worker in free_workers[:MAX_ADVISED_WORKERS]
-        )
+            and free_worker.service == step.job.job.queue.service
+            and not step.has_ticket(worker.worker_id, now)
+            and step.barred_by_worker.get(worker.worker_id) != worker.born_ms
+        }
+        ids = sorted(free_by_id, key=lambda name: -free_by_id[name])
+        return [workers_by_id[name] for name in ids[:MAX_ADVISED_WORKERS]]
 
     def assign(self, starts: list[plans.Start]) -> None:
         """Assign run numbers to starts; send them once they are recorded."""
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -229,8 +229,10 @@
             kept = self._candidates(step, advised, with_kept=True)
             is_placed = self._place(step, kept)
         if not is_placed:
-            self._preempt(step)
-            self._hold(step)
+            if not is_unrestricted:
+                self._plan.advice_wanted.append(step)
+            self._preempt(step, advised)
+            self._hold(step, advised)
 
     def _signature(self, step: runs.StepState) -> tuple:
         """Return what decides on which workers a step may be placed."""
@@ -252,12 +254,7 @@
         """Return the advised workers: empty for any, None while unknown."""
         if step.job.job.queue.advice is None:
             return frozenset()
-        now = self._inputs.now
-        valid = frozenset(
-            worker_id
-            for worker_id, (_, until) in step.tickets_by_worker.items()
-            if until > now
-        )
+        valid = step.advised_workers(self._inputs.now)
         if not valid:
             self._plan.advice_wanted.append(step)
             return None
@@ -448,7 +445,7 @@
             free_worker.worker_id, placing.demand_of(step.model)
         )
 
-    def _preempt(self, step: runs.StepState) -> None:
+    def _preempt(self, step: runs.StepState, advised: frozenset[str]) -> None:
         now = self._inputs.now
         waited = now - step.job.accepted_at
         is_urgent = step.job.job.queue.priority == 0
@@ -476,7 +473,7 @@
             count,
             self._may_span_racks(step),
             self._max_preemption_cost(step),
-            self._pool.held | headroom_ids,
+            self._pool.held | headroom_ids | self._barred(advised),
             self._count_by_worker(step),
         )
         if not choices:
@@ -492,6 +489,12 @@
                 for run in choice.victims
             )
 
+    def _barred(self, advised: frozenset[str]) -> frozenset[str]:
+        """Return the workers that advice leaves out."""
+        if not advised:
+            return frozenset()
+        return frozenset(self._inputs.workers_by_id) - advised
+
     def _is_guaranteed(self, job: runs.JobState) -> bool:
         return (
             job.job.queue.priority == 0 and job.job.account in self._guaranteed
@@ -503,14 +506,14 @@
             job, now, job.objective
         ) or ordering.is_slack_exhausted(job, now)
 
-    def _hold(self, step: runs.StepState) -> None:
+    def _hold(self, step: runs.StepState, advised: frozenset[str]) -> None:
         """Keep less urgent work off the workers that fit the step soonest."""
         if step.model.is_lasting or self._unplanned_count(step) <= 0:
             return
         budget = int(len(self._pool.free_workers) * holding.MAX_HELD_SHARE)
         budget -= len(self._pool.held)
         holds = self._inputs.holds
-        best = holds.of(step) or self._soonest(step, budget)
+        best = holds.of(step) or self._soonest(step, budget, advised)
         if not best or len(best) > budget:
             return
         if not holds.of(step):
@@ -526,7 +529,9 @@
             )
         return self._completions_by_worker[worker.worker_id]
 
-    def _soonest(self, step: runs.StepState, budget: int) -> list[str]:
+    def _soonest(
+        self, step: runs.StepState, budget: int, advised: frozenset[str]
+    ) -> list[str]:
         """Return the workers on which a large step's tasks fit soonest."""
         if not self._inputs.holds.may_search():
             return []
@@ -534,7 +539,10 @@
         within_rack = model.is_rack_local and not self._may_span_racks(step)
         slots_by_rack: dict[str, dict[str, list[datetime.timedelta]]] = {}
         for free_worker in self._outside_headroom(
-            step, self._pool.eligible(model, step.job.job.queue.service)
+            step,
+            self._pool.eligible(
+                model, step.job.job.queue.service, advised or None
+            ),
         ):
             worker = self._inputs.workers_by_id[free_worker.worker_id]
             is_near = model.data_rack in ("", free_worker.rack)
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -139,7 +139,10 @@
     tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
         dataclasses.field(default_factory=dict)
     )
+    # Workers that may not run the step, by the birth of the life asked about.
+    barred_by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
     is_advice_pending: bool = False
+    advice_at: datetime.timedelta = _ZERO  # earliest next call for advice
     # Number of a gang's run of which a member was refused; 0 if none was.
     refill_number: int = 0
     refill_until: datetime.timedelta = _ZERO
@@ -176,6 +179,19 @@
             self.job.job.job_id, self.occurrence, self.number, index
         )
 
+    def has_ticket(self, worker_id: str, now: datetime.timedelta) -> bool:
+        """Return whether the step may run on a worker, by valid advice."""
+        _, until = self.tickets_by_worker.get(worker_id, ("", now))
+        return until > now
+
+    def advised_workers(self, now: datetime.timedelta) -> frozenset[str]:
+        """Return the workers on which the step may run, by valid advice."""
+        return frozenset(
+            worker_id
+            for worker_id in self.tickets_by_worker
+            if self.has_ticket(worker_id, now)
+        )
+
     def run_count_by_worker(self) -> collections.Counter[str]:
         """Count the step's runs on each worker."""
         return collections.Counter(
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -61,7 +61,8 @@
     def cause(self, step: runs.StepState) -> reasons.Cause | None:
         """Return why no task of the step is placed; None beyond the bound."""
         now = self._inputs.now
-        if step.job.job.queue.advice is not None and not _advised(step, now):
+        needs_advice = step.job.job.queue.advice is not None
+        if needs_advice and not step.advised_workers(now):
             return reasons.Cause(Reason.ADVICE_AWAITED)
         reserved = self._inputs.reservations.of(step)
         if reserved:
@@ -186,7 +187,7 @@
         if label:
             places = [p for p in places if label in p.listing.labels]
         if queue.advice is not None:
-            advised = _advised(step, self._inputs.now)
+            advised = step.advised_workers(self._inputs.now)
             places = [p for p in places if p.worker_id in advised]
         return places
 
@@ -250,14 +251,6 @@
         return max(count_by_rack.values(), default=0) >= model.width
 
 
-def _advised(step: runs.StepState, now: datetime.timedelta) -> frozenset[str]:
-    return frozenset(
-        worker_id
-        for worker_id, (_, until) in step.tickets_by_worker.items()
-        if until > now
-    )
-
-
 def _count(step: runs.StepState, places: list[_Place]) -> int:
     """Count the tasks of a step that fit on workers, within its spread."""
     model, demand = step.model, placing.demand_of(step.model)
