--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -137,9 +137,9 @@
                 self._advance_gang_member(task, run, now)
             elif self.hangs:
                 continue
-            elif not self._fleet.is_lasting(
+            elif now - run.began_at >= self._duration_of(
                 task
-            ) and now - run.began_at >= self._duration_of(task):
+            ) and not self._fleet.is_lasting(task):
                 self.end(task, self._outcome())
 
     def _outcome(self) -> fleet.End:
@@ -180,6 +180,8 @@
         self.intervals: list[Interval] = []
         # Tasks started on a worker that still had an earlier run of them.
         self.duplicate_starts: list[str] = []
+        # Tasks started without the label, or beyond the spread, of their step.
+        self.misplaced_starts: list[str] = []
         self.durations_by_job: dict[str, datetime.timedelta] = {}
         self.lasting_job_ids: set[str] = set()
         # Delay between the ends of runs that one worker stops together.
@@ -360,6 +362,8 @@
             return fleet.OrderResult(Status.NO_ROOM, clock_ms)
         if known is not None:
             self.duplicate_starts.append(order.task)
+        if not _may_run(step, order.task, worker):
+            self.misplaced_starts.append(order.task)
         width = step.width if step.is_gang else 0
         worker.runs_by_task[order.task] = FakeRun(
             order.run, self.clock.monotonic(), step.demand, width
@@ -438,3 +442,16 @@
     async def advise(self, step, worker_ids) -> fleet.Advice | None:
         """Give no advice."""
         return None
+
+
+def _may_run(step: models.Step, task: str, worker: FakeWorker) -> bool:
+    """Return whether a step's label and spread let a worker run a task."""
+    label, limit = step.required_label, step.spread_limit
+    group = task.rpartition(".")[0]
+    beside = sum(
+        other.rpartition(".")[0] == group and other != task
+        for other in (worker.runs_by_task if limit else ())
+    )
+    return (not label or label in worker.listing.labels) and (
+        not limit or beside < limit
+    )
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -64,6 +64,11 @@
             self.steps_by_job[job_id] = self._read_steps(job_id)
         return self.steps_by_job[job_id]
 
+    def is_lasting(self, task: str) -> bool:
+        """Return whether a task goes on until it is stopped."""
+        job_id, _, number, _ = task.rsplit(".", 3)
+        return self.steps_of(job_id)[int(number)].is_lasting
+
     def _read_steps(self, job_id: str) -> tuple[models.Step, ...]:
         key = ledger.Kind.SUBMISSION.key(job_id)
         for record in self.service.records_by_stream[stores.Stream.JOBS]:
@@ -223,6 +228,8 @@
         )
         if transports is not None:
             transports.add(request.transport)
+        if request.transport is None:
+            return web.Response(status=503)  # the client has gone
         # A client that gives up meanwhile takes its address away.
         client = self._client_name(request)
         rate = self.link_rates_by_client.get(client)
--- a/cardamomcroft/standin/store.py
+++ b/cardamomcroft/standin/store.py
@@ -31,6 +31,7 @@
     # Appends of these keys get no answer and are carried out later.
     late_keys: set[str] = dataclasses.field(default_factory=set)
     late_after: datetime.timedelta = datetime.timedelta(seconds=5.5)
+    late_appends: bool = False  # of any writer but the scheduler, likewise
     expire_reads: int = 0  # reads answered as if the records were deleted
     delay: datetime.timedelta = ROUND_TRIP
     upload_bytes_per_s: int | None = None  # rate of each client's link
@@ -162,7 +163,7 @@
             service.count_fault("dropped")
             await service.clock.sleep(timeout)
             return store.Appended(_Status.MAY_HAVE_RUN, detail="dropped")
-        if service.faults.late_keys & {entry.key for entry in entries}:
+        if self._is_late(entries, writer):
             service.append_late(stream, entries, expected_end, writer)
             await service.clock.sleep(timeout)
             return store.Appended(_Status.MAY_HAVE_RUN, detail="late")
@@ -174,6 +175,12 @@
             return store.Appended(_Status.MAY_HAVE_RUN, detail="lost")
         return answer
 
+    def _is_late(self, entries, writer: store.Writer | None) -> bool:
+        faults = self._service.faults
+        if faults.late_appends and writer is None:
+            return True
+        return bool(faults.late_keys & {entry.key for entry in entries})
+
     async def _upload(self, entries, timeout: datetime.timedelta) -> bool:
         """Send a body over the link; return whether it arrived in time."""
         service = self._service
