Draw all kinds of jobs in the soak, and watch what callers are told

Jobs: timetables, work that lasts, steps with data in a rack, a label, a limit on each worker or checkpoints, crowds of 1,200 and more small tasks, and callers who cancel a submission that gets no answer. Faults: writes of clients done 1 to 6 s later; a worker cut off while more tasks end than it lists at once; the end of a worker with tasks of a rack-local step of which others wait. Checks: tasks begun or at work after an answered cancelling, occurrences and steps out of turn, starts out of place, too low a `Pending`, memory beyond 160 MB, and each event that shows an error in the code. A second completion is excused only if the first was lost with its worker; before, every task that ever ran on a worker that died was. With it the set of restarted workers goes, and the assertion on it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import datetime
 import itertools
 import pathlib
 import re
@@ -10,9 +11,24 @@
 from cardamomcroft.standin import fleet as standin_fleet
 from soak import clients
 
+# cancel_ms, and the 4 s for which a fault may last.
+CANCEL_BOUND = datetime.timedelta(seconds=3 + 4)
 FINAL_STATES = ("completed", "failed", "cancelled")
 # Events of the instances that show an error in their code.
-ERROR_EVENTS = ("round_crashed", "task_crashed", "job_planning_failed")
+ERROR_EVENTS = (
+    "round_crashed",
+    "task_crashed",
+    "loop_crashed",
+    "standing_watch_crashed",
+    "job_planning_failed",
+    "job_assignment_failed",
+    "job_begin_failed",
+    "job_ending_failed",
+    "stop_failed",
+    "end_failed",
+)
+# EarlyMs, by which an occurrence may begin before it is due.
+EARLY_BOUND = datetime.timedelta(milliseconds=250)
 _EVENT = re.compile(r'"event":"(\w+)"')
 
 
@@ -24,21 +40,20 @@
 def check(
     jobs: collections.abc.Iterable[clients.Submission],
     fake_fleet: standin_fleet.FakeFleet,
-    restarted_workers: collections.abc.Set[str],
 ) -> dict[str, list[str]]:
-    """Return the violations of each guarantee; empty lists if none.
-
-    ``restarted_workers`` may have lost completions that no scheduler had
-    recorded, so that their tasks may have been run again.
-    """
+    """Return the violations of each guarantee; empty lists if none."""
+    jobs = list(jobs)
     jobs_by_id = {job.job_id: job for job in jobs}
     violations: dict[str, list[str]] = {
         "accepted_lost": _lost_jobs(jobs_by_id.values()),
         "false_not_run": _refused_but_run(jobs_by_id, fake_fleet),
-        "run_twice": _completed_twice(fake_fleet, restarted_workers),
+        "run_twice": _completed_twice(fake_fleet),
         "overlapping": _overlapping(fake_fleet),
         "state_reverted": _reverted_states(jobs_by_id.values()),
         "completed_early": _completed_early(jobs_by_id.values(), fake_fleet),
+        "ran_after_cancelling": _cancelled_but_run(jobs, fake_fleet),
+        "out_of_turn": _begun_too_early(jobs_by_id, fake_fleet),
+        "misplaced": fake_fleet.misplaced_starts,
         "unknown_job": _unknown_jobs(jobs_by_id, fake_fleet),
     }
     return violations
@@ -69,24 +84,63 @@
     ]
 
 
-def _completed_twice(
+def _cancelled_but_run(
+    jobs: collections.abc.Iterable[clients.Submission],
     fake_fleet: standin_fleet.FakeFleet,
-    restarted_workers: collections.abc.Set[str],
 ) -> list[str]:
+    """Return the tasks begun or at work too long after a cancelling."""
+    latest_by_id = {
+        job.job_id: job.cancelled_at + CANCEL_BOUND
+        for job in jobs
+        if job.cancelled_at is not None
+    }
+    begun = [(i.task, i.began_at) for i in fake_fleet.intervals]
+    now = fake_fleet.clock.monotonic()
+    at_work = [(task, now) for task, _ in fake_fleet.running()]
+    return [
+        f"{task}: at {at}"
+        for task, at in begun + at_work
+        if job_of(task) in latest_by_id and at > latest_by_id[job_of(task)]
+    ]
+
+
+def _begun_too_early(
+    jobs_by_id: dict[str, clients.Submission],
+    fake_fleet: standin_fleet.FakeFleet,
+) -> list[str]:
+    """Return the tasks begun before they were due, or before earlier steps."""
+    done_at: dict[str, datetime.timedelta] = {}
+    for interval in fake_fleet.intervals:
+        if interval.end is fleet.End.DONE:
+            done_at.setdefault(interval.task, interval.ended_at)
+    found = []
+    for interval in fake_fleet.intervals:
+        job_id, occurrence, number, _ = interval.task.rsplit(".", 3)
+        job = jobs_by_id.get(job_id)
+        if job is None:
+            continue  # reported as unknown
+        steps = fake_fleet.steps_of(job_id)
+        bounds = [job.due_at_of(int(occurrence)) - EARLY_BOUND]
+        for earlier in steps[int(number)].after:
+            for index in range(steps[earlier].width):
+                name = f"{job_id}.{occurrence}.{earlier}.{index}"
+                bounds.append(done_at.get(name, datetime.timedelta.max))
+        if interval.began_at < max(bounds):
+            found.append(f"{interval.task}: at {interval.began_at}")
+    return found
+
+
+def _completed_twice(fake_fleet: standin_fleet.FakeFleet) -> list[str]:
+    """Return the tasks done twice, but for ends lost with their worker."""
+    lost = set(fake_fleet.lost_completions)
     done = collections.Counter(
         interval.task
         for interval in fake_fleet.intervals
         if interval.end is fleet.End.DONE
+        and (interval.task, interval.run) not in lost
     )
-    exempt = {
-        interval.task
-        for interval in fake_fleet.intervals
-        if interval.worker_id in restarted_workers
-    }
     return [
-        f"{task}: {count} times"
-        for task, count in done.items()
-        if count > 1 and task not in exempt
+        f"{task}: {count} times" for task, count in done.items() if count > 1
     ]
 
 
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -13,6 +13,7 @@
 from soak import proxy
 
 GRACE_S = 6
+MEMORY_MB = 160  # of the smallest instance of the sites in force
 INGRESS_PORT = 8521
 READY_PORT = 8523
 PEER_PORT = 7000
@@ -61,6 +62,7 @@
             "InternalPorts": [PEER_PORT, PEER_PORT + 15],
             "HeartbeatMs": 1500,
             "Bounds": BOUNDS,
+            "Limits": {"MemoryMb": MEMORY_MB},
             "platform": {"Address": self.link.address},
         }
         self._settings.write_text(yaml.safe_dump(data))
@@ -75,6 +77,17 @@
         """Return whether the process is running."""
         return self._process is not None and self._process.returncode is None
 
+    def used_memory_mb(self) -> float:
+        """Return the resident memory of the process; 0 if there is none."""
+        if not self.is_running:
+            return 0.0
+        path = pathlib.Path(f"/proc/{self._process.pid}/statm")
+        try:
+            pages = int(path.read_text().split()[1])
+        except (OSError, IndexError):  # it has just ended
+            return 0.0
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     async def start(self) -> None:
         """Start the process."""
         self.is_planned_stop = False
--- a/soak/main.py
+++ b/soak/main.py
@@ -34,12 +34,14 @@
     widest_gang: int
     fault_every_s: float
     job_every_s: float
+    # Tasks of a job of small ones; a worker lists 500 ends at a time.
+    crowd: int
 
 
 SIZES = {
-    "small": Size(3, 4, 2, 8, 0.8, 1.2),
-    "usual": Size(7, 12, 4, 24, 0.6, 0.6),
-    "large": Size(44, 72, 12, 39, 0.3, 0.15),
+    "small": Size(3, 4, 2, 8, 0.8, 1.2, 2800),
+    "usual": Size(7, 12, 4, 24, 0.6, 0.6, 1200),
+    "large": Size(44, 72, 12, 39, 0.3, 0.15, 1200),
 }
 _MS = datetime.timedelta(milliseconds=1)
 # Faults come in bursts, as what stands still shows in calm times only.
@@ -49,6 +51,10 @@
 SETTLE_TIMEOUT_S = 45.0
 READY_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.2
+JOBS_PER_CROWD = 20
+LASTING_S = 8.0  # until a job that lasts is cancelled
+# Of the callers, who cancel what gets no answer instead of repeating it.
+HASTY_SHARE = 0.5
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.yaml")
 # A trial of this length or longer must inject every kind of fault.
 ALL_KINDS_MIN_S = 60.0
@@ -95,7 +101,9 @@
         """Run load and faults, wait for the jobs to end, and check."""
         await self._set_up()
         callers = clients.Callers(
-            self._instances, random.Random(self._seed + 1)
+            self._instances,
+            random.Random(self._seed + 1),
+            self._platform.fleet.clock,
         )
         faults = faults_module.Faults(
             self._platform,
@@ -105,14 +113,16 @@
         )
         try:
             await self._wait_serving(callers)
-            monitor = watch.Monitor(self._platform.fleet, callers, faults)
+            monitor = watch.Monitor(
+                self._platform.fleet, callers, faults, self._instances
+            )
             monitor.start()
             load = asyncio.ensure_future(self._run_load(callers, length_s))
             await self._inject_faults(faults, length_s)
             await load
             await self._wait_for_ends(callers)
-            still = await monitor.stop()
-            return self._report(callers, faults, still, length_s)
+            watched = await monitor.stop()
+            return self._report(callers, faults, watched, length_s)
         finally:
             await callers.close()
             await self._tear_down()
@@ -160,7 +170,10 @@
         calls: list[asyncio.Task] = []
         while loop.time() < until:
             job_id = f"{rng.getrandbits(64):016x}"
-            body = clients.make_body(rng, self._size.widest_gang)
+            if len(calls) % JOBS_PER_CROWD == JOBS_PER_CROWD // 2:
+                body = clients.make_crowd(self._size.crowd)
+            else:
+                body = clients.make_body(rng, self._size.widest_gang)
             self._platform.fleet.durations_by_job[job_id] = (
                 body["Phases"][0]["EstimateMs"] * _MS
             )
@@ -179,13 +192,16 @@
         body: dict,
         cancel_draw: float,
     ) -> None:
-        job = await callers.submit(job_id, body)
+        is_hasty = cancel_draw > 1 - HASTY_SHARE
+        job = await callers.submit(job_id, body, is_hasty)
         if not job.is_accepted:
             return
         for _ in range(5):
             await asyncio.sleep(clients.QUERY_INTERVAL_S)
             await callers.query(job)
-        if cancel_draw < 0.1:
+        if job.is_lasting:
+            await asyncio.sleep(LASTING_S)
+        if job.is_lasting or cancel_draw < 0.1:
             await callers.cancel(job)
 
     async def _inject_faults(
@@ -218,25 +234,37 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_TIMEOUT_S):
                 for job in callers.jobs_by_id.values():
+                    while job.is_lasting and not job.cancelled_at:
+                        await callers.cancel(job)
                     while job.is_accepted:
                         if await callers.query(job) in checks.FINAL_STATES:
                             break
                         await asyncio.sleep(POLL_INTERVAL_S / 4)
+        await self._wait_until_due(callers)
+
+    async def _wait_until_due(self, callers: clients.Callers) -> None:
+        """Wait until what was cancelled would have begun."""
+        clock = self._platform.fleet.clock
+        due_at = [
+            job.due_at
+            for job in callers.jobs_by_id.values()
+            if job.cancelled_at is not None
+        ]
+        left = max(due_at, default=clock.monotonic()) - clock.monotonic()
+        await asyncio.sleep(max(left.total_seconds(), 0) + POLL_INTERVAL_S)
 
     def _report(
         self,
         callers: clients.Callers,
         faults: faults_module.Faults,
-        still: list[str],
+        watched: dict[str, list[str]],
         length_s: float,
     ) -> Report:
         history = self._folder / "faults.txt"
         history.write_text("".join(faults.history), encoding="utf-8")
         jobs = list(callers.jobs_by_id.values())
-        violations = checks.check(
-            jobs, self._platform.fleet, faults.restarted_workers
-        )
-        violations["stands_still"] = still
+        violations = checks.check(jobs, self._platform.fleet)
+        violations |= watched
         violations["unexpected_error"] = checks.unexpected_errors(
             instance.log for instance in self._instances
         )
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -11,6 +11,7 @@
 from soak import checks
 from soak import clients
 from soak import faults as faults_module
+from soak import instances as processes
 
 # The users' rule: a job must not have nothing running for so long while a task
 # could run, there is room for it twice over and under half of the capacity is
@@ -23,6 +24,10 @@
 # for longer disturbs the deployment as well.
 MAX_LOOK_GAP = datetime.timedelta(seconds=1)
 LOOK_INTERVAL_S = 0.2
+# visible_ms and 2 s, after which a job that waits counts as pending, and the
+# least share of such jobs that an instance has to count.
+PENDING_AFTER_S = 5.0
+PENDING_SHARE = 0.5
 
 
 class Watch:
@@ -41,7 +46,9 @@
         self._reported: set[str] = set()
         self._read_intervals = self._read_losses = 0
         self._done: dict[str, set[int]] = {}  # completed runs by task
-        self._free: list[dict[str, int]] = []  # by worker
+        self._begun: set[str] = set()  # jobs of which a task has begun
+        # Labels and free capacity of each worker.
+        self._places: list[tuple[frozenset[str], dict[str, int]]] = []
         self._last: dict[str, standin_fleet.Interval] = {}
 
     def look(self, is_disturbed: bool) -> list[str]:
@@ -55,7 +62,7 @@
             for job_id in self._still_jobs()
         }
         self._reported &= self._still_since.keys()
-        if now - self._disturbed_at < CALM_BEFORE + STILL:
+        if not self.is_calm():
             return []
         found = {
             job_id
@@ -66,14 +73,30 @@
         self._reported |= found
         return sorted(found)
 
+    def is_calm(self) -> bool:
+        """Return whether the rules judge this moment."""
+        return self._looked_at - self._disturbed_at >= CALM_BEFORE + STILL
+
+    def waiting_since(self, accepted_before: float, prefix: str) -> set[str]:
+        """Return a queue's jobs accepted by then that have not begun."""
+        return {
+            job_id
+            for job_id, job in self._jobs_by_id.items()
+            if is_open(job)
+            and not job.repeats
+            and job.path.startswith(prefix)
+            and job.accepted_at < accepted_before
+            and job_id not in self._begun
+        }
+
     def describe(self, job_id: str) -> str:
         """Return the state of a job's tasks as the workers know it."""
         now = self._fleet.clock.monotonic()
         steps = self._fleet.steps_of(job_id)
         parts = [f"since {now - self._still_since[job_id]}"]
-        for number in self._due_steps(job_id):
+        for occurrence, number in self._due_steps(job_id):
             step = steps[number]
-            name = f"{job_id}.0.{number}"
+            name = f"{job_id}.{occurrence}.{number}"
             tasks = [f"{name}.{index}" for index in range(step.width)]
             done = sum(bool(self._done.get(task)) for task in tasks)
             last = [
@@ -83,7 +106,8 @@
                 if not self._done.get(task) and (end := self._last.get(task))
             ]
             parts.append(
-                f"step {number} of {len(steps)}: {done} of {step.width} done,"
+                f"occurrence {occurrence}, step {number} of {len(steps)}:"
+                f" {done} of {step.width} done,"
                 f" gang {step.is_gang}, rack-local {step.is_rack_local},"
                 f" run before: {'; '.join(last[:3]) or 'none'}"
             )
@@ -92,8 +116,9 @@
     def _still_jobs(self) -> list[str]:
         """Return the jobs that have nothing running and could run."""
         running = {checks.job_of(task) for task, _ in self._fleet.running()}
-        self._free = [
-            _amounts(worker.free_capacity())
+        self._begun |= running
+        self._places = [
+            (worker.listing.labels, _amounts(worker.free_capacity()))
             for worker in self._fleet.workers_by_id.values()
         ]
         self._read_ends()
@@ -110,6 +135,7 @@
     def _read_ends(self) -> None:
         for interval in self._fleet.intervals[self._read_intervals :]:
             self._last[interval.task] = interval
+            self._begun.add(checks.job_of(interval.task))
             if interval.end is fleet.End.DONE:
                 self._done.setdefault(interval.task, set()).add(interval.run)
         for task, run in self._fleet.lost_completions[self._read_losses :]:
@@ -123,29 +149,34 @@
         free: collections.Counter[str] = collections.Counter()
         for worker in self._fleet.workers_by_id.values():
             total.update(_amounts(standin_fleet.capacity_of(worker.listing)))
-        for amounts in self._free:
+        for _, amounts in self._places:
             free.update(amounts)
         return max((1 - free[kind] / total[kind] for kind in total), default=1)
 
     def _could_run(self, job_id: str) -> bool:
         steps = self._fleet.steps_of(job_id)
         return any(
-            self._has_room(steps[number]) for number in self._due_steps(job_id)
+            self._has_room(steps[number])
+            for _, number in self._due_steps(job_id)
         )
 
-    def _due_steps(self, job_id: str) -> list[int]:
-        """Return the steps with tasks left of which none has to wait."""
+    def _due_steps(self, job_id: str) -> list[tuple[int, int]]:
+        """Return the occurrences' steps with tasks left that need not wait."""
         steps = self._fleet.steps_of(job_id)
-        ended = {
-            number
-            for number, step in enumerate(steps)
-            if self._has_ended(f"{job_id}.0.{number}", step)
-        }
-        return [
-            number
-            for number, step in enumerate(steps)
-            if number not in ended and ended.issuperset(step.after)
-        ]
+        now = self._fleet.clock.monotonic()
+        due = []
+        for occurrence in self._jobs_by_id[job_id].due_occurrences(now):
+            ended = {
+                number
+                for number, step in enumerate(steps)
+                if self._has_ended(f"{job_id}.{occurrence}.{number}", step)
+            }
+            due += [
+                (occurrence, number)
+                for number, step in enumerate(steps)
+                if number not in ended and ended.issuperset(step.after)
+            ]
+        return due
 
     def _has_ended(self, name: str, step: models.Step) -> bool:
         done = (
@@ -158,12 +189,15 @@
     def _has_room(self, step: models.Step) -> bool:
         needed = ROOM_FACTOR * (step.width if step.is_gang else 1)
         demand = _amounts(step.demand)
-        for free in self._free:
-            needed -= min(
+        for labels, free in self._places:
+            if step.required_label and step.required_label not in labels:
+                continue
+            fitting = min(
                 free[kind] // amount
                 for kind, amount in demand.items()
                 if amount
             )
+            needed -= min(fitting, step.spread_limit or fitting)
         return needed <= 0
 
 
@@ -192,12 +226,16 @@
         fake_fleet: standin_fleet.FakeFleet,
         callers: clients.Callers,
         faults: faults_module.Faults,
+        instances: list[processes.Instance],
     ) -> None:
-        """Monitor the callers' jobs; ``start`` begins."""
+        """Monitor the callers' jobs and the instances; ``start`` begins."""
         self._watch = Watch(fake_fleet, callers.jobs_by_id)
         self._callers = callers
         self._faults = faults
+        self._instances = instances
         self._still: list[str] = []
+        self._miscounted: list[str] = []  # of the jobs that wait
+        self._peak_mb_by_name: dict[str, float] = {}
         self._looking: asyncio.Task | None = None
         self._confirming: list[asyncio.Task] = []
 
@@ -205,8 +243,8 @@
         """Look from now on."""
         self._looking = asyncio.ensure_future(self._look())
 
-    async def stop(self) -> list[str]:
-        """Look no more; return the jobs that stood still, and their tasks.
+    async def stop(self) -> dict[str, list[str]]:
+        """Look no more; return the violations of what was watched.
 
         Raise the error that ended the looks, if one did.
         """
@@ -214,7 +252,15 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self._looking
         await asyncio.gather(*self._confirming)
-        return self._still
+        return {
+            "stands_still": self._still,
+            "miscounted": self._miscounted,
+            "memory": [
+                f"{name}: {peak_mb:.0f} MB"
+                for name, peak_mb in self._peak_mb_by_name.items()
+                if peak_mb > processes.MEMORY_MB
+            ],
+        }
 
     async def _look(self) -> None:
         while True:
@@ -225,8 +271,33 @@
                 self._confirming.append(
                     asyncio.ensure_future(self._confirm(job, text))
                 )
+            self._look_at_memory()
+            if self._watch.is_calm():
+                await self._look_at_pending()
             await asyncio.sleep(LOOK_INTERVAL_S)
 
+    def _look_at_memory(self) -> None:
+        for instance in self._instances:
+            used_mb = instance.used_memory_mb()
+            peak_mb = self._peak_mb_by_name.get(instance.name, 0.0)
+            self._peak_mb_by_name[instance.name] = max(peak_mb, used_mb)
+
+    async def _look_at_pending(self) -> None:
+        """Ask an instance how many jobs wait, which the workers know."""
+        before = asyncio.get_running_loop().time() - PENDING_AFTER_S
+        for prefix in clients.PREFIXES:
+            waiting = self._watch.waiting_since(before, prefix)
+            if not waiting:
+                continue
+            pending = await self._callers.pending(prefix)
+            self._watch.look(self._faults.take_disturbed())
+            waiting &= self._watch.waiting_since(before, prefix)
+            is_short = pending is not None and pending < PENDING_SHARE * len(
+                waiting
+            )
+            if is_short and self._watch.is_calm():
+                self._miscounted.append(f"{prefix}: {pending} of {waiting}")
+
     async def _confirm(self, job: clients.Submission, text: str) -> None:
         """Record a job unless it has ended, which the workers cannot show."""
         if await self._callers.query(job) not in checks.FINAL_STATES:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,5 +1,6 @@
 """The soak's checks find each violation, and nothing else."""
 
+import dataclasses
 import datetime
 import pathlib
 import tempfile
@@ -7,11 +8,14 @@
 
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import models
 from cardamomcroft.standin import fleet as standin_fleet
 from soak import checks
 from soak import clients
 
 JOB = "0" * 16
+STEP = models.Step(1, models.Demand(500, 100, 1), datetime.timedelta(1))
+LATER_STEP = dataclasses.replace(STEP, after=(0,))
 
 
 def seconds(number: float) -> datetime.timedelta:
@@ -33,12 +37,14 @@
 
     def setUp(self):
         """Create an accepted job that a query showed as completed."""
-        self.fake = standin_fleet.FakeFleet(clocks.FakeClock(), seconds(1))
+        self.clock = clocks.FakeClock()
+        self.fake = standin_fleet.FakeFleet(self.clock, seconds(1))
+        self.fake.steps_by_job[JOB] = (STEP, LATER_STEP)
         self.job = clients.Submission(JOB, 1, [0, 200], ["completed"], 1.0)
 
-    def violated(self, restarted_workers=frozenset()) -> list[str]:
+    def violated(self) -> list[str]:
         """Return the guarantees that were violated."""
-        found = checks.check([self.job], self.fake, restarted_workers)
+        found = checks.check([self.job], self.fake)
         return [guarantee for guarantee, lines in found.items() if lines]
 
     def test_completed_run_violates_nothing(self):
@@ -57,6 +63,56 @@
         self.job.cancel_sent = True
         self.assertEqual(self.violated(), [])
 
+    def test_start_long_after_a_cancelling_is_found(self):
+        """The cancelling of a job that is stored later counts as well."""
+        self.job.states = []
+        self.job.accepted_at = None
+        self.job.cancelled_at = seconds(1)
+        self.fake.intervals = [interval(1, 7, 9)]
+        self.assertEqual(self.violated(), [])
+        self.fake.intervals = [interval(1, 9, 10)]
+        self.assertEqual(self.violated(), ["ran_after_cancelling"])
+
+    def test_task_at_work_long_after_a_cancelling_is_found(self):
+        """Its worker has not been told to stop it."""
+        self.job.cancelled_at = seconds(1) - checks.CANCEL_BOUND
+        self.job.states = []
+        self.job.cancel_sent = True
+        self.fake.add("w1")
+        worker = self.fake.workers_by_id["w1"]
+        worker.lease_deadline_ms = 10**9
+        worker.runs_by_task[f"{JOB}.0.0.0"] = standin_fleet.FakeRun(
+            1, seconds(0), STEP.demand, 0
+        )
+        self.assertEqual(self.violated(), [])
+        self.job.cancelled_at -= seconds(2)
+        self.assertEqual(self.violated(), ["ran_after_cancelling"])
+
+    def test_occurrence_before_its_time_is_found(self):
+        """The second occurrence is due 0.7 s after the first."""
+        self.job.repeats = 2
+        self.job.due_at = seconds(1)
+        second = dataclasses.replace(interval(1, 1.5, 2), task=f"{JOB}.1.0.0")
+        self.fake.intervals = [interval(1, 0.8, 2), second]
+        self.assertEqual(self.violated(), [])
+        self.fake.intervals = [interval(1, 0.7, 2), second]
+        self.assertEqual(self.violated(), ["out_of_turn"])
+        second = dataclasses.replace(second, began_at=seconds(1.4))
+        self.fake.intervals = [interval(1, 1, 2), second]
+        self.assertEqual(self.violated(), ["out_of_turn"])
+
+    def test_step_before_the_end_of_an_earlier_one_is_found(self):
+        """A failed run of the earlier step's task does not count."""
+        later = dataclasses.replace(interval(1, 2, 3), task=f"{JOB}.0.1.0")
+        self.fake.intervals = [interval(1, 1, 2), later]
+        self.assertEqual(self.violated(), [])
+        self.fake.intervals = [
+            interval(1, 1, 2, fleet.End.FAILED),
+            later,
+            interval(2, 3, 4),
+        ]
+        self.assertEqual(self.violated(), ["out_of_turn"])
+
     def test_gone_job_is_lost(self):
         """A query of an accepted job was answered 410."""
         self.fake.intervals = [interval(1, 1, 2)]
@@ -73,10 +129,13 @@
         self.assertEqual(self.violated(), [])
 
     def test_second_completion_is_found(self):
-        """It is allowed if the worker restarted and lost its completions."""
+        """It is allowed if the first one was lost with its worker."""
         self.fake.intervals = [interval(1, 1, 2), interval(2, 3, 4)]
         self.assertEqual(self.violated(), ["run_twice"])
-        self.assertEqual(self.violated({"w1"}), [])
+        self.fake.lost_completions = [(f"{JOB}.0.0.0", 3)]
+        self.assertEqual(self.violated(), ["run_twice"])
+        self.fake.lost_completions = [(f"{JOB}.0.0.0", 1)]
+        self.assertEqual(self.violated(), [])
 
     def test_overlap_is_found(self):
         """Two runs of one task overlap in time."""
@@ -100,7 +159,7 @@
         """A job ran that nobody had submitted."""
         self.fake.intervals = [interval(1, 1, 2)]
         other = clients.Submission("1" * 16, 1)
-        found = checks.check([other], self.fake, frozenset())
+        found = checks.check([other], self.fake)
         self.assertEqual(found["unknown_job"], [JOB])
 
 
@@ -116,7 +175,7 @@
 
     def test_errors_are_counted(self):
         """Each is shown once, whatever else the log has."""
-        for event in ("round_crashed", "task_crashed", "job_planning_failed"):
+        for event in checks.ERROR_EVENTS:
             line = f'{{"event":"{event}","error":"E()"}}'
             self.assertEqual(
                 self.errors(line, '{"event":"started"}', line, "Traceback"),
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -8,6 +8,8 @@
 
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import models
+from cardamomcroft.standin import fleet as standin_fleet
 from cardamomcroft.standin import platform
 from soak import faults
 
@@ -50,9 +52,48 @@
                 for worker in self.platform.fleet.workers_by_id.values()
             ]
             self.assertEqual(sorted(racks), ["r0", "r0", "r1", "r1"])
-            self.assertIn(lost, self.faults.restarted_workers)
         self.assertEqual(self.platform.fleet.injected["died"], 2)
 
+    def run_on_submission(self, worker_id: str, count: int) -> None:
+        """Let a worker run so many tasks of the next job at once."""
+        worker = self.platform.fleet.workers_by_id[worker_id]
+        worker.lease_deadline_ms = 10**9
+        step = models.Step(
+            count, models.Demand(10, 10), datetime.timedelta(seconds=1)
+        )
+
+        async def submit(job_id: str, body: dict) -> None:
+            self.platform.fleet.steps_by_job[job_id] = (step,)
+            for index in range(count):
+                worker.runs_by_task[f"{job_id}.0.0.{index}"] = (
+                    standin_fleet.FakeRun(1, worker.born_at, step.demand, 0)
+                )
+
+        self.faults._callers.submit = submit
+
+    async def test_crowded_worker_is_cut_while_its_tasks_end(self):
+        """More of them end than one answer lists."""
+        self.enterContext(mock.patch.object(faults, "CROWD_CUT_S", 0.3))
+        self.run_on_submission("w0", faults.CROWD_OF_WORKER)
+        worker = self.platform.fleet.workers_by_id["w0"]
+        cut = asyncio.ensure_future(self.faults.inject("crowded_worker_cut"))
+        await asyncio.sleep(0.1)
+        self.platform.fleet.advance()
+        self.assertTrue(worker.is_cut)
+        self.assertGreater(len(worker.finished), standin_fleet.ENDS_PER_ANSWER)
+        await cut
+        self.assertFalse(worker.is_cut)
+        self.assertEqual(self.faults.counts["ends_beyond_a_list"], 1)
+
+    async def test_worker_with_a_task_of_the_wide_step_dies(self):
+        """Another one follows in its rack."""
+        self.run_on_submission("w1", 1)
+        await self.faults.inject("worker_of_wide_step_dies")
+        workers = self.platform.fleet.workers_by_id
+        self.assertEqual(set(workers), {"w0", "w2", "w3"})
+        await self.faults.finish()
+        self.assertEqual(len(workers), WORKERS)
+
     async def test_half_of_the_workers_stay(self):
         """A further one dies once a lost one was replaced."""
         for _ in range(WORKERS):
--- a/tests/soak/test_watch.py
+++ b/tests/soak/test_watch.py
@@ -140,6 +140,40 @@
         self.fleet.steps_by_job[JOB] = (first, LATER_STEP)
         self.assertEqual(await self.look(20), [])
 
+    async def test_workers_that_may_not_run_a_step_are_no_room(self):
+        """By their label, and by the number of its tasks on one worker."""
+        labelled = dataclasses.replace(STEP, required_label="other")
+        self.fleet.steps_by_job[JOB] = (labelled,)
+        self.assertEqual(await self.look(20), [])
+        self.fill(8, 1)
+        apart = dataclasses.replace(STEP, is_gang=True, spread_limit=1)
+        self.fleet.steps_by_job[JOB] = (apart,)
+        self.assertEqual(await self.look(30), [])
+        apart = dataclasses.replace(apart, spread_limit=2)
+        self.fleet.steps_by_job[JOB] = (apart,)
+        self.assertEqual(await self.look(40), [JOB])
+
+    async def test_occurrences_stand_still_once_they_are_due(self):
+        """The first one is done by then."""
+        self.job.due_at = seconds(10)
+        self.job.repeats = 2
+        self.fleet.steps_by_job[JOB] = (STEP,)
+        self.assertEqual(await self.look(12.5), [])
+        for index in range(2):
+            self.run_task(f"{JOB}.0.0.{index}")
+        self.assertEqual(await self.look(16), [])
+        self.assertEqual(await self.look(20), [JOB])
+        self.assertIn("step 0 of 1: 0 of 2", self.watch.describe(JOB))
+
+    async def test_jobs_that_have_not_begun_are_waiting(self):
+        """From their acceptance until a task of them is at work."""
+        self.assertEqual(self.watch.waiting_since(1.0, "/q0/"), set())
+        self.assertEqual(self.watch.waiting_since(1.1, "/q0/"), {JOB})
+        self.assertEqual(self.watch.waiting_since(1.1, "/q2/"), set())
+        self.run_task(f"{JOB}.0.0.0")
+        await self.look(2)
+        self.assertEqual(self.watch.waiting_since(1.1, "/q0/"), set())
+
     async def test_ended_job_is_not_found(self):
         """Nor one that its caller cancels, nor one that was refused."""
         self.job.states.append("completed")
@@ -170,7 +204,14 @@
         fake = standin_fleet.FakeFleet(clocks.FakeClock(), seconds(1))
         self.callers = mock.Mock(jobs_by_id={JOB: None})
         self.callers.query = mock.AsyncMock(return_value="queued")
-        self.monitor = watch.Monitor(fake, self.callers, mock.Mock())
+        self.instance = mock.Mock()
+        self.instance.name = "entry-0"
+        self.instance.used_memory_mb.return_value = 60.0
+        faults = mock.Mock()
+        faults.take_disturbed.return_value = False
+        self.monitor = watch.Monitor(
+            fake, self.callers, faults, [self.instance]
+        )
         patched = self.enterContext(
             mock.patch.multiple(
                 watch.Watch, look=mock.DEFAULT, describe=mock.DEFAULT
@@ -180,11 +221,11 @@
         self.look.return_value = [JOB]
         patched["describe"].return_value = "its tasks"
 
-    async def stop_after_a_look(self) -> list[str]:
-        """Return what the monitor found."""
+    async def stop_after_a_look(self, kind: str = "stands_still") -> list[str]:
+        """Return what the monitor found of a kind."""
         self.monitor.start()
         await asyncio.sleep(0)
-        return await self.monitor.stop()
+        return (await self.monitor.stop())[kind]
 
     async def test_still_job_is_reported_with_its_tasks(self):
         """A query shows that it has not ended."""
@@ -196,6 +237,29 @@
         self.callers.query.return_value = "completed"
         self.assertEqual(await self.stop_after_a_look(), [])
 
+    async def test_instance_beyond_its_memory_is_reported(self):
+        """Its peak counts."""
+        self.assertEqual(await self.stop_after_a_look("memory"), [])
+        self.instance.used_memory_mb.return_value = 200.0
+        found = await self.stop_after_a_look("memory")
+        self.assertEqual(found, ["entry-0: 200 MB"])
+
+    async def test_count_of_too_few_waiting_jobs_is_reported(self):
+        """Half of them is enough, and so is no answer."""
+        waiting = {JOB, "1" * 16, "2" * 16}
+        patched = self.enterContext(
+            mock.patch.multiple(
+                watch.Watch, is_calm=mock.DEFAULT, waiting_since=mock.DEFAULT
+            )
+        )
+        patched["waiting_since"].side_effect = lambda *_: set(waiting)
+        for pending in (2, None):
+            self.callers.pending = mock.AsyncMock(return_value=pending)
+            self.assertEqual(await self.stop_after_a_look("miscounted"), [])
+        self.callers.pending = mock.AsyncMock(return_value=1)
+        found = await self.stop_after_a_look("miscounted")
+        self.assertRegex(found[0], "^/q0/: 1 of ")
+
     async def test_error_of_the_watch_fails_the_trial(self):
         """A trial must not pass because nobody watched."""
         self.look.side_effect = KeyError(JOB)
