Let no call meet an older configuration than a forwarded one

Cause: a forwarded call is answered from the peer's configuration. Afterwards the instance answered by itself from an older one, which counted as current again; or the peer had the older one. Change: forwarded calls and their replies name the version that they follow. An instance that learns of a newer one counts its own as stale until it has read it. Why it works: the versions of the answers that an instance gives do not fall, whoever made them. Instances of a version before name none and keep the fault.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -46,6 +46,27 @@
 MAX_REPLICA_AGE = datetime.timedelta(seconds=2)
 
 
+class _VersionedForwarder(relaying.Forwarder):
+    """Let no call meet an older configuration than one before it."""
+
+    def __init__(
+        self,
+        forwarder: relaying.Forwarder,
+        config: configuration_view.ConfigurationView,
+    ) -> None:
+        self._forwarder = forwarder
+        self._config = config
+
+    async def forward(self, call: relaying.Call) -> relaying.Reply | None:
+        """Forward to peers with this configuration or a newer one."""
+        reply = await self._forwarder.forward(
+            dataclasses.replace(call, config_version=self._config.version)
+        )
+        if reply is not None:
+            self._config.require(reply.config_version)
+        return reply
+
+
 class Ingress(relaying.Answerer):
     """Handle calls from clients and calls forwarded by other instances."""
 
@@ -70,7 +91,7 @@
         self._config = config
         self._clock = clock
         self._log = log
-        self._forwarder = forwarder
+        self._forwarder = _VersionedForwarder(forwarder, config)
         self._rng = rng
         self._memory_for_jobs = memory_for_jobs
         self._started_at = clock.monotonic()
@@ -151,9 +172,12 @@
 
     async def answer(self, call: relaying.Call) -> relaying.Reply:
         """Answer a call forwarded by another instance; never forward it."""
+        self._config.require(call.config_version)
         if self._lacks_store():
             return relaying.Reply(503, lacks_store=True)
-        return await self._answer(call, relaying.NoForwarder())
+        version = self._config.version
+        reply = await self._answer(call, relaying.NoForwarder())
+        return dataclasses.replace(reply, config_version=version)
 
     def _lacks_store(self) -> bool:
         """Return whether the configuration or the jobs may be out of date."""
@@ -200,7 +224,6 @@
         reason: str,
         retry_after_s: int = 0,
     ) -> relaying.Reply:
-        version = self._config.current.version if self._config.current else 0
         lacks_store = status == 503 and not retry_after_s
         if lacks_store:
             retry_after_s = outage_waits.retry_after_s(
@@ -212,7 +235,7 @@
             path=call.path,
             status=status,
             reason=reason,
-            config_version=version,
+            config_version=self._config.version,
             retry_after_s=retry_after_s,
         )
         return _make_reply(
--- a/cardamomcroft/relaying/base.py
+++ b/cardamomcroft/relaying/base.py
@@ -15,6 +15,8 @@
     key: str  # API key of the client account; empty if none was sent
     body: bytes
     timeout: datetime.timedelta  # how long the client waits for the reply
+    # The reply must not follow an older configuration; 0 for any.
+    config_version: int = 0
 
     @property
     def is_change(self) -> bool:
@@ -30,6 +32,7 @@
     body: bytes = b"{}"
     retry_after_s: int = 0  # 0 omits the header
     lacks_store: bool = False  # a peer that reaches it may reply better
+    config_version: int = 0  # of the configuration followed; 0 if unknown
 
     @property
     def is_outcome_unknown(self) -> bool:
--- a/cardamomcroft/relaying/forwarder.py
+++ b/cardamomcroft/relaying/forwarder.py
@@ -80,6 +80,7 @@
             path=call.path,
             asked=asked,
             status=reply.status if reply else None,
+            config_version=reply.config_version if reply else None,
         )
         return reply
 
--- a/cardamomcroft/relaying/relay.thrift
+++ b/cardamomcroft/relaying/relay.thrift
@@ -5,6 +5,7 @@
   4: string key
   5: binary body
   6: i32 patience_ms
+  7: optional i64 config_version
 }
 
 struct Reply {
@@ -12,6 +13,7 @@
   2: binary body
   3: i32 retry_after_s
   4: bool lacks_store
+  5: optional i64 config_version
 }
 
 service Relay {
--- a/cardamomcroft/relaying/rpc.py
+++ b/cardamomcroft/relaying/rpc.py
@@ -29,10 +29,15 @@
                 wire.key,
                 wire.body,
                 wire.patience_ms * _MS,
+                wire.config_version or 0,  # none from older instances
             )
         )
         return WIRE.Reply(
-            reply.status, reply.body, reply.retry_after_s, reply.lacks_store
+            reply.status,
+            reply.body,
+            reply.retry_after_s,
+            reply.lacks_store,
+            reply.config_version,
         )
 
 
@@ -59,8 +64,13 @@
         call.key,
         call.body,
         round(call.timeout / _MS),
+        call.config_version,
     )
     answer = await pool.call(address, "answer", wire)
     return base.Reply(
-        answer.status, answer.body, answer.retry_after_s, answer.lacks_store
+        answer.status,
+        answer.body,
+        answer.retry_after_s,
+        answer.lacks_store,
+        answer.config_version or 0,
     )
--- a/cardamomcroft/scheduling/configuration_view.py
+++ b/cardamomcroft/scheduling/configuration_view.py
@@ -42,6 +42,7 @@
         self._load_began_at: datetime.timedelta | None = None
         self._offset: int | None = None
         self._failed_reads = 0  # in a row
+        self._least_version = 0
         self.current: configuration.Configuration | None = None
         self.read_at: datetime.timedelta | None = None
         self.on_change: Listener = lambda config: None
@@ -57,7 +58,28 @@
     def is_stale(self) -> bool:
         """Return whether a newer version could be in force elsewhere."""
         age = self.age
-        return age is None or age > self._max_age
+        return age is None or age > self._max_age or self._is_outdated
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here; 0 without one."""
+        return self.current.version if self.current else 0
+
+    @property
+    def _is_outdated(self) -> bool:
+        return self.version < self._least_version
+
+    def require(self, version: int) -> None:
+        """Count every older configuration as stale.
+
+        A caller that was served by it must not meet an older one.
+        """
+        if version <= max(self.version, self._least_version):
+            return
+        self._least_version = version
+        self._log.emit(
+            "configuration_outdated", version=self.version, newer=version
+        )
 
     async def run(self) -> None:
         """Follow until cancelled."""
--- a/tests/platform/test_cancelling.py
+++ b/tests/platform/test_cancelling.py
@@ -59,7 +59,11 @@
         route = configuration.Route("h", "/p/", harness.make_queue(), False)
         current = configuration.Configuration(1, (route,), ACCOUNTS_BY_KEY, 0)
         view = types.SimpleNamespace(
-            current=current, is_stale=False, age=harness.seconds(0)
+            current=current,
+            version=1,
+            is_stale=False,
+            age=harness.seconds(0),
+            require=lambda version: None,
         )
         return ingresses.Ingress(
             self.nodes_by_name[name],
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -119,7 +119,11 @@
         """Return an ingress with a public route."""
         current = configuration.Configuration(1, (ROUTE,), {}, 0)
         config = types.SimpleNamespace(
-            current=current, is_stale=False, age=harness.seconds(0)
+            current=current,
+            version=1,
+            is_stale=False,
+            age=harness.seconds(0),
+            require=lambda version: None,
         )
         log = events.Events(self.clock, "me", metrics.Metrics(), self.sink)
         node = types.SimpleNamespace(replica=self.replica)
--- a/tests/relaying/test_forwarder.py
+++ b/tests/relaying/test_forwarder.py
@@ -186,3 +186,39 @@
         call = base.Call("GET", "h", "/p", "", b"", CLIENT_TIMEOUT)
         with self.assertRaises(rpc.UnreachedError):
             await relay_rpc.ask(pool, "127.0.0.1:1", call)
+
+
+class EchoingAnswerer(base.Answerer):
+    """Answer by the version that the call requires, plus one."""
+
+    async def answer(self, call: base.Call) -> base.Reply:
+        """Return an empty reply."""
+        return base.Reply(200, config_version=call.config_version + 1)
+
+
+class VersionTest(unittest.IsolatedAsyncioTestCase):
+    """Versions of the configuration travel with calls and replies."""
+
+    async def test_versions_travel_both_ways(self):
+        """They may take more than 32 bits."""
+        server = relay_rpc.make_server(
+            "127.0.0.1:0", EchoingAnswerer(), self.fail
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        pool = relay_rpc.make_pool(CLIENT_TIMEOUT)
+        self.addCleanup(pool.close)
+        host, port = server._server.sockets[0].getsockname()
+        call = base.Call("GET", "h", "/", "", b"", CLIENT_TIMEOUT, 2**40)
+        reply = await relay_rpc.ask(pool, f"{host}:{port}", call)
+        self.assertEqual(reply.config_version, 2**40 + 1)
+
+    async def test_instance_of_a_version_before_names_none(self):
+        """Its messages lack the field."""
+        pool = ScriptedPool({"a": OK}, clocks.FakeClock())
+        call = base.Call("GET", "h", "/", "", b"", CLIENT_TIMEOUT)
+        reply = await relay_rpc.ask(pool, "a", call)
+        self.assertEqual(reply.config_version, 0)
+        wire = relay_rpc.WIRE.Call("GET", "h", "/", "", b"", 1)
+        answer = await relay_rpc._Dispatcher(EchoingAnswerer()).answer(wire)
+        self.assertEqual(answer.config_version, 1)
