--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import collections.abc
 import datetime
 import random
 import signal
@@ -10,27 +9,17 @@
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import ledger
-from cardamomcroft.standin import fleet as standin_fleet
 from cardamomcroft.standin import platform
 from cardamomcroft.standin import store as standin_store
-from soak import checks
 from soak import clients
 from soak import instances as processes
 from soak import proxy
+from soak import worker_faults
 
-MAX_FAULT_S = 4.0
 MAX_LATE_S = 6.0
 HASTY_CALLERS = 3  # who submit while writes are late
-MAX_START_WAIT_S = 8.0  # of the tasks that a fault is about
-CROWD_CUT_S = 1.5  # less than a lease
-CROWD_OF_WORKER = standin_fleet.ENDS_PER_ANSWER + 150
-MAX_CROWD = 2 * CROWD_OF_WORKER
-TASKS_OF_WIDE_STEP = 8  # for each worker of the rack, which runs two at a time
-LOOK_INTERVAL_S = 0.1
 # Time after which the platform restarts a process that has ended.
 RESTART_DELAY_S = 0.5
-# Three heartbeat intervals, after which a silent worker's entry is removed.
-ENTRY_LIFE_S = 4.5
 # ConfigApplyMs of the instances' settings plus 0.5 s for a call.
 CONFIG_APPLY_S = processes.BOUNDS["ConfigApplyMs"] / 1000 + 0.5
 LINK_MODES = (
@@ -40,7 +29,6 @@
     proxy.Mode.NO_ANSWERS,
     proxy.Mode.STALE,
 )
-Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
 class Faults:
@@ -59,16 +47,17 @@
         self._callers = callers
         self._rng = rng
         self._version = 1
-        self._least_workers = len(target.fleet.workers_by_id) // 2
-        self._replacing: list[asyncio.Task] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._workers = worker_faults.WorkerFaults(
+            target, callers, rng, self._note, self.counts
+        )
         self._under_way = 0  # faults that have not ended
         self._has_begun = False  # a fault, since this was last asked for
         self.history: list[str] = []
         self._disrupted: set[str] = set()  # instances with a fault under way
-        self.counts: collections.Counter[str] = collections.Counter()
         self.slow_stops: list[float] = []
         self.served_revoked_keys: list[str] = []
-        self.kinds: dict[str, Action] = {
+        self.kinds: dict[str, worker_faults.Action] = self._workers.kinds | {
             "kill": self._kill,
             "kill_holder": self._kill_holder,
             "freeze": self._freeze,
@@ -83,16 +72,7 @@
             "store_answers_lost": self._store_answers_lost,
             "store_writes_late": self._store_writes_late,
             "history_dropped": self._history_dropped,
-            "worker_cut": self._worker_cut,
-            "crowded_worker_cut": self._crowded_worker_cut,
-            "worker_hangs": self._worker_hangs,
-            "worker_fails": self._worker_fails,
-            "worker_reborn": self._worker_reborn,
-            "worker_dies": self._worker_dies,
-            "worker_refuses": self._worker_refuses,
-            "worker_of_wide_step_dies": self._worker_of_wide_step_dies,
             "worker_dies_at_takeover": self._worker_dies_at_takeover,
-            "start_answers_lost": self._start_answers_lost,
             "configuration": self._configuration,
             "revoke_key": self._revoke_key,
         }
@@ -132,17 +112,13 @@
 
     async def finish(self) -> None:
         """Wait until the workers that died are replaced."""
-        await asyncio.gather(*self._replacing)
+        await self._workers.finish()
 
     def _random_instance(self) -> processes.Instance:
         return self._rng.choice(self._instances)
 
-    def _random_worker(self):
-        names = sorted(self._platform.fleet.workers_by_id)
-        return self._platform.fleet.workers_by_id[self._rng.choice(names)]
-
     async def _pause(self) -> None:
-        await asyncio.sleep(self._rng.uniform(0.3, MAX_FAULT_S))
+        await asyncio.sleep(self._rng.uniform(0.3, worker_faults.MAX_FAULT_S))
 
     async def _restart(self, instance: processes.Instance) -> None:
         await asyncio.sleep(RESTART_DELAY_S)
@@ -164,7 +140,9 @@
         await self._restart(instance)
 
     async def _freeze_one(self, instance: processes.Instance) -> None:
-        await instance.freeze(self._rng.uniform(0.5, MAX_FAULT_S))
+        await instance.freeze(
+            self._rng.uniform(0.5, worker_faults.MAX_FAULT_S)
+        )
 
     async def _stop_one(self, instance: processes.Instance) -> None:
         took_s = await instance.stop()
@@ -257,127 +235,10 @@
         await self._pause()
         faults.expire_reads = 0
 
-    async def _worker_cut(self) -> None:
-        worker = self._random_worker()
-        worker.is_cut = True
-        await self._pause()
-        worker.is_cut = False
-
-    async def _crowded_worker_cut(self) -> None:
-        """Cut a worker off while more tasks end than it lists at once."""
-        durations = self._platform.fleet.durations_by_job
-        crowd = clients.make_crowd(MAX_CROWD, clients.FIRST_RACK)
-        job_id = await self._submit(crowd, datetime.timedelta(minutes=1))
-        worker = await self._worker_running(job_id, CROWD_OF_WORKER)
-        if worker is not None:
-            self.counts["ends_beyond_a_list"] += 1
-            worker.is_cut = True
-        durations[job_id] = datetime.timedelta()
-        if worker is not None:
-            await asyncio.sleep(CROWD_CUT_S)
-            worker.is_cut = False
-
-    async def _submit(self, body: dict, duration: datetime.timedelta) -> str:
-        """Submit a job with tasks of a duration; return its id."""
-        job_id = f"{self._rng.getrandbits(64):016x}"
-        self._platform.fleet.durations_by_job[job_id] = duration
-        await self._callers.submit(job_id, body)
-        return job_id
-
-    async def _worker_running(
-        self, job_id: str, least: int
-    ) -> standin_fleet.FakeWorker | None:
-        """Wait for a worker with so many tasks of a job; None without one."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + MAX_START_WAIT_S
-        while loop.time() < until:
-            for worker in self._platform.fleet.workers_by_id.values():
-                tasks = map(checks.job_of, worker.runs_by_task)
-                if sum(task == job_id for task in tasks) >= least:
-                    return worker
-            await asyncio.sleep(LOOK_INTERVAL_S)
-        return None
-
-    async def _worker_hangs(self) -> None:
-        worker = self._random_worker()
-        worker.hangs = True
-        await self._pause()
-        worker.hangs = False
-
-    async def _worker_fails(self) -> None:
-        worker = self._random_worker()
-        worker.fails_everything = True
-        await asyncio.sleep(1)
-        worker.fails_everything = False
-
-    async def _worker_reborn(self) -> None:
-        worker_id = self._random_worker().listing.address.worker_id
-        self._platform.restart_worker(worker_id)
-
-    async def _start_answers_lost(self) -> None:
-        worker = self._random_worker()
-        worker.lose_start_answers += 2
-        await self._pause()
-        worker.lose_start_answers = 0
-
-    async def _worker_dies(self, refuses: bool = False) -> None:
-        """End a worker for good, with tasks if any has some."""
-        await self._wait_for_workers()
-        fleet = self._platform.fleet
-        busy = sorted({worker_id for _, worker_id in fleet.running()})
-        worker_id = self._rng.choice(busy or sorted(fleet.workers_by_id))
-        await self._end_worker(worker_id, refuses)
-
-    async def _wait_for_workers(self) -> None:
-        """Wait for replacements if half of the workers are left."""
-        if len(self._platform.fleet.workers_by_id) <= self._least_workers:
-            await asyncio.gather(*self._replacing)
-
-    async def _end_worker(self, worker_id: str, refuses: bool) -> None:
-        """End a worker; let another one follow in its rack."""
-        rack = self._platform.fleet.workers_by_id[worker_id].listing.rack
-        self._note(f"{worker_id} dies")
-        await self._platform.end_worker(worker_id, refuses)
-        number = len(self._replacing)
-        successor = f"w{number}-after-{worker_id.partition('-')[0]}"
-        replacing = self._replace_worker(worker_id, rack, successor)
-        self._replacing.append(asyncio.ensure_future(replacing))
-
-    async def _replace_worker(
-        self, worker_id: str, rack: str, successor: str
-    ) -> None:
-        await asyncio.sleep(ENTRY_LIFE_S)
-        self._platform.remove_entry(worker_id)
-        await self._pause()
-        await self._platform.listen_for_worker(successor, rack)
-
-    async def _worker_of_wide_step_dies(self) -> None:
-        """End a worker with tasks of a rack-local step, of which others wait.
-
-        They are to start while its entry is gone and its lease is not.
-        """
-        await self._wait_for_workers()
-        rack = [
-            worker
-            for worker in self._platform.fleet.workers_by_id.values()
-            if worker.listing.rack == clients.FIRST_RACK
-        ]
-        job_id = await self._submit(
-            clients.make_wide(len(rack) * TASKS_OF_WIDE_STEP),
-            datetime.timedelta(milliseconds=clients.LONG_TASK_TIME_MS),
-        )
-        worker = await self._worker_running(job_id, 1)
-        if worker is not None:
-            worker_id = worker.listing.address.worker_id
-            await self._end_worker(worker_id, refuses=False)
-
-    async def _worker_refuses(self) -> None:
-        await self._worker_dies(refuses=True)
-
     async def _worker_dies_at_takeover(self) -> None:
         """End a worker shortly before or after the scheduler's holder."""
         refuses = self._rng.random() < 0.5
-        actions = [self._kill_holder(), self._worker_dies(refuses)]
+        actions = [self._kill_holder(), self._workers.die(refuses)]
         self._rng.shuffle(actions)
         first = asyncio.ensure_future(actions[0])
         await self._pause()
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -12,6 +12,7 @@
 from cardamomcroft.standin import fleet as standin_fleet
 from cardamomcroft.standin import platform
 from soak import faults
+from soak import worker_faults
 
 WORKERS = 4
 
@@ -32,8 +33,10 @@
         self.faults = faults.Faults(
             self.platform, [], mock.Mock(), random.Random(1)
         )
-        self.enterContext(mock.patch.object(faults, "ENTRY_LIFE_S", 0.01))
-        self.enterContext(mock.patch.object(faults, "MAX_FAULT_S", 0.3))
+        self.enterContext(
+            mock.patch.object(worker_faults, "ENTRY_LIFE_S", 0.01)
+        )
+        self.enterContext(mock.patch.object(worker_faults, "MAX_FAULT_S", 0.3))
 
     async def test_worker_that_died_is_replaced_in_its_rack(self):
         """Its entry is removed first."""
@@ -69,12 +72,12 @@
                     standin_fleet.FakeRun(1, worker.born_at, step.demand, 0)
                 )
 
-        self.faults._callers.submit = submit
+        self.faults._workers._callers.submit = submit
 
     async def test_crowded_worker_is_cut_while_its_tasks_end(self):
         """More of them end than one answer lists."""
-        self.enterContext(mock.patch.object(faults, "CROWD_CUT_S", 0.3))
-        self.run_on_submission("w0", faults.CROWD_OF_WORKER)
+        self.enterContext(mock.patch.object(worker_faults, "CROWD_CUT_S", 0.3))
+        self.run_on_submission("w0", worker_faults.CROWD_OF_WORKER)
         worker = self.platform.fleet.workers_by_id["w0"]
         cut = asyncio.ensure_future(self.faults.inject("crowded_worker_cut"))
         await asyncio.sleep(0.1)
