Watch each task that lasts in the soak

The users' rule on standing still judges each task that lasts by itself, from 6 s after its last run and however full the workers are; the soak judged whole jobs only.

--- a/soak/main.py
+++ b/soak/main.py
@@ -20,8 +20,8 @@
 from soak import clients
 from soak import faults as faults_module
 from soak import instances as processes
+from soak import monitoring
 from soak import proxy
-from soak import watch
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,7 +113,7 @@
         )
         try:
             await self._wait_serving(callers)
-            monitor = watch.Monitor(
+            monitor = monitoring.Monitor(
                 self._platform.fleet, callers, faults, self._instances
             )
             monitor.start()
--- a/soak/watch.py
+++ b/soak/watch.py
@@ -1,8 +1,6 @@
 """Watch for jobs that stand still although their tasks could run."""
 
-import asyncio
 import collections
-import contextlib
 import datetime
 
 from cardamomcroft.ports import fleet
@@ -10,8 +8,6 @@
 from cardamomcroft.standin import fleet as standin_fleet
 from soak import checks
 from soak import clients
-from soak import faults as faults_module
-from soak import instances as processes
 
 # The users' rule: a job must not have nothing running for so long while a task
 # could run, there is room for it twice over and under half of the capacity is
@@ -20,18 +16,19 @@
 CALM_BEFORE = datetime.timedelta(seconds=4)
 ROOM_FACTOR = 2
 BUSY_SHARE = 0.5
+# Each task that lasts is judged by itself, from so long after its last run,
+# and however much is in use.
+REST_OF_LASTING = datetime.timedelta(seconds=6)
 # The stand-ins run in the process that watches; what holds this process up
 # for longer disturbs the deployment as well.
 MAX_LOOK_GAP = datetime.timedelta(seconds=1)
-LOOK_INTERVAL_S = 0.2
-# visible_ms and 2 s, after which a job that waits counts as pending, and the
-# least share of such jobs that an instance has to count.
-PENDING_AFTER_S = 5.0
-PENDING_SHARE = 0.5
 
 
 class Watch:
-    """Follow what the workers run, and find the jobs that stand still."""
+    """Follow what the workers run, and find what stands still.
+
+    That is a job, or a task of a job that lasts.
+    """
 
     def __init__(
         self,
@@ -52,21 +49,23 @@
         self._last: dict[str, standin_fleet.Interval] = {}
 
     def look(self, is_disturbed: bool) -> list[str]:
-        """Return the jobs found to stand still that were not before."""
+        """Return the jobs and tasks found to stand still, each once."""
         now = self._fleet.clock.monotonic()
         if is_disturbed or now - self._looked_at > MAX_LOOK_GAP:
             self._disturbed_at = now
         self._looked_at = now
+        running = {task for task, _ in self._fleet.running()}
+        self._read_workers(running)
+        still = self._still_jobs(running) + self._still_tasks(running)
         self._still_since = {
-            job_id: self._still_since.get(job_id, now)
-            for job_id in self._still_jobs()
+            name: self._still_since.get(name, now) for name in still
         }
         self._reported &= self._still_since.keys()
         if not self.is_calm():
             return []
         found = {
-            job_id
-            for job_id, since in self._still_since.items()
+            name
+            for name, since in self._still_since.items()
             if now - since >= STILL
         }
         found -= self._reported
@@ -89,15 +88,16 @@
             and job_id not in self._begun
         }
 
-    def describe(self, job_id: str) -> str:
-        """Return the state of a job's tasks as the workers know it."""
+    def describe(self, name: str) -> str:
+        """Return the state of the job's tasks as the workers know it."""
         now = self._fleet.clock.monotonic()
+        job_id = checks.job_of(name)
         steps = self._fleet.steps_of(job_id)
-        parts = [f"since {now - self._still_since[job_id]}"]
+        parts = [f"since {now - self._still_since[name]}"]
         for occurrence, number in self._due_steps(job_id):
             step = steps[number]
-            name = f"{job_id}.{occurrence}.{number}"
-            tasks = [f"{name}.{index}" for index in range(step.width)]
+            group = f"{job_id}.{occurrence}.{number}"
+            tasks = [f"{group}.{index}" for index in range(step.width)]
             done = sum(bool(self._done.get(task)) for task in tasks)
             last = [
                 f"{task} run {end.run} {end.end.value} on {end.worker_id}"
@@ -113,25 +113,42 @@
             )
         return ", ".join(parts)
 
-    def _still_jobs(self) -> list[str]:
-        """Return the jobs that have nothing running and could run."""
-        running = {checks.job_of(task) for task, _ in self._fleet.running()}
-        self._begun |= running
+    def _read_workers(self, running: set[str]) -> None:
+        self._begun |= {checks.job_of(task) for task in running}
         self._places = [
             (worker.listing.labels, _amounts(worker.free_capacity()))
             for worker in self._fleet.workers_by_id.values()
         ]
         self._read_ends()
+
+    def _still_jobs(self, running: set[str]) -> list[str]:
+        """Return the jobs that have nothing running and could run."""
         if self._used_share() >= BUSY_SHARE:
             return []
+        at_work = {checks.job_of(task) for task in running}
         return [
             job_id
             for job_id, job in self._jobs_by_id.items()
             if is_open(job)
-            and job_id not in running
+            and job_id not in at_work
             and self._could_run(job_id)
         ]
 
+    def _still_tasks(self, running: set[str]) -> list[str]:
+        """Return the tasks that last, are not at work and could run."""
+        rested_since = self._fleet.clock.monotonic() - REST_OF_LASTING
+        return [
+            task
+            for job_id, job in self._jobs_by_id.items()
+            if job.is_lasting and is_open(job)
+            for number, step in enumerate(self._fleet.steps_of(job_id))
+            if self._has_room(step)
+            for task in (f"{job_id}.0.{number}.{i}" for i in range(step.width))
+            if task not in running
+            and task in self._last
+            and self._last[task].ended_at <= rested_since
+        ]
+
     def _read_ends(self) -> None:
         for interval in self._fleet.intervals[self._read_intervals :]:
             self._last[interval.task] = interval
@@ -216,89 +233,3 @@
         "memory": demand.memory_mb,
         "accelerators": demand.accelerators,
     }
-
-
-class Monitor:
-    """Look at a deployment all the time."""
-
-    def __init__(
-        self,
-        fake_fleet: standin_fleet.FakeFleet,
-        callers: clients.Callers,
-        faults: faults_module.Faults,
-        instances: list[processes.Instance],
-    ) -> None:
-        """Monitor the callers' jobs and the instances; ``start`` begins."""
-        self._watch = Watch(fake_fleet, callers.jobs_by_id)
-        self._callers = callers
-        self._faults = faults
-        self._instances = instances
-        self._still: list[str] = []
-        self._miscounted: list[str] = []  # of the jobs that wait
-        self._peak_mb_by_name: dict[str, float] = {}
-        self._looking: asyncio.Task | None = None
-        self._confirming: list[asyncio.Task] = []
-
-    def start(self) -> None:
-        """Look from now on."""
-        self._looking = asyncio.ensure_future(self._look())
-
-    async def stop(self) -> dict[str, list[str]]:
-        """Look no more; return the violations of what was watched.
-
-        Raise the error that ended the looks, if one did.
-        """
-        self._looking.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._looking
-        await asyncio.gather(*self._confirming)
-        return {
-            "stands_still": self._still,
-            "miscounted": self._miscounted,
-            "memory": [
-                f"{name}: {peak_mb:.0f} MB"
-                for name, peak_mb in self._peak_mb_by_name.items()
-                if peak_mb > processes.MEMORY_MB
-            ],
-        }
-
-    async def _look(self) -> None:
-        while True:
-            for job_id in self._watch.look(self._faults.take_disturbed()):
-                now = datetime.datetime.now(datetime.UTC).time()
-                text = f"{job_id} at {now}: {self._watch.describe(job_id)}"
-                job = self._callers.jobs_by_id[job_id]
-                self._confirming.append(
-                    asyncio.ensure_future(self._confirm(job, text))
-                )
-            self._look_at_memory()
-            if self._watch.is_calm():
-                await self._look_at_pending()
-            await asyncio.sleep(LOOK_INTERVAL_S)
-
-    def _look_at_memory(self) -> None:
-        for instance in self._instances:
-            used_mb = instance.used_memory_mb()
-            peak_mb = self._peak_mb_by_name.get(instance.name, 0.0)
-            self._peak_mb_by_name[instance.name] = max(peak_mb, used_mb)
-
-    async def _look_at_pending(self) -> None:
-        """Ask an instance how many jobs wait, which the workers know."""
-        before = asyncio.get_running_loop().time() - PENDING_AFTER_S
-        for prefix in clients.PREFIXES:
-            waiting = self._watch.waiting_since(before, prefix)
-            if not waiting:
-                continue
-            pending = await self._callers.pending(prefix)
-            self._watch.look(self._faults.take_disturbed())
-            waiting &= self._watch.waiting_since(before, prefix)
-            is_short = pending is not None and pending < PENDING_SHARE * len(
-                waiting
-            )
-            if is_short and self._watch.is_calm():
-                self._miscounted.append(f"{prefix}: {pending} of {waiting}")
-
-    async def _confirm(self, job: clients.Submission, text: str) -> None:
-        """Record a job unless it has ended, which the workers cannot show."""
-        if await self._callers.query(job) not in checks.FINAL_STATES:
-            self._still.append(text)
