Count runs between two looks in the soak's watch

In the reported 7 s its instance logged run_ended for the job in every second, and the looks, 0.2 s apart, saw none of them at work. Change: a job with an end since the look before had something running. As strict as before for what the rule is about; test_runs_shorter_than_a_look_count failed before, and the job in it is still found once nothing of it runs any more.

--- a/soak/watch.py
+++ b/soak/watch.py
@@ -55,8 +55,8 @@
             self._disturbed_at = now
         self._looked_at = now
         running = {task for task, _ in self._fleet.running()}
-        self._read_workers(running)
-        still = self._still_jobs(running) + self._still_tasks(running)
+        at_work = self._read_workers(running)
+        still = self._still_jobs(at_work) + self._still_tasks(running)
         self._still_since = {
             name: self._still_since.get(name, now) for name in still
         }
@@ -113,19 +113,23 @@
             )
         return ", ".join(parts)
 
-    def _read_workers(self, running: set[str]) -> None:
-        self._begun |= {checks.job_of(task) for task in running}
+    def _read_workers(self, running: set[str]) -> set[str]:
+        """Return the jobs with something running since the look before."""
+        ended = self._fleet.intervals[self._read_intervals :]
+        at_work = {checks.job_of(task) for task in running}
+        at_work |= {checks.job_of(interval.task) for interval in ended}
+        self._begun |= at_work
         self._places = [
             (worker.listing.labels, _amounts(worker.free_capacity()))
             for worker in self._fleet.workers_by_id.values()
         ]
         self._read_ends()
+        return at_work
 
-    def _still_jobs(self, running: set[str]) -> list[str]:
+    def _still_jobs(self, at_work: set[str]) -> list[str]:
         """Return the jobs that have nothing running and could run."""
         if self._used_share() >= BUSY_SHARE:
             return []
-        at_work = {checks.job_of(task) for task in running}
         return [
             job_id
             for job_id, job in self._jobs_by_id.items()
@@ -152,7 +156,6 @@
     def _read_ends(self) -> None:
         for interval in self._fleet.intervals[self._read_intervals :]:
             self._last[interval.task] = interval
-            self._begun.add(checks.job_of(interval.task))
             if interval.end is fleet.End.DONE:
                 self._done.setdefault(interval.task, set()).add(interval.run)
         for task, run in self._fleet.lost_completions[self._read_losses :]:
--- a/tests/soak/test_watch.py
+++ b/tests/soak/test_watch.py
@@ -82,6 +82,18 @@
             until_s = self.clock.monotonic().total_seconds() + 3.5
             self.assertEqual(await self.look(until_s), [])
 
+    async def test_runs_shorter_than_a_look_count(self):
+        """Each task begins and ends between two looks."""
+        step = dataclasses.replace(STEP, width=100)
+        self.fleet.steps_by_job[JOB] = (step,)
+        for index in range(40):
+            task = f"{JOB}.0.0.{index}"
+            self.run_task(task)
+            self.fleet.workers_by_id["w0"].end(task, fleet.End.DONE)
+            until_s = self.clock.monotonic().total_seconds() + 0.5
+            self.assertEqual(await self.look(until_s), [])
+        self.assertEqual(await self.look(30), [JOB])
+
     async def test_job_found_again_after_it_ran(self):
         """It runs in between and stands still anew, which its runs show."""
         self.assertEqual(await self.look(8), [JOB])
