Let the count of waiting jobs hide no job that stands still

A fault of the soak's new check of `Pending`: to know what has begun by the answer it looked once more and dropped what the look found. The watch reports each job once, so such a job was never reported; and an answer that took over a second counted as a disturbance. Change: the count runs beside the looks and waits for one of them. test_count_of_waiting_jobs_hides_no_still_job failed before.

--- a/soak/monitoring.py
+++ b/soak/monitoring.py
@@ -37,6 +37,7 @@
         self._miscounted: list[str] = []  # of the jobs that wait
         self._peak_mb_by_name: dict[str, float] = {}
         self._looking: asyncio.Task | None = None
+        self._counting: asyncio.Task | None = None
         self._confirming: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -72,8 +73,10 @@
                     asyncio.ensure_future(self._confirm(job, text))
                 )
             self._look_at_memory()
-            if self._watch.is_calm():
-                await self._look_at_pending()
+            is_counting = self._counting and not self._counting.done()
+            if self._watch.is_calm() and not is_counting:
+                self._counting = asyncio.ensure_future(self._count_waiting())
+                self._confirming.append(self._counting)
             await asyncio.sleep(LOOK_INTERVAL_S)
 
     def _look_at_memory(self) -> None:
@@ -82,7 +85,7 @@
             peak_mb = self._peak_mb_by_name.get(instance.name, 0.0)
             self._peak_mb_by_name[instance.name] = max(peak_mb, used_mb)
 
-    async def _look_at_pending(self) -> None:
+    async def _count_waiting(self) -> None:
         """Ask an instance how many jobs wait, which the workers know."""
         before = asyncio.get_running_loop().time() - PENDING_AFTER_S
         for prefix in clients.PREFIXES:
@@ -90,7 +93,8 @@
             if not waiting:
                 continue
             pending = await self._callers.pending(prefix)
-            self._watch.look(self._faults.take_disturbed())
+            # A later look shows what has begun by the answer.
+            await asyncio.sleep(2 * LOOK_INTERVAL_S)
             waiting &= self._watch.waiting_since(before, prefix)
             is_short = pending is not None and pending < PENDING_SHARE * len(
                 waiting
--- a/tests/soak/test_monitoring.py
+++ b/tests/soak/test_monitoring.py
@@ -1,6 +1,7 @@
 """The monitor reports what the watch and the instances show."""
 
 import asyncio
+import itertools
 import unittest
 from unittest import mock
 
@@ -36,6 +37,9 @@
                 watch.Watch, look=mock.DEFAULT, describe=mock.DEFAULT
             )
         )
+        self.enterContext(
+            mock.patch.object(monitoring, "LOOK_INTERVAL_S", 0.001)
+        )
         self.look = patched["look"]
         self.look.return_value = [JOB]
         patched["describe"].return_value = "its tasks"
@@ -63,6 +67,25 @@
         found = await self.stop_after_a_look("memory")
         self.assertEqual(found, ["entry-0: 200 MB"])
 
+    async def test_count_of_waiting_jobs_hides_no_still_job(self):
+        """The watch reports each of them once."""
+        self.enterContext(
+            mock.patch.multiple(
+                watch.Watch,
+                is_calm=mock.Mock(return_value=True),
+                waiting_since=mock.Mock(return_value={JOB}),
+            )
+        )
+        self.look.side_effect = itertools.chain(
+            [[], [JOB]], itertools.repeat([])
+        )
+        self.callers.pending = mock.AsyncMock(return_value=1)
+        self.monitor.start()
+        await asyncio.sleep(0.1)
+        self.assertGreater(self.look.call_count, 2)
+        found = await self.monitor.stop()
+        self.assertEqual(len(found["stands_still"]), 1)
+
     async def test_count_of_too_few_waiting_jobs_is_reported(self):
         """Half of them is enough, and so is no answer."""
         waiting = {JOB, "1" * 16, "2" * 16}
