Log a lease that exceeds what a successor counts

Deadlines of orders were in no log, so an order that names a former incarnation's clock and a holder that grants too much looked the same. The worker's clock in each answer shows how far ahead its lease reaches; the first that is too far is logged for each incarnation, with its length.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -22,6 +22,7 @@
 MAX_CONFIRMATION_AGE = datetime.timedelta(seconds=1.0)
 STRIKE_LIMIT = 2  # consecutive failures before a worker is avoided
 STRIKE_AVOID_DURATION = datetime.timedelta(seconds=3)
+_MS = datetime.timedelta(milliseconds=1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -281,6 +282,26 @@
             runs=len(worker.runs_by_task),
         )
 
+    def check_lease(
+        self, worker: runs.Worker, deadline_ms: int | None, clock_ms: int
+    ) -> None:
+        """Report the first lease of an incarnation that exceeds the bound.
+
+        A successor counts no longer one.
+        """
+        if deadline_ms is None or worker.has_overlong_lease:
+            return
+        lease = (deadline_ms - clock_ms) * _MS
+        if lease > self.parameters.lease:
+            worker.has_overlong_lease = True
+            self.log.emit(
+                "lease_overlong",
+                worker_id=worker.worker_id,
+                born_ms=worker.born_ms,
+                lease_s=lease.total_seconds(),
+                bound_s=self.parameters.lease.total_seconds(),
+            )
+
     async def report_durable_end(self, job: runs.JobState) -> None:
         """Report a job's end once it is durable."""
         key = ledgers.Kind.PROGRESS.key(job.job.job_id)
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -106,6 +106,10 @@
         for timeout in START_TIMEOUTS:
             order = self._start_order(worker, run)
             result = await self._link.start(worker.address, order, timeout)
+            if result.clock_ms is not None:
+                self._cluster.check_lease(
+                    worker, order.deadline_ms, result.clock_ms
+                )
             if result.status in _REFUSED and not is_first:
                 # The unanswered order may still be carried out.
                 return fleet.OrderResult(
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -318,6 +318,7 @@
         # was granted on an unknown clock, has certainly ended.
         self.lease_expires_at: datetime.timedelta | None = None
         self.unheard_lease = _ZERO  # the longest that an order may have left
+        self.has_overlong_lease = False  # beyond what a successor counts
         self.unreachable_since: datetime.timedelta | None = None
         self.heard_at: datetime.timedelta | None = None  # its last answer
         self.avoid_until = _ZERO
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -131,6 +131,7 @@
             "lease_deadline_ms",
             "lease_expires_at",
             "heard_at",
+            "has_overlong_lease",
         ):
             setattr(worker, name, getattr(fresh, name))
         worker.reset_clock()
@@ -252,6 +253,7 @@
         if result.born_ms < worker.born_ms:
             return
         worker.heard_at = self._clock.monotonic()
+        self._cluster.check_lease(worker, deadline_ms, result.clock_ms)
         if result.born_ms > worker.born_ms:
             if worker.born_ms:
                 self._handle_new_incarnation(worker, result.born_ms)
