Grant no lease that a scheduler only has to reckon with

Cause: a worker's record kept one number for the latest deadline granted and for the latest that may be in force. When a worker had restarted, the holder raised it to the longest hold that workers allow (10 s), since an order for the former incarnation may have been carried out by the new one. From then on it named that deadline in its own starts and renewals. A successor counts the 6 s that holders grant, and started the tasks elsewhere up to 4 s too early.

The two numbers are apart now: orders name what was granted, and the expiry of leases counts what may be in force.

--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -313,7 +313,10 @@
         self.acknowledged_end = 0  # the worker may discard ends up to it
         self.commit: asyncio.Task | None = None  # of its ends, under way
         self.ended_job_ids: set[str] = set()  # of ends not yet durable
-        self.lease_deadline_ms = 0  # the latest deadline sent, on its clock
+        # On its clock: the latest deadline that this scheduler has granted,
+        # and the latest that may be in force, also by orders of others.
+        self.granted_deadline_ms = 0
+        self.lease_deadline_ms = 0
         # Until the worker is heard: when what others have granted, or what
         # was granted on an unknown clock, has certainly ended.
         self.lease_expires_at: datetime.timedelta | None = None
@@ -385,13 +388,16 @@
         On an unknown clock it may be as far ahead as if the clock were new.
         """
         deadline = round(self.clock_floor(now) + lease / _MS)
-        self.lease_deadline_ms = max(self.lease_deadline_ms, deadline)
+        self.granted_deadline_ms = max(self.granted_deadline_ms, deadline)
+        self.lease_deadline_ms = max(
+            self.lease_deadline_ms, self.granted_deadline_ms
+        )
         if self._clock_at is None:
             ends_at = now + self.lease_deadline_ms * _MS / MIN_CLOCK_RATE
             self.lease_expires_at = max(
                 self.lease_expires_at or _ZERO, ends_at
             )
-        return self.lease_deadline_ms
+        return self.granted_deadline_ms
 
     def record_first_inventory(self, clock_ms: int) -> None:
         """Count the lease that an earlier order may have granted.
@@ -408,9 +414,9 @@
         The order may get no answer, and then its task has to wait until the
         deadline. The poll that follows an answer extends the lease.
         """
-        left = self.lease_deadline_ms - self.clock_floor(now)
+        left = self.granted_deadline_ms - self.clock_floor(now)
         if left >= MIN_START_LEASE / _MS:
-            return self.lease_deadline_ms
+            return self.granted_deadline_ms
         return self.grant_lease(now, START_LEASE)
 
     def has_lease_expired(self, now: datetime.timedelta) -> bool:
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -128,6 +128,7 @@
             "commit",
             "ended_job_ids",
             "unanswered_polls",
+            "granted_deadline_ms",
             "lease_deadline_ms",
             "lease_expires_at",
             "heard_at",
