Send orders to the incarnation that they are for, or to none

Cause: the protocol names a worker by its id, which all of its incarnations have. A start that named the former incarnation's clock reached the new one, before the holder knew of it. On the new clock its deadline is far ahead, and the worker shortens it to its longest hold of 10 s. Only the holder could come to know that; a successor counted 6 s. A renewal could in the same way extend a lease and make the new incarnation forget ends that nobody had read.

A TCP connection ends with the process that accepted it. The link now keeps for each connection which incarnation has answered on it (`born` in the inventory) and sends what names an incarnation's clock or ends only over a connection of that one. A new connection is greeted first, with a request for the inventory that grants and acknowledges nothing. So no order reaches an incarnation unheard, whether or not its restart has been listed, and nobody has to count for it: the wait of tasks after a takeover does not change. A start whose greeting gets no answer has not been sent, and its task need not wait for a lease.

On the way, both failing before: a restart is also noticed if the new incarnation has an earlier birth, as the time of day went back (it was ignored for good), and the answer of a former incarnation sets no clock of the new one (20.7 s ahead).

test_new_incarnation_keeps_its_longest_lease needs a start that reaches the new incarnation, so its link does not keep it away; what it checks is unchanged. test_worker_link answers the greeting before the malformed answer.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from cardamomcroft.platform import configuration
+from cardamomcroft.platform import connections
 from cardamomcroft.platform import ingress as ingresses
 from cardamomcroft.platform import settings as platform_settings
 from cardamomcroft.platform import store as platform_store
@@ -84,7 +85,7 @@
         )
         async with aiohttp.ClientSession(
             connector=connector,
-            skip_auto_headers=("User-Agent", "Accept-Encoding", "Accept"),
+            skip_auto_headers=workers.SKIPPED_HEADERS,
         ) as session:
             await self._serve(session)
         self._log.emit("stopped")
@@ -126,7 +127,10 @@
             settings.store_address, session, clock, self._metrics
         )
         link = workers.HttpWorkerLink(
-            session, settings.advice_address, clock, self._metrics
+            connections.WorkerConnector(KEEP_ALIVE_S),
+            settings.advice_address,
+            clock,
+            self._metrics,
         )
         lease = min(LEASE, settings.max_lease)
         parameters = cluster_state.SchedulingParameters(
@@ -223,6 +227,7 @@
             await node.close()
             await peers.stop()
             pool.close()
+            await link.close()
             for runner in runners:
                 await runner.cleanup()
 
--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from cardamomcroft.platform import answers
+from cardamomcroft.platform import connections
 from cardamomcroft.platform import errors
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
@@ -15,9 +16,12 @@
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips between data centres
 ADVICE_TIMEOUT_S = 2.0
+# Another call may take the connection that was greeted for this one.
+MAX_GREETINGS = 10
 MAX_REMAINING_MS = 86_400_000  # a day; larger numbers overflow a duration
 # The protocol returns the remaining ends in later answers.
 ENDS_PER_ANSWER = 500
+SKIPPED_HEADERS = ("User-Agent", "Accept-Encoding", "Accept")
 _CONNECT_LIMIT = aiohttp.ClientTimeout(
     total=None, sock_connect=CONNECT_TIMEOUT_S
 )
@@ -46,11 +50,17 @@
 
 
 class HttpWorkerLink(fleet.WorkerLink):
-    """Send orders through the workers' HTTP interface."""
+    """Send orders through the workers' HTTP interface.
+
+    The protocol names a worker by its id, which all of its incarnations have.
+    So what is for one of them goes only over connections on which that one
+    has answered. A new connection is greeted: the first call on it only asks
+    for the inventory.
+    """
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
+        connector: connections.WorkerConnector,
         advice_address: str | None,
         clock: base.Clock,
         measured: metrics.Metrics,
@@ -58,19 +68,32 @@
         """Send orders; get advice from ``advice_address``, if there is one."""
         self._clock = clock
         self._metrics = measured
-        self._session = session
+        self._connector = connector
+        self._session = aiohttp.ClientSession(
+            connector=connector, skip_auto_headers=SKIPPED_HEADERS
+        )
         self._advice_address = advice_address
 
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
     async def _post(
         self,
         address: fleet.Address,
         path: str,
         body: dict,
         timeout: datetime.timedelta,
+        call: connections.Call,
         silence: datetime.timedelta | None = None,
     ) -> tuple[fleet.OrderResult, dict]:
         began_at = self._clock.monotonic()
-        result, data = await self._send(address, path, body, timeout, silence)
+        with connections.calling(call):
+            result, data = await self._send(
+                address, path, body, timeout, silence
+            )
+        if "Running" in data:  # an inventory, which names its incarnation
+            self._connector.note_answer(call, data.get("born", 0))
         took = self._clock.monotonic() - began_at
         outcome = result.status.value
         self._metrics.record_call("worker", path, outcome, took)
@@ -106,12 +129,26 @@
         except aiohttp.ClientConnectorError as error:
             status = fleet.OrderStatus.NOT_RUN
             return fleet.OrderResult(status, detail=repr(error)), {}
+        except connections.UngreetedError:
+            return fleet.OrderResult(fleet.OrderStatus.UNREACHED), {}
         except errors.CALL_ERRORS as error:
             status = fleet.OrderStatus.MAY_HAVE_RUN
             return fleet.OrderResult(status, detail=repr(error)), {}
 
+    async def _greet(
+        self,
+        address: fleet.Address,
+        token: int,
+        timeout: datetime.timedelta,
+        ungreeted: connections.Call,
+    ) -> tuple[fleet.OrderResult, dict]:
+        """Ask for the inventory on the connection that a call has found."""
+        call = connections.Call(address.worker_id, None, ungreeted)
+        body = {"FencingToken": token, "LastSeen": 0}
+        return await self._post(address, "/hold", body, timeout, call, timeout)
+
     async def start(self, address, order, timeout) -> fleet.OrderResult:
-        """Start a task."""
+        """Start a task on the incarnation that the order names."""
         body = {
             "Task": order.task,
             "RunId": order.run,
@@ -123,15 +160,29 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        result, _ = await self._post(address, "/run-start", body, timeout)
-        return result
+        for _ in range(MAX_GREETINGS):
+            call = connections.Call(address.worker_id, order.born_ms)
+            result, _ = await self._post(
+                address, "/run-start", body, timeout, call
+            )
+            if not call.is_ungreeted:
+                return result
+            greeting, data = await self._greet(
+                address, order.token, timeout, call
+            )
+            if greeting.status is not fleet.OrderStatus.DONE:
+                return _unsent(greeting)
+            if data.get("born", 0) != order.born_ms:
+                return fleet.OrderResult(fleet.OrderStatus.RESTARTED)
+        return fleet.OrderResult(fleet.OrderStatus.NOT_RUN)
 
     async def stop(
         self, address, task, run, token, timeout
     ) -> fleet.OrderResult:
         """Stop a run."""
         body = {"Task": task, "RunId": run, "FencingToken": token}
-        result, _ = await self._post(address, "/run-stop", body, timeout)
+        call = connections.Call(address.worker_id, None)
+        result, _ = await self._post(address, "/run-stop", body, timeout, call)
         return result
 
     async def pace(
@@ -144,7 +195,8 @@
             "Percent": percent,
             "FencingToken": token,
         }
-        result, _ = await self._post(address, "/pace", body, timeout)
+        call = connections.Call(address.worker_id, None)
+        result, _ = await self._post(address, "/pace", body, timeout, call)
         return result
 
     async def renew_lease(
@@ -160,13 +212,19 @@
             body["DeadlineMs"] = order.deadline_ms
         if wait_ms:
             body["WaitMs"] = wait_ms
+        born_ms = order.born_ms if order.names_incarnation else None
+        call = connections.Call(address.worker_id, born_ms)
         result, data = await self._post(
-            address, "/hold", body, timeout + order.wait, timeout
+            address, "/hold", body, timeout + order.wait, call, timeout
         )
+        if call.is_ungreeted:
+            result, data = await self._greet(
+                address, order.token, timeout, call
+            )
         if result.status is not fleet.OrderStatus.DONE:
             return result
         try:
-            return decode_inventory(data)
+            return decode_inventory(data, not call.is_ungreeted)
         except errors.CALL_ERRORS as error:
             status = fleet.OrderStatus.MAY_HAVE_RUN
             return fleet.OrderResult(status, detail=repr(error))
@@ -195,6 +253,14 @@
             return None
 
 
+def _unsent(greeting: fleet.OrderResult) -> fleet.OrderResult:
+    """Return the outcome of an order whose greeting failed."""
+    if greeting.status is not fleet.OrderStatus.MAY_HAVE_RUN:
+        return greeting
+    status = fleet.OrderStatus.UNREACHED
+    return fleet.OrderResult(status, detail=greeting.detail)
+
+
 def _order_headers(address: fleet.Address) -> dict[str, str]:
     return {
         "Content-Type": "application/json",
@@ -212,7 +278,7 @@
     return fleet.OrderResult(known, clock_ms, f"status {status}")
 
 
-def decode_inventory(data: dict) -> fleet.Inventory:
+def decode_inventory(data: dict, is_renewed: bool = True) -> fleet.Inventory:
     """Decode a worker's inventory of running and finished tasks."""
     return fleet.Inventory(
         int(data["ClockMs"]),
@@ -238,6 +304,7 @@
             for row in data["Finished"]
         ),
         len(data["Finished"]) < ENDS_PER_ANSWER,
+        is_renewed,
     )
 
 
--- a/cardamomcroft/ports/fleet.py
+++ b/cardamomcroft/ports/fleet.py
@@ -25,6 +25,8 @@
     NO_TICKET = "no_ticket"
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "other_incarnation"
+    RESTARTED = "restarted"  # not sent: its incarnation has ended
+    UNREACHED = "unreached"  # not sent: no connection to its incarnation
     INVALID = "invalid"
     NOT_RUN = "not_run"  # never reached the worker
     MAY_HAVE_RUN = "may_have_run"
@@ -50,6 +52,7 @@
     token: int
     checkpoint: str = ""
     ticket: str = ""
+    born_ms: int = 0  # of the incarnation whose clock the deadline names
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +63,12 @@
     acknowledged_end: int  # the worker discards completions up to it
     deadline_ms: int | None  # None leaves the lease as it is
     wait: datetime.timedelta  # at most, for a completion to report
+    born_ms: int = 0  # of the incarnation whose clock and ends it names
+
+    @property
+    def names_incarnation(self) -> bool:
+        """Return whether another incarnation must not carry it out."""
+        return self.deadline_ms is not None or self.acknowledged_end > 0
 
 
 class End(enum.Enum):
@@ -106,6 +115,7 @@
     finished: tuple[FinishedTask, ...]
     # If further ends may follow, a run in neither list may have ended.
     is_complete: bool = True
+    is_renewed: bool = True  # else it was only asked for
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,13 +135,17 @@
 
 
 class WorkerLink(abc.ABC):
-    """Send orders to workers."""
+    """Send orders to workers.
+
+    A worker may restart under its id. What names an incarnation's clock or
+    ends reaches that incarnation or none.
+    """
 
     @abc.abstractmethod
     async def start(
         self, address: Address, order: StartOrder, timeout: datetime.timedelta
     ) -> OrderResult:
-        """Start a task."""
+        """Start a task on the incarnation that the order names."""
 
     @abc.abstractmethod
     async def stop(
@@ -165,8 +179,10 @@
     ) -> Inventory | OrderResult:
         """Renew the lease and return the inventory.
 
-        The time-out limits how long no data may arrive after the order's
-        wait, not the transfer of an inventory that makes progress.
+        Nothing is renewed or acknowledged unless the incarnation that the
+        order names has answered on the same connection before. The time-out
+        limits how long no data may arrive after the order's wait, not the
+        transfer of an inventory that makes progress.
         """
 
     @abc.abstractmethod
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -49,9 +49,10 @@
 
     @property
     def reborn_lease(self) -> datetime.timedelta:
-        """Return how long a start sent before a rebirth may run.
+        """Return how long the orders for a former incarnation may act.
 
-        Its deadline is one of the old clock, far ahead on the new one.
+        If they are carried out late, their deadline is one of its clock and
+        may be far ahead on the new one.
         """
         return self.max_hold / runs.MIN_CLOCK_RATE
 
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -33,6 +33,8 @@
         Status.NO_TICKET,
         Status.UNHEALTHY,
         Status.OTHER_INCARNATION,
+        Status.RESTARTED,
+        Status.UNREACHED,
         Status.INVALID,
         Status.NOT_RUN,
     }
@@ -106,10 +108,8 @@
         for timeout in START_TIMEOUTS:
             order = self._start_order(worker, run)
             result = await self._link.start(worker.address, order, timeout)
-            if result.clock_ms is not None:
-                self._cluster.check_lease(
-                    worker, order.deadline_ms, result.clock_ms
-                )
+            if worker.born_ms == order.born_ms:
+                self._record_contact(worker, order, result)
             if result.status in _REFUSED and not is_first:
                 # The unanswered order may still be carried out.
                 return fleet.OrderResult(
@@ -125,6 +125,25 @@
             run.has_lost_order = True
         return result
 
+    def _record_contact(
+        self,
+        worker: runs.Worker,
+        order: fleet.StartOrder,
+        result: fleet.OrderResult,
+    ) -> None:
+        """Record what a start shows of the incarnation that it is for."""
+        now = self._clock.monotonic()
+        if result.clock_ms is not None:
+            worker.record_clock(result.clock_ms, now)
+            worker.heard_at = now
+            self._cluster.check_lease(
+                worker, order.deadline_ms, result.clock_ms
+            )
+        elif result.status in (Status.MAY_HAVE_RUN, Status.UNREACHED):
+            self._cluster.record_silence(worker, result)
+        elif result.status is Status.RESTARTED:
+            worker.has_inventory = False  # a poll shows the new incarnation
+
     def _start_order(
         self, worker: runs.Worker, run: runs.Run
     ) -> fleet.StartOrder:
@@ -140,6 +159,7 @@
             self._cluster.token,
             run.checkpoint,
             ticket,
+            worker.born_ms,
         )
 
     def _handle_start_result(
@@ -154,11 +174,6 @@
             outcome=result.status.value,
             epoch=self._cluster.journal.claim.epoch,
         )
-        if result.clock_ms is not None:
-            worker.record_clock(result.clock_ms, now)
-            worker.heard_at = now
-        elif result.status is Status.MAY_HAVE_RUN:
-            self._cluster.record_silence(worker, result)
         if run.phase is runs.Phase.STOPPING:
             return
         if result.status is Status.DONE:
@@ -254,12 +269,9 @@
     async def _try_stop(self, run: runs.Run) -> bool:
         """Order a run to stop once; return whether to leave it at that."""
         worker = self._cluster.workers_by_id[run.worker_id]
+        token = self._cluster.token
         result = await self._link.stop(
-            worker.address,
-            run.name,
-            run.number,
-            self._cluster.token,
-            ORDER_TIMEOUT,
+            worker.address, run.name, run.number, token, ORDER_TIMEOUT
         )
         if result.status is Status.STALE_TOKEN:
             self._cluster.journal.lose_claim(
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -322,6 +322,7 @@
         self.lease_expires_at: datetime.timedelta | None = None
         self.unheard_lease = _ZERO  # the longest that an order may have left
         self.has_overlong_lease = False  # beyond what a successor counts
+        self.former_births: set[int] = set()
         self.unreachable_since: datetime.timedelta | None = None
         self.heard_at: datetime.timedelta | None = None  # its last answer
         self.avoid_until = _ZERO
@@ -344,6 +345,13 @@
         """Return the rack last listed; None if it was never listed."""
         return self.listing.rack if self.listing else self._last_rack
 
+    def is_born_later(self, listing: fleet.Listing) -> bool:
+        """Return whether a listing is that of a new incarnation."""
+        return (
+            listing.born_ms > self.born_ms
+            and listing.born_ms not in self.former_births
+        )
+
     def withdraw_listing(self) -> None:
         """Note that the directory has no entry any more."""
         self._last_rack = self.rack
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -62,10 +62,12 @@
         now: datetime.timedelta,
     ) -> None:
         """Apply a worker's directory listing."""
-        if listing.born_ms < worker.born_ms:
-            return
-        if listing.born_ms > worker.born_ms:
+        if not worker.born_ms:
+            worker.born_ms = listing.born_ms
+        elif worker.is_born_later(listing):
             self._handle_new_incarnation(worker, listing.born_ms)
+        elif listing.born_ms != worker.born_ms:
+            return
         worker.address = listing.address
         worker.listing = listing
         worker.listed_at = now
@@ -76,9 +78,9 @@
     ) -> None:
         """Drop the predecessor's runs; ask the new incarnation for others.
 
-        It has the same id, so a start order may have arrived before its
-        listing, or may still come. What the predecessor listed is lost with
-        it.
+        An order without an answer may still be carried out there, with a
+        deadline of the former clock, until it has seen a higher token. What
+        the predecessor listed is lost with it.
         """
         self._log.emit(
             "worker_reborn",
@@ -93,10 +95,8 @@
             if run.reported_at is not None
             and not (run.has_lost_order or run.is_inherited)
         ]
-        self._drop_lost_runs(worker, listed, "worker restarted")
-        if not worker.runs_by_task:
-            return
         now = self._clock.monotonic()
+        self._drop_lost_runs(worker, listed, "worker restarted")
         for run in worker.runs_by_task.values():
             if run.phase in (runs.Phase.AT_WORK, runs.Phase.INHERITED):
                 run.phase = runs.Phase.INHERITED
@@ -119,6 +119,8 @@
         if worker.poll_call is not None:
             worker.poll_call.cancel()  # its silence is of the predecessor
         fresh = runs.Worker(worker.address, born_ms)
+        if born_ms != worker.born_ms:
+            worker.former_births.add(worker.born_ms)
         worker.born_ms = born_ms
         for name in (
             "received_end",
@@ -226,6 +228,8 @@
         journal = self._cluster.journal
         if is_silent or journal.is_released or not _has_orders(worker):
             return _ZERO
+        if not (worker.born_ms or worker.has_inventory):
+            return _ZERO  # its incarnation, and so its clock, is unknown
         parameters = self._cluster.parameters
         left = parameters.lease_horizon - (now - journal.confirmed_at)
         lease = min(parameters.lease, left)
@@ -240,33 +244,56 @@
         deadline_ms = worker.grant_lease(now, lease) if lease else None
         if lease:
             wait = min(wait, max(lease - RENEWAL_MARGIN, SHORT_POLL_PAUSE))
-        acknowledged_end = worker.durable_end
         order = fleet.LeaseRenewal(
-            self._cluster.token, acknowledged_end, deadline_ms, wait
+            self._cluster.token,
+            worker.durable_end,
+            deadline_ms,
+            wait,
+            worker.born_ms,
         )
         result = await self._call(worker, order)
         if result is None:
             return
         if isinstance(result, fleet.OrderResult):
-            await self._handle_failed_poll(worker, result)
-            return
+            await self._handle_failed_poll(worker, order, result)
+        elif worker.born_ms != order.born_ms:
+            return  # a listing has shown another incarnation meanwhile
+        elif result.born_ms != order.born_ms:
+            self._apply_birth(worker, result)
+        else:
+            await self._apply_answer(worker, order, result, now)
+
+    def _apply_birth(
+        self, worker: runs.Worker, inventory: fleet.Inventory
+    ) -> None:
+        """Apply an answer of another incarnation than the one expected."""
+        now = self._clock.monotonic()
+        worker.unanswered_polls = 0
+        if worker.born_ms:
+            self._handle_new_incarnation(worker, inventory.born_ms)
+        worker.born_ms = inventory.born_ms
+        worker.record_clock(inventory.clock_ms, now)
+
+    async def _apply_answer(
+        self,
+        worker: runs.Worker,
+        order: fleet.LeaseRenewal,
+        inventory: fleet.Inventory,
+        sent_at: datetime.timedelta,
+    ) -> None:
         worker.unanswered_polls = 0
-        if result.born_ms < worker.born_ms:
-            return
         worker.heard_at = self._clock.monotonic()
-        self._cluster.check_lease(worker, deadline_ms, result.clock_ms)
-        if result.born_ms > worker.born_ms:
-            if worker.born_ms:
-                self._handle_new_incarnation(worker, result.born_ms)
-                return
-            worker.born_ms = result.born_ms
-        worker.acknowledged_end = max(
-            worker.acknowledged_end, acknowledged_end
-        )
-        self._apply_inventory(worker, result, now)
+        if inventory.is_renewed:
+            self._cluster.check_lease(
+                worker, order.deadline_ms, inventory.clock_ms
+            )
+            worker.acknowledged_end = max(
+                worker.acknowledged_end, order.acknowledged_end
+            )
+        self._apply_inventory(worker, inventory, sent_at)
         if worker.durable_end < worker.received_end:
             await self._wait_until_durable(worker)
-        elif wait == _ZERO or worker.applied_ends:
+        elif order.wait == _ZERO or worker.applied_ends:
             await self._clock.sleep(SHORT_POLL_PAUSE)
 
     async def _call(
@@ -287,7 +314,10 @@
         return None if call.cancelled() else call.result()
 
     async def _handle_failed_poll(
-        self, worker: runs.Worker, result: fleet.OrderResult
+        self,
+        worker: runs.Worker,
+        order: fleet.LeaseRenewal,
+        result: fleet.OrderResult,
     ) -> None:
         if result.status is fleet.OrderStatus.MAY_HAVE_RUN:
             worker.unanswered_polls += 1
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -323,6 +323,9 @@
         worker = await self._reach(address)
         if worker is None:
             return await self._time_out(timeout)
+        if order.born_ms not in (0, worker.listing.born_ms):
+            self.injected["start_for_former"] += 1
+            return fleet.OrderResult(Status.RESTARTED)
         if worker.refuse_starts:
             worker.refuse_starts -= 1
             self.injected["start_unhealthy"] += 1
@@ -410,6 +413,11 @@
         if order.token < worker.token:
             return fleet.OrderResult(Status.STALE_TOKEN, worker.clock_ms())
         worker.token = order.token
+        is_renewed = order.born_ms in (0, worker.listing.born_ms)
+        if not is_renewed:
+            order = fleet.LeaseRenewal(
+                order.token, 0, None, datetime.timedelta()
+            )
         if order.deadline_ms is not None:
             worker.lease_deadline_ms = max(
                 worker.lease_deadline_ms, order.deadline_ms
@@ -437,6 +445,7 @@
             ),
             tuple(worker.finished[: self.ends_per_answer]),
             len(worker.finished) < self.ends_per_answer,
+            is_renewed,
         )
 
     async def advise(self, step, worker_ids) -> fleet.Advice | None:
--- a/tests/platform/test_worker_link.py
+++ b/tests/platform/test_worker_link.py
@@ -3,9 +3,8 @@
 import asyncio
 from unittest import mock
 
-import aiohttp
-
 from cardamomcroft.platform import answers
+from cardamomcroft.platform import connections
 from cardamomcroft.platform import workers
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
@@ -15,17 +14,27 @@
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
 BODY = b'{"ClockMs":1,"born":2,"Running":[],"Finished":[]}'
 TIMEOUT_S = test_store.TIMEOUT.total_seconds()
+KEEP_ALIVE_S = 30.0
 LIMIT_S = test_store.WAIT.total_seconds() + TIMEOUT_S
 
 
+def make_link() -> workers.HttpWorkerLink:
+    """Return a link without connections."""
+    return workers.HttpWorkerLink(
+        connections.WorkerConnector(KEEP_ALIVE_S),
+        None,
+        clocks.SystemClock(),
+        metrics.Metrics(),
+    )
+
+
 class WorkerLinkTestCase(test_store.ConnectionTestCase):
     """Poll a worker whose connection behaves as ``serve`` does."""
 
     async def poll(self) -> tuple[object, float]:
         """Return a poll's result and its duration in seconds."""
-        link = workers.HttpWorkerLink(
-            self.session, None, clocks.SystemClock(), metrics.Metrics()
-        )
+        link = make_link()
+        self.addAsyncCleanup(link.close)
         host, port = self.server.sockets[0].getsockname()
         result, took_s = await self.time(
             link.renew_lease(
@@ -60,30 +69,25 @@
     answer = b""
 
     async def serve(self, reader, writer) -> None:
-        """Answer every call on the connection."""
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(HEAD % len(self.answer) + self.answer)
+        """Answer the greeting of a connection, then the start."""
+        for answer in (BODY, self.answer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD % len(answer) + answer)
 
     async def test_outcome_is_unknown(self):
         """A start may have run, so that it is looked for at the worker."""
-        link = workers.HttpWorkerLink(
-            self.session, None, clocks.SystemClock(), metrics.Metrics()
-        )
         host, port = self.server.sockets[0].getsockname()
         address = fleet.Address("w1", f"{host}:{port}")
         for answer in (b"[1]", b"5", b"{", b"[" * 100_000, b'"x"'):
             self.answer = answer
+            link = make_link()
             result = await link.start(
                 address,
-                fleet.StartOrder("t", 1, "", 1, 1, "", ""),
+                fleet.StartOrder("t", 1, "", 1, 1, "", "", born_ms=2),
                 test_store.TIMEOUT,
             )
             self.assertIs(result.status, fleet.OrderStatus.MAY_HAVE_RUN)
-            await self.session.close()
-            self.session = aiohttp.ClientSession()
-            link = workers.HttpWorkerLink(
-                self.session, None, clocks.SystemClock(), metrics.Metrics()
-            )
+            await link.close()
 
 
 class SlowWorkerTest(WorkerLinkTestCase):
--- a/tests/scheduling/test_lease_safety.py
+++ b/tests/scheduling/test_lease_safety.py
@@ -215,8 +215,11 @@
 
         async def start_shortened(address, order, timeout):
             if address.worker_id == "w1":
+                # No link keeps it from the new incarnation.
                 deadline_ms = shorten(order.deadline_ms)
-                order = dataclasses.replace(order, deadline_ms=deadline_ms)
+                order = dataclasses.replace(
+                    order, deadline_ms=deadline_ms, born_ms=0
+                )
             return await start(address, order, timeout)
 
         async def renew_shortened(address, order, timeout):
--- a/tests/scheduling/test_reborn_takeover.py
+++ b/tests/scheduling/test_reborn_takeover.py
@@ -1,5 +1,6 @@
 """A scheduler is replaced while workers that have restarted are cut off."""
 
+import dataclasses
 from unittest import mock
 
 from cardamomcroft.ports import fleet
@@ -78,3 +79,88 @@
         self.assertTrue(
             [i for i in self.fleet.intervals if i.end is fleet.End.LAPSED]
         )
+
+
+class RestartWithoutTakeoverTest(RebornTakeoverTestCase):
+    """The holder lives on."""
+
+    async def test_unlisted_incarnation_runs_nothing_meant_for_the_former(
+        self,
+    ):
+        """It is cut off, and its holder dies, before it has an entry."""
+        self.add_workers(1)
+        self.start_node("a")
+        self.start_node("b")
+        await self.pass_time(5)
+        self.restart("w1")
+        started = []
+        start = self.fleet.start
+
+        async def record_start(address, order, timeout):
+            result = await start(address, order, timeout)
+            started.append(result.status)
+            return result
+
+        with mock.patch.object(self.fleet, "start", record_start):
+            self.submit(harness.make_step())
+            await self.wait_until(lambda: started)
+        self.assertEqual(started[0], fleet.OrderStatus.RESTARTED)
+        self.fleet.workers_by_id["w1"].is_cut = True
+        self.kill(self.holder())
+        self.store.put(store.Stream.SERVERS, "w1", None)
+        self.add_workers(1)
+        await self.wait_until(lambda: self.fleet.running(), 30)
+
+    async def test_second_restart_within_a_lease_is_handled(self):
+        """The worker is cut off after it, and the holder dies."""
+        await self.run_with_lost_answer()
+        self.start_node("b")
+        self.restart_listed("w1")
+        await self.wait_until(lambda: self.fleet.running())
+        self.restart_listed("w1")
+        await self.wait_until(lambda: self.fleet.running())
+        await self.pass_time(0.3)
+        self.kill("a")
+        self.fleet.workers_by_id["w1"].is_cut = True
+        self.add_workers(1)
+        await self.wait_until(
+            lambda: "w2" in [worker for _, worker in self.fleet.running()], 30
+        )
+
+    async def test_restart_is_known_although_the_time_of_day_went_back(self):
+        """The new incarnation has an earlier birth."""
+        await self.run_with_lost_answer()
+        self.restart("w1")
+        for holder in (self.listings, self.fleet.workers_by_id):
+            self.assertIn("w1", holder)
+        listing = dataclasses.replace(self.listings["w1"], born_ms=-5)
+        self.listings["w1"] = listing
+        self.fleet.workers_by_id["w1"].listing = listing
+        self.store.put(store.Stream.SERVERS, "w1", b"reborn")
+        await self.wait_until(lambda: self.fleet.running(), 6)
+
+    async def test_answer_of_the_former_incarnation_sets_no_clock(self):
+        """It arrives after the new entry has been read."""
+        self.add_workers(1)
+        node = self.start_node("a")
+        await self.pass_time(20)
+        start = self.fleet.start
+        answered = []
+
+        async def answer_late(address, order, timeout):
+            result = await start(address, order, timeout)
+            if not answered:
+                answered.append(result)
+                self.restart_listed("w1")
+                await self.clock.sleep(harness.seconds(0.3))
+            return result
+
+        self.fleet.start = answer_late
+        self.submit(harness.make_step())
+        await self.wait_until(lambda: answered)
+        await self.pass_time(1)
+        worker = node.scheduler.cluster.workers_by_id["w1"]
+        now = self.clock.monotonic()
+        clock_ms = self.fleet.workers_by_id["w1"].clock_ms()
+        self.assertGreater(answered[0].clock_ms, clock_ms)
+        self.assertLessEqual(worker.clock_floor(now), clock_ms)
--- a/tests/standin/test_platform.py
+++ b/tests/standin/test_platform.py
@@ -3,8 +3,7 @@
 import datetime
 import unittest
 
-import aiohttp
-
+from cardamomcroft.platform import connections
 from cardamomcroft.platform import workers
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
@@ -26,13 +25,12 @@
         self.platform = platform.PlatformServer(clock, TIMEOUT)
         await self.platform.listen()
         self.addAsyncCleanup(self.platform.close)
-        session = aiohttp.ClientSession()
-        self.addAsyncCleanup(session.close)
         await self.platform.listen_for_worker(WORKER, "r7")
         self.listing = workers.decode_listing(self.records()[-1])
         self.link = workers.HttpWorkerLink(
-            session, None, clock, metrics.Metrics()
+            connections.WorkerConnector(30.0), None, clock, metrics.Metrics()
         )
+        self.addAsyncCleanup(self.link.close)
 
     def records(self) -> list[store.Record]:
         """Return what was stored about workers."""
