Fence a worker's new incarnation from orders for the former one

The protocol lets an order without an answer be carried out seconds later. After a restart under the same id the new incarnation has seen no fencing token, so a late start or renewal of the same holder was accepted there, with a deadline of the former clock, although the holder had found the run absent and started the task again.

After a restart the holder's orders to that worker carry a higher token: the offset of a later record of its own, which is lower than the claim of any successor. An inventory counts only when it has been asked for with that token. An own order that is refused for the lower token loses no claim.

test_start_for_the_former_incarnation_is_refused failed before: the late start was answered with "done".

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -77,6 +77,7 @@
         self.workers_by_id: dict[str, runs.Worker] = {}
         self.durations = estimates.Durations()
         self.open_gangs: set[runs.StepState] = set()  # lack refused members
+        self._raised_tokens_by_worker: dict[str, int] = {}
         self.changed = asyncio.Event()
         self.is_closed = False  # the scheduler has ended
         self._tasks: set[asyncio.Task] = set()
@@ -86,6 +87,27 @@
         """Return the fencing token."""
         return self.journal.claim.epoch + 1
 
+    def token_for(self, worker: runs.Worker) -> int:
+        """Return the fencing token of orders to a worker.
+
+        After a restart it is higher than before, so that the new incarnation
+        refuses what was meant for the former one. The offset of a later record
+        of this scheduler is lower than the claim of any successor.
+        """
+        worker_id = worker.worker_id
+        token = self._raised_tokens_by_worker.get(worker_id, self.token)
+        newer = self.journal.newest_offset + 1
+        if token <= worker.former_token < newer:
+            token = self._raised_tokens_by_worker[worker_id] = newer
+        return token
+
+    def is_superseded(self, worker: runs.Worker, token: int) -> bool:
+        """Return whether a worker that refused a token has a successor's.
+
+        Another order may have brought a higher token of this scheduler.
+        """
+        return token == self.token_for(worker)
+
     @property
     def is_claim_confirmed(self) -> bool:
         """Return whether starts may be ordered under the claim."""
--- a/cardamomcroft/scheduling/journal.py
+++ b/cardamomcroft/scheduling/journal.py
@@ -72,6 +72,8 @@
         self.is_claim_lost = False
         self.is_released = False  # others may claim at once
         self.confirmed_at = clock.monotonic()
+        # Of this holder's newest append; a successor's claim has a higher one.
+        self.newest_offset = claim.epoch
         self.forecast_waits: collections.abc.Callable[[], dict] = dict
         self.on_claim_lost: collections.abc.Callable[[], None] | None = None
 
@@ -196,6 +198,7 @@
                 if tries:
                     self._log.emit("append_answered", tries=tries + 1)
                 self.confirmed_at = first_sent_at
+                self.newest_offset = max(self.newest_offset, result.offset)
                 return True
             if result.status is store.AppendStatus.OUT_OF_SEQUENCE:
                 return result.expected_sequence == self._sequence + 1
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -110,6 +110,7 @@
             result = await self._link.start(worker.address, order, timeout)
             if worker.born_ms == order.born_ms:
                 self._record_contact(worker, order, result)
+            result = self._settle_fence(worker, order, result)
             if result.status in _REFUSED and not is_first:
                 # The unanswered order may still be carried out.
                 return fleet.OrderResult(
@@ -144,6 +145,20 @@
         elif result.status is Status.RESTARTED:
             worker.has_inventory = False  # a poll shows the new incarnation
 
+    def _settle_fence(
+        self,
+        worker: runs.Worker,
+        order: fleet.StartOrder,
+        result: fleet.OrderResult,
+    ) -> fleet.OrderResult:
+        """Return the outcome of a start that a later order may have fenced."""
+        if (
+            result.status is not Status.STALE_TOKEN
+            or self._cluster.is_superseded(worker, order.token)
+        ):
+            return result
+        return fleet.OrderResult(Status.NOT_RUN, detail="token raised")
+
     def _start_order(
         self, worker: runs.Worker, run: runs.Run
     ) -> fleet.StartOrder:
@@ -156,7 +171,7 @@
             run.number,
             run.step.job.job.payload,
             worker.grant_start_lease(now),
-            self._cluster.token,
+            self._cluster.token_for(worker),
             run.checkpoint,
             ticket,
             worker.born_ms,
@@ -269,11 +284,13 @@
     async def _try_stop(self, run: runs.Run) -> bool:
         """Order a run to stop once; return whether to leave it at that."""
         worker = self._cluster.workers_by_id[run.worker_id]
-        token = self._cluster.token
+        token = self._cluster.token_for(worker)
         result = await self._link.stop(
             worker.address, run.name, run.number, token, ORDER_TIMEOUT
         )
         if result.status is Status.STALE_TOKEN:
+            if not self._cluster.is_superseded(worker, token):
+                return False
             self._cluster.journal.lose_claim(
                 "worker has a newer fencing token"
             )
@@ -309,7 +326,7 @@
                 worker.address,
                 task,
                 number,
-                self._cluster.token,
+                self._cluster.token_for(worker),
                 ORDER_TIMEOUT,
             )
         finally:
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -322,6 +322,7 @@
         self.lease_expires_at: datetime.timedelta | None = None
         self.unheard_lease = _ZERO  # the longest that an order may have left
         self.has_overlong_lease = False  # beyond what a successor counts
+        self.former_token = 0  # of orders for former incarnations
         self.former_births: set[int] = set()
         self.unreachable_since: datetime.timedelta | None = None
         self.heard_at: datetime.timedelta | None = None  # its last answer
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -121,6 +121,7 @@
         fresh = runs.Worker(worker.address, born_ms)
         if born_ms != worker.born_ms:
             worker.former_births.add(worker.born_ms)
+            worker.former_token = self._cluster.token_for(worker)
         worker.born_ms = born_ms
         for name in (
             "received_end",
@@ -245,7 +246,7 @@
         if lease:
             wait = min(wait, max(lease - RENEWAL_MARGIN, SHORT_POLL_PAUSE))
         order = fleet.LeaseRenewal(
-            self._cluster.token,
+            self._cluster.token_for(worker),
             worker.durable_end,
             deadline_ms,
             wait,
@@ -283,6 +284,10 @@
     ) -> None:
         worker.unanswered_polls = 0
         worker.heard_at = self._clock.monotonic()
+        if order.token <= worker.former_token:
+            # Orders for the former incarnation may still be carried out.
+            await self._clock.sleep(RETRY_PAUSE)
+            return
         if inventory.is_renewed:
             self._cluster.check_lease(
                 worker, order.deadline_ms, inventory.clock_ms
@@ -322,9 +327,10 @@
         if result.status is fleet.OrderStatus.MAY_HAVE_RUN:
             worker.unanswered_polls += 1
         if result.status is fleet.OrderStatus.STALE_TOKEN:
-            self._cluster.journal.lose_claim(
-                "worker has a newer fencing token"
-            )
+            if self._cluster.is_superseded(worker, order.token):
+                self._cluster.journal.lose_claim(
+                    "worker has a newer fencing token"
+                )
             return
         self._cluster.record_silence(worker, result)
         if result.status is fleet.OrderStatus.OTHER_INCARNATION:
--- a/tests/scheduling/test_reborn_takeover.py
+++ b/tests/scheduling/test_reborn_takeover.py
@@ -84,6 +84,29 @@
 class RestartWithoutTakeoverTest(RebornTakeoverTestCase):
     """The holder lives on."""
 
+    async def test_start_for_the_former_incarnation_is_refused(self):
+        """Once the new one has answered; the holder keeps its claim."""
+        self.add_workers(1)
+        self.start_node("a")
+        await self.wait_until(self.holder)
+        late = []
+
+        async def lose_start(address, order, timeout):
+            late.append(order)
+            await self.clock.sleep(timeout)
+            return test_lease_safety.UNANSWERED
+
+        with mock.patch.object(self.fleet, "start", lose_start):
+            self.submit(harness.make_step())
+            await self.wait_until(lambda: late)
+            self.restart_listed("w1")
+        await self.wait_until(lambda: self.fleet.running())
+        worker = self.fleet.workers_by_id["w1"]
+        result = self.fleet._start(worker, late[0])
+        self.assertIs(result.status, fleet.OrderStatus.STALE_TOKEN)
+        await self.pass_time(3)
+        self.assertEqual(self.holder(), "a")
+
     async def test_unlisted_incarnation_runs_nothing_meant_for_the_former(
         self,
     ):
