Record that a worker's incarnation is in doubt

What a holder knew of a restart was lost with it: that an order for the former incarnation may have been carried out by the new one, with the longest hold that workers allow (10 s). A successor counted 6.1 to 7.7 s for every worker.

The record of a worker's runs names no incarnation (0) from the restart on until the longest hold after the first answer under the higher token has passed. For such a worker a successor counts the longest hold, from its predecessor's last record or from its own start; for all others what it counts today.

Failing before: test_successor_counts_the_longest_hold ("task runs twice"), test_restart_delays_the_tasks_of_its_worker_only (7.6 s for both workers), test_doubt_ends_once_no_earlier_order_can_act.

--- a/cardamomcroft/scheduling/candidate.py
+++ b/cardamomcroft/scheduling/candidate.py
@@ -10,6 +10,7 @@
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import events
+from cardamomcroft.scheduling import inheriting
 from cardamomcroft.scheduling import journal
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import replica as replicas
@@ -89,9 +90,9 @@
         """Return when a claim of this process was sent."""
         return self._sent_at_by_epoch[claim.epoch]
 
-    def inherited_leases_end_at(
+    def inherited_leases(
         self, parameters: cluster_state.SchedulingParameters
-    ) -> datetime.timedelta:
+    ) -> inheriting.InheritedLeases:
         """Return when all leases of earlier schedulers have ended.
 
         An earlier process of this instance has ended before this one began.
@@ -101,9 +102,16 @@
         ledger = self._replica.ledger
         predecessor = ledger.predecessor
         if predecessor and self._is_of_this_instance(predecessor):
-            return self._started_at + parameters.dead_lease
+            return inheriting.InheritedLeases(
+                self._started_at + parameters.dead_lease,
+                self._started_at + parameters.reborn_lease,
+            )
         seen_at = ledger.predecessor_seen_at or self._clock.monotonic()
-        return seen_at + parameters.predecessor_lease
+        return inheriting.InheritedLeases(
+            seen_at + parameters.predecessor_lease,
+            seen_at
+            + max(parameters.predecessor_lease, parameters.reborn_lease),
+        )
 
     def _is_of_this_instance(self, claim: codec.Claim) -> bool:
         """Return whether an earlier process of this instance claimed."""
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -236,7 +236,7 @@
     """Record of the runs that a worker may have."""
 
     host_port: str
-    born_ms: int
+    born_ms: int  # 0 while orders for a former incarnation may act
     runs_by_task: dict[str, int]
 
 
--- a/cardamomcroft/scheduling/inheriting.py
+++ b/cardamomcroft/scheduling/inheriting.py
@@ -1,6 +1,7 @@
 """Take over runs that an earlier scheduler may have started."""
 
 import asyncio
+import dataclasses
 import datetime
 
 from cardamomcroft.ports import fleet
@@ -10,14 +11,23 @@
 from cardamomcroft.scheduling import runs
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InheritedLeases:
+    """Bound the leases that orders of earlier schedulers may have granted."""
+
+    end_at: datetime.timedelta
+    # On workers whose incarnation is in doubt, where orders for a former one
+    # may be carried out.
+    doubtful_end_at: datetime.timedelta
+
+
 async def inherit(
     cluster: cluster_state.ClusterState,
     ledger: ledgers.Ledger,
-    lease_expires_at: datetime.timedelta,
+    leases: InheritedLeases,
 ) -> list[runs.Worker]:
     """Return the workers that may have runs, still without inventories.
 
-    All leases that earlier schedulers granted end by ``lease_expires_at``.
     Other tasks have a turn after each worker.
     Only the newest recorded run of a task can still exist: earlier ones had
     certainly ended before it was recorded.
@@ -26,8 +36,7 @@
     for worker_id, known in list(ledger.assignments_by_worker.items()):
         await asyncio.sleep(0)
         worker = _make_worker(worker_id, known)
-        worker.lease_expires_at = lease_expires_at
-        worker.unheard_lease = cluster.parameters.lease
+        _inherit_leases(worker, leases, cluster.parameters)
         cluster.workers_by_id[worker_id] = worker
         for name, number in known.runs_by_task.items():
             if latest[name] == (number, worker_id):
@@ -60,6 +69,20 @@
     return worker
 
 
+def _inherit_leases(
+    worker: runs.Worker,
+    leases: InheritedLeases,
+    parameters: cluster_state.SchedulingParameters,
+) -> None:
+    if worker.born_ms:
+        worker.lease_expires_at = leases.end_at
+        worker.unheard_lease = parameters.lease
+    else:
+        worker.lease_expires_at = leases.doubtful_end_at
+        worker.unheard_lease = parameters.max_hold
+        worker.doubt_ends_at = datetime.timedelta.max
+
+
 def _inherit_run(
     cluster: cluster_state.ClusterState,
     worker: runs.Worker,
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -125,7 +125,7 @@
             self._log,
             parameters,
             self._guarantees,
-            self._candidate.inherited_leases_end_at(parameters),
+            self._candidate.inherited_leases(parameters),
         )
         self._scheduler_task = asyncio.ensure_future(self._run_scheduler())
 
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -324,6 +324,9 @@
         self.has_overlong_lease = False  # beyond what a successor counts
         self.former_token = 0  # of orders for former incarnations
         self.former_births: set[int] = set()
+        # Until this time, orders for a former incarnation may act on this one,
+        # of which a successor has to know; None if there was none.
+        self.doubt_ends_at: datetime.timedelta | None = None
         self.unreachable_since: datetime.timedelta | None = None
         self.heard_at: datetime.timedelta | None = None  # its last answer
         self.avoid_until = _ZERO
@@ -408,14 +411,19 @@
             )
         return self.granted_deadline_ms
 
-    def record_first_inventory(self, clock_ms: int) -> None:
+    def record_first_inventory(
+        self, clock_ms: int, now: datetime.timedelta
+    ) -> None:
         """Count the lease that an earlier order may have granted.
 
-        From now on the worker refuses the orders of earlier schedulers.
+        From now on the worker refuses the orders of earlier schedulers, and
+        those for former incarnations.
         """
         self.has_inventory = True
         deadline = round(clock_ms + self.unheard_lease / _MS)
         self.lease_deadline_ms = max(self.lease_deadline_ms, deadline)
+        if self.doubt_ends_at is not None:
+            self.doubt_ends_at = now + self.unheard_lease / MIN_CLOCK_RATE
 
     def grant_start_lease(self, now: datetime.timedelta) -> int:
         """Return a start's deadline, no later than the run needs.
@@ -448,10 +456,13 @@
         return models.Demand(cores, memory, accelerators)
 
     def assignment(self) -> codec.Assignment:
-        """Return the durable record of the worker's runs."""
+        """Return the durable record of the worker's runs.
+
+        It names no incarnation while that is in doubt.
+        """
         return codec.Assignment(
             self.address.host_port,
-            self.born_ms,
+            self.born_ms if self.doubt_ends_at is None else 0,
             {
                 name: run.number
                 for runs_by_task in (
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -56,12 +56,11 @@
         log: events.Events,
         parameters: cluster_state.SchedulingParameters,
         guarantees: collections.abc.Callable[[], dict[str, int]],
-        inherited_leases_end_at: datetime.timedelta,
+        inherited_leases: inheriting.InheritedLeases,
     ) -> None:
         """Assemble the components; ``run`` starts them.
 
         ``guarantees`` returns the accelerators guaranteed to each account.
-        Earlier schedulers granted no lease beyond the time given.
         """
         self._replica = replica
         self.journal = journal
@@ -69,7 +68,7 @@
         self._clock = clock
         self._log = log
         self._guarantees = guarantees
-        self._inherited_leases_end_at = inherited_leases_end_at
+        self._inherited_leases = inherited_leases
         self.cluster = cluster_state.ClusterState(
             journal, clock, log, parameters
         )
@@ -130,7 +129,7 @@
                 self._admit(job_id)
         self._ending.record_leftovers()
         inherited = await inheriting.inherit(
-            self.cluster, self._replica.ledger, self._inherited_leases_end_at
+            self.cluster, self._replica.ledger, self._inherited_leases
         )
         for worker in inherited:
             self._poller.ensure_polling(worker)
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -96,6 +96,7 @@
             and not (run.has_lost_order or run.is_inherited)
         ]
         now = self._clock.monotonic()
+        worker.doubt_ends_at = datetime.timedelta.max
         self._drop_lost_runs(worker, listed, "worker restarted")
         for run in worker.runs_by_task.values():
             if run.phase in (runs.Phase.AT_WORK, runs.Phase.INHERITED):
@@ -378,7 +379,7 @@
             worker.unreachable_since = None
             self._log.emit("worker_regained", worker_id=worker.worker_id)
         if not worker.has_inventory:
-            worker.record_first_inventory(inventory.clock_ms)
+            worker.record_first_inventory(inventory.clock_ms, now)
             self._cluster.wake()
         self._apply_ends(worker, inventory)
         # A run whose end could not be applied is not absent.
@@ -553,12 +554,21 @@
             queue = step.job.job.queue.name
             self._cluster.durations.observe(queue, step.model, actual)
 
+    def _end_doubt(self, worker: runs.Worker, now: datetime.timedelta) -> None:
+        """Name the incarnation in the record again once it is certain."""
+        if worker.doubt_ends_at is None or now < worker.doubt_ends_at:
+            return
+        worker.doubt_ends_at = None
+        if worker.has_assignment_record:
+            self._cluster.stage_assignment(worker)
+
     def expire_leases(self) -> None:
         """Drop the runs of workers with expired leases that aren't heard."""
         now = self._clock.monotonic()
         for worker in list(self._cluster.workers_by_id.values()):
             if self._needs_polling(worker):
                 self.ensure_polling(worker)
+            self._end_doubt(worker, now)
             if not _is_unheard(worker, now):
                 continue
             if not worker.has_lease_expired(now):
--- a/tests/scheduling/test_reborn_takeover.py
+++ b/tests/scheduling/test_reborn_takeover.py
@@ -5,6 +5,8 @@
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import ledger as ledgers
 from tests.scheduling import harness
 from tests.scheduling import test_lease_safety
 
@@ -81,6 +83,132 @@
         )
 
 
+class DoubtfulIncarnationTest(RebornTakeoverTestCase):
+    """A new incarnation carries out a start that was for the former one."""
+
+    async def restart_with_late_start(self) -> None:
+        """Let a start name the former clock and reach the new incarnation."""
+        self.add_workers(1)
+        self.start_node("a")
+        self.start_node("b")
+        await self.pass_time(20)  # the former clock is far ahead of the new
+        late = []
+
+        async def lose_start(address, order, timeout):
+            late.append(order)
+            await self.clock.sleep(timeout)
+            return test_lease_safety.UNANSWERED
+
+        with mock.patch.object(self.fleet, "start", lose_start):
+            self.submit(harness.make_step())
+            await self.wait_until(lambda: late)
+            self.restart("w1")
+        worker = self.fleet.workers_by_id["w1"]
+        longest_ms = harness.PARAMETERS.max_hold.total_seconds() * 1000
+        deadline_ms = worker.clock_ms() + round(longest_ms)
+        self.assertGreater(late[0].deadline_ms, deadline_ms)
+        late_start = dataclasses.replace(late[0], deadline_ms=deadline_ms)
+        self.fleet._start(worker, late_start)
+        self.store.put(store.Stream.SERVERS, "w1", b"reborn")
+
+    async def test_successor_counts_the_longest_hold(self):
+        """The holder, which knew of the restart, dies; the worker is cut."""
+        await self.restart_with_late_start()
+        await self.pass_time(1)
+        self.kill(self.holder())
+        self.fleet.workers_by_id["w1"].is_cut = True
+        self.add_workers(1)
+        took = await self.wait_until(
+            lambda: "w2" in [worker for _, worker in self.fleet.running()], 30
+        )
+        self.assertGreater(took, 8)
+        self.assertLess(took, 12)
+
+    async def test_doubt_outlasts_two_takeovers(self):
+        """The first successor dies before it has heard the worker."""
+        await self.restart_with_late_start()
+        await self.pass_time(0.5)
+        self.fleet.workers_by_id["w1"].is_cut = True
+        self.kill(self.holder())
+        await self.wait_until(self.holder)
+        first = self.holder()
+        self.start_node("c")
+        await self.pass_time(0.5)
+        self.kill(first)
+        self.add_workers(1)
+        await self.wait_until(
+            lambda: "w2" in [worker for _, worker in self.fleet.running()], 30
+        )
+
+    async def test_doubt_ends_once_no_earlier_order_can_act(self):
+        """The record names the incarnation again."""
+        await self.restart_with_late_start()
+        await self.wait_until(lambda: self.recorded_birth() == 0)
+        took = await self.wait_until(lambda: self.recorded_birth() == 2)
+        self.assertLess(took, 11)
+        self.assertGreater(took, 9)
+
+    def recorded_birth(self) -> int:
+        """Return the incarnation that the worker's record names."""
+        key = ledgers.Kind.ASSIGNMENT.key("w1")
+        values = [
+            record.value
+            for record in self.store.records_by_stream[store.Stream.JOBS]
+            if record.key == key
+        ]
+        return codec.decode_assignment(values[-1]).born_ms
+
+
+class TakeoverCostTest(RebornTakeoverTestCase):
+    """Only tasks of workers in doubt wait longer after a takeover."""
+
+    async def waits_by_worker(self, restarts: bool) -> dict[str, float]:
+        """Return how long the tasks of two workers wait after a takeover."""
+        self.add_workers(2)
+        self.start_node("a")
+        self.start_node("b")
+        await self.wait_until(self.holder)
+        if restarts:
+            self.restart_listed("w1")
+            await self.pass_time(0.5)
+        for _ in range(2):
+            self.submit(harness.make_step(accelerators=8))
+        await self.wait_until(lambda: len(self.fleet.running()) == 2)
+        await self.pass_time(1)
+        task_by_worker = {
+            worker: task for task, worker in self.fleet.running()
+        }
+        for worker in task_by_worker:
+            self.fleet.workers_by_id[worker].is_cut = True
+        self.kill(self.holder())
+        self.add_workers(2)
+        began = self.clock.monotonic()
+        waits = {}
+        while len(waits) < 2:
+            await self.pass_time(harness.STEP.total_seconds())
+            running = dict(self.fleet.running())
+            for worker, task in task_by_worker.items():
+                if running.get(task) in ("w3", "w4"):
+                    took = self.clock.monotonic() - began
+                    waits.setdefault(worker, took.total_seconds())
+            self.assertLess(
+                self.clock.monotonic() - began, harness.seconds(30)
+            )
+        return waits
+
+    async def test_takeover_without_a_restart_waits_for_the_horizon(self):
+        """That is 7.7 s after the predecessor's last record."""
+        waits = await self.waits_by_worker(restarts=False)
+        self.assertLess(max(waits.values()), 8.2)
+
+    async def test_restart_delays_the_tasks_of_its_worker_only(self):
+        """By the longest hold instead of the horizon."""
+        waits = await self.waits_by_worker(restarts=True)
+        self.assertLess(waits["w2"], 8.2)
+        self.assertGreater(waits["w1"], waits["w2"] + 1)
+        self.assertLess(waits["w1"], 10.8)
+
+
 class RestartWithoutTakeoverTest(RebornTakeoverTestCase):
     """The holder lives on."""
 
