Give the workers of the slow-poll test addresses of their own

On the platform each worker has one. Since connections are kept for the incarnation that answered on them, twenty workers behind one address no longer share connections, and greeting each of them moved the long lists again and again (18 of 20 workers not heard in 15 s). The lists, the links and the bounds are as before.

--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -152,13 +152,17 @@
         host, port = listener.getsockname()
         return site, f"{host}:{port}"
 
-    async def listen_for_worker(self, worker_id: str, rack: str) -> None:
-        """Register a worker of a rack that has a port of its own."""
+    async def listen_for_worker(self, worker_id: str, rack: str) -> str:
+        """Register a worker of a rack on a port of its own.
+
+        Return its address.
+        """
         site, address = await self._open_site()
         self._sites_by_worker[worker_id] = site
         self._addresses_by_worker[worker_id] = address
         self._transports_by_worker[worker_id] = set()
         self._register(worker_id, self.fleet.add(worker_id, rack=rack))
+        return address
 
     async def end_worker(self, worker_id: str, refuses: bool) -> None:
         """End a worker for good, as a host or, if it refuses, a process.
--- a/tests/platform/test_slow_polls.py
+++ b/tests/platform/test_slow_polls.py
@@ -31,7 +31,7 @@
         await self.platform.listen()
         self.platform.configure(test_path.configuration(1, ["k1"]))
         for number in range(WORKERS):
-            self._add_worker(f"w{number}")
+            await self._add_worker(f"w{number}")
         self.cluster = cluster.Cluster(self.platform)
 
     async def asyncTearDown(self):
@@ -39,8 +39,8 @@
         await self.cluster.close()
         await self.platform.close()
 
-    def _add_worker(self, worker_id: str) -> None:
-        self.platform.add_worker(worker_id)
+    async def _add_worker(self, worker_id: str) -> None:
+        address = await self.platform.listen_for_worker(worker_id, "r1")
         worker = self.platform.fleet.workers_by_id[worker_id]
         worker.end_count = ENDS
         worker.finished = [
@@ -49,9 +49,7 @@
             )
             for number in range(1, ENDS + 1)
         ]
-        record = codec.Assignment(
-            self.platform.address, worker.listing.born_ms, {}
-        )
+        record = codec.Assignment(address, worker.listing.born_ms, {})
         self.platform.store.put(
             store.Stream.JOBS,
             ledgers.Kind.ASSIGNMENT.key(worker_id),
