Give the handling of workers' restarts a module of its own

A start that is answered at its second try counts as no silence again, as before the connections were bound to incarnations.

--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -39,6 +39,7 @@
         Status.NOT_RUN,
     }
 )
+_SILENT = frozenset({Status.MAY_HAVE_RUN, Status.UNREACHED})
 
 
 class OrderSender:
@@ -108,14 +109,16 @@
         for timeout in START_TIMEOUTS:
             order = self._start_order(worker, run)
             result = await self._link.start(worker.address, order, timeout)
-            if worker.born_ms == order.born_ms:
+            is_current = worker.born_ms == order.born_ms
+            if is_current:
                 self._record_contact(worker, order, result)
             result = self._settle_fence(worker, order, result)
             if result.status in _REFUSED and not is_first:
                 # The unanswered order may still be carried out.
-                return fleet.OrderResult(
+                result = fleet.OrderResult(
                     Status.MAY_HAVE_RUN, result.clock_ms, result.detail
                 )
+                break
             if (
                 result.status is not Status.MAY_HAVE_RUN
                 or run.phase is not runs.Phase.STARTING
@@ -124,6 +127,9 @@
                 break
             is_first = False
             run.has_lost_order = True
+        if is_current and result.clock_ms is None:
+            if result.status in _SILENT:
+                self._cluster.record_silence(worker, result)
         return result
 
     def _record_contact(
@@ -140,8 +146,6 @@
             self._cluster.check_lease(
                 worker, order.deadline_ms, result.clock_ms
             )
-        elif result.status in (Status.MAY_HAVE_RUN, Status.UNREACHED):
-            self._cluster.record_silence(worker, result)
         elif result.status is Status.RESTARTED:
             worker.has_inventory = False  # a poll shows the new incarnation
 
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -8,6 +8,7 @@
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import orders as order_senders
+from cardamomcroft.scheduling import restarts
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import stragglers
 
@@ -45,6 +46,9 @@
         """Poll over ``link`` and apply the answers to ``cluster``."""
         self._cluster = cluster
         self._orders = orders
+        self._restarts = restarts.Restarts(
+            cluster, orders, self.ensure_polling
+        )
         self._link = link
         self._clock = cluster.clock
         self._log = cluster.log
@@ -65,7 +69,7 @@
         if not worker.born_ms:
             worker.born_ms = listing.born_ms
         elif worker.is_born_later(listing):
-            self._handle_new_incarnation(worker, listing.born_ms)
+            self._restarts.handle_restart(worker, listing.born_ms)
         elif listing.born_ms != worker.born_ms:
             return
         worker.address = listing.address
@@ -73,97 +77,6 @@
         worker.listed_at = now
         worker.record_clock(listing.clock_ms, now)
 
-    def _handle_new_incarnation(
-        self, worker: runs.Worker, born_ms: int
-    ) -> None:
-        """Drop the predecessor's runs; ask the new incarnation for others.
-
-        An order without an answer may still be carried out there, with a
-        deadline of the former clock, until it has seen a higher token. What
-        the predecessor listed is lost with it.
-        """
-        self._log.emit(
-            "worker_reborn",
-            worker_id=worker.worker_id,
-            born_ms=born_ms,
-            runs=len(worker.runs_by_task),
-        )
-        self._reset_incarnation(worker, born_ms)
-        listed = [
-            run
-            for run in worker.runs_by_task.values()
-            if run.reported_at is not None
-            and not (run.has_lost_order or run.is_inherited)
-        ]
-        now = self._clock.monotonic()
-        worker.doubt_ends_at = datetime.timedelta.max
-        self._drop_lost_runs(worker, listed, "worker restarted")
-        for run in worker.runs_by_task.values():
-            if run.phase in (runs.Phase.AT_WORK, runs.Phase.INHERITED):
-                run.phase = runs.Phase.INHERITED
-                run.absence_valid_from = now
-        worker.has_inventory = False
-        worker.lease_expires_at = now + self._cluster.parameters.reborn_lease
-        worker.unheard_lease = self._cluster.parameters.max_hold
-        self.ensure_polling(worker)
-
-    def _handle_replaced_worker(self, worker: runs.Worker) -> None:
-        """Drop the runs of a worker whose address now belongs to another."""
-        self._reset_incarnation(worker, worker.born_ms)
-        self._drop_lost_runs(
-            worker,
-            list(worker.runs_by_task.values()),
-            "address reassigned to another worker",
-        )
-
-    def _reset_incarnation(self, worker: runs.Worker, born_ms: int) -> None:
-        if worker.poll_call is not None:
-            worker.poll_call.cancel()  # its silence is of the predecessor
-        fresh = runs.Worker(worker.address, born_ms)
-        if born_ms != worker.born_ms:
-            worker.former_births.add(worker.born_ms)
-            worker.former_token = self._cluster.token_for(worker)
-        worker.born_ms = born_ms
-        for name in (
-            "received_end",
-            "durable_end",
-            "acknowledged_end",
-            "applied_ends",
-            "commit",
-            "ended_job_ids",
-            "unanswered_polls",
-            "granted_deadline_ms",
-            "lease_deadline_ms",
-            "lease_expires_at",
-            "heard_at",
-            "has_overlong_lease",
-        ):
-            setattr(worker, name, getattr(fresh, name))
-        worker.reset_clock()
-        worker.has_inventory = True
-        worker.unreachable_since = None
-
-    def _drop_lost_runs(
-        self, worker: runs.Worker, lost: list[runs.Run], reason: str
-    ) -> None:
-        for run in lost:
-            self._log.emit(
-                "run_lost",
-                task=run.name,
-                run=run.number,
-                worker_id=worker.worker_id,
-                reason=reason,
-            )
-            self._cluster.detach(run)
-            self._stop_gang_of(run, reason)
-        if worker.has_assignment_record:
-            self._cluster.stage_assignment(worker)
-
-    def _stop_gang_of(self, run: runs.Run, reason: str) -> None:
-        step = run.step
-        if step.model.is_gang and not step.is_done:
-            self._orders.stop_gang(step, reason)
-
     async def _poll(self, worker: runs.Worker) -> None:
         try:
             while self._needs_polling(worker):
@@ -272,7 +185,7 @@
         now = self._clock.monotonic()
         worker.unanswered_polls = 0
         if worker.born_ms:
-            self._handle_new_incarnation(worker, inventory.born_ms)
+            self._restarts.handle_restart(worker, inventory.born_ms)
         worker.born_ms = inventory.born_ms
         worker.record_clock(inventory.clock_ms, now)
 
@@ -335,7 +248,7 @@
             return
         self._cluster.record_silence(worker, result)
         if result.status is fleet.OrderStatus.OTHER_INCARNATION:
-            self._handle_replaced_worker(worker)
+            self._restarts.handle_replacement(worker)
         await self._clock.sleep(RETRY_PAUSE)
 
     async def _wait_until_durable(self, worker: runs.Worker) -> None:
@@ -471,7 +384,7 @@
             phase=run.phase.value,
         )
         self._cluster.detach(run)
-        self._stop_gang_of(run, "gang member absent from inventory")
+        self._restarts.stop_gang_of(run, "gang member absent from inventory")
 
     def _handle_completion(
         self, worker: runs.Worker, finished: fleet.FinishedTask
@@ -495,7 +408,7 @@
         if is_current:
             self._cluster.detach(run)
             if finished.end is not fleet.End.DONE:
-                self._stop_gang_of(run, finished.end.value)
+                self._restarts.stop_gang_of(run, finished.end.value)
 
     def _record_completion(
         self,
@@ -554,21 +467,13 @@
             queue = step.job.job.queue.name
             self._cluster.durations.observe(queue, step.model, actual)
 
-    def _end_doubt(self, worker: runs.Worker, now: datetime.timedelta) -> None:
-        """Name the incarnation in the record again once it is certain."""
-        if worker.doubt_ends_at is None or now < worker.doubt_ends_at:
-            return
-        worker.doubt_ends_at = None
-        if worker.has_assignment_record:
-            self._cluster.stage_assignment(worker)
-
     def expire_leases(self) -> None:
         """Drop the runs of workers with expired leases that aren't heard."""
         now = self._clock.monotonic()
         for worker in list(self._cluster.workers_by_id.values()):
             if self._needs_polling(worker):
                 self.ensure_polling(worker)
-            self._end_doubt(worker, now)
+            self._restarts.end_doubt(worker, now)
             if not _is_unheard(worker, now):
                 continue
             if not worker.has_lease_expired(now):
@@ -576,7 +481,7 @@
             worker.has_inventory = True
             if worker.runs_by_task:
                 lost = list(worker.runs_by_task.values())
-                self._drop_lost_runs(worker, lost, "lease expired")
+                self._restarts.drop_runs(worker, lost, "lease expired")
             if worker.avoid_until <= now:
                 # Polling has ended; the next start order is the probe.
                 worker.strikes += 1
