Release a connection that no greeting has used

A greeting that is cancelled before it is sent left its connection to the garbage collector. A call that found only a connection to greet has sent nothing and is no longer measured as a call.

--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -92,6 +92,8 @@
             result, data = await self._send(
                 address, path, body, timeout, silence
             )
+        if call.is_ungreeted:
+            return result, data  # nothing was sent
         if "Running" in data:  # an inventory, which names its incarnation
             self._connector.note_answer(call, data.get("born", 0))
         took = self._clock.monotonic() - began_at
@@ -145,7 +147,12 @@
         """Ask for the inventory on the connection that a call has found."""
         call = connections.Call(address.worker_id, None, ungreeted)
         body = {"FencingToken": token, "LastSeen": 0}
-        return await self._post(address, "/hold", body, timeout, call, timeout)
+        try:
+            return await self._post(
+                address, "/hold", body, timeout, call, timeout
+            )
+        finally:
+            ungreeted.connection.release()  # if no call has used it
 
     async def start(self, address, order, timeout) -> fleet.OrderResult:
         """Start a task on the incarnation that the order names."""
