Count leases of the stand-alone way on the workers' slowest clock

Callers could see a gang member run twice for up to 0.29 s: on a worker that nobody reaches any more, and elsewhere.

Cause: workers measure holds and leases on their own clocks, which may be 2% slow (protocol). A successor, the settler of a lost member and a launch that failed waited for hold and lease as the instance's own clock counts them.

The wait is now self_lease + (hold + lease) / 0.98, 19.29 s in place of 19 s with the default periods. Only what waits for an unreachable worker waits longer; a takeover whose workers all answer does not.

--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -15,6 +15,7 @@
 from cardamomcroft.state import models
 
 STOP_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+MIN_CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
 
 
 class LaunchOutcome(enum.Enum):
@@ -103,7 +104,7 @@
         self._reserved = [
             member for member in members if results[member].is_ok()
         ]
-        hold = self._timing.duration("hold")
+        hold = self._timing.duration("hold") / MIN_CLOCK_RATE
         self._held_until = self._clock.monotonic() + hold
         for member, result in enumerate(results):
             if result.is_error():
@@ -179,7 +180,8 @@
 
     async def _stop_member(self, member: int) -> None:
         # A worker starts held members only; nobody renews before the record.
-        expires_at = self._held_until + self._timing.duration("lease")
+        lease = self._timing.duration("lease") / MIN_CLOCK_RATE
+        expires_at = self._held_until + lease
         await stop_until_confirmed(
             self._workers,
             self._clock,
@@ -220,9 +222,7 @@
 
     An instance that lost contact may act until its self-lease expires,
     reserve for the hold time and renew once more within its self-lease.
+    Workers measure the hold time and the lease, maybe on a slow clock.
     """
-    return (
-        timing.duration("self_lease")
-        + timing.duration("hold")
-        + timing.duration("lease")
-    )
+    on_workers = timing.duration("hold") + timing.duration("lease")
+    return timing.duration("self_lease") + on_workers / MIN_CLOCK_RATE
