Conclude nothing from another worker's inventory

Callers saw a gang run twice when the address of its worker had gone to another worker while the first one ran on, out of reach.

Cause: on the stand-alone way no order names the worker that it is meant for, and the worker's id in the answer to a renewal was not read. The stranger's inventory lacked the task, so it was taken as lost at once, the stranger confirmed its stop, and it started elsewhere while its lease went on for up to 12 s. After a takeover the worker counted as fenced.

A renewal that another worker answered now counts as unanswered, with a log line and a counter. The task is given up only after a lease of silence. On the slowest clock up to 0.24 s of the last true lease may be left then, if another instance made that renewal just before the first failure.

Not mended: the answers to reservations, starts and stops carry no worker id, so new gangs can still be sent to the stranger; they are lost after a lease.

--- a/cardamomcroft/workers/guarded.py
+++ b/cardamomcroft/workers/guarded.py
@@ -43,8 +43,26 @@
         return await self._call("stop", worker_id, command)
 
     async def renew(self, worker_id, command):
-        """Renew leases, raise the fence and return the inventory."""
-        return await self._call("renew", worker_id, command)
+        """Renew leases, raise the fence and return the inventory.
+
+        The inventory of another worker at that address shows neither that
+        tasks have ended nor that the worker is fenced.
+        """
+        result = await self._call("renew", worker_id, command)
+        if result.is_error() or result.ok.worker_id == worker_id:
+            return result
+        self._logger.error(
+            "worker_address_taken",
+            worker_id=worker_id,
+            answered_by=result.ok.worker_id,
+        )
+        self._metrics.increment("workers.address_taken")
+        return expression.Error(
+            verdict.may_have_run(
+                verdict.Reason.REMOTE,
+                f"answered by worker {result.ok.worker_id}",
+            )
+        )
 
     async def execute(self, worker_id, command):
         """Run a request on the backend server and return its answer."""
