Notice how tasks end on workers that left the settings

A job whose worker was removed from the settings while it ran there stayed `running` for good.

Cause: leases are renewed on the declared workers of the region only. Nobody renewed on the removed one, so its tasks lapsed, and nobody recorded their ends.

Workers that still have recorded tasks are now renewed as well. Without an address the calls fail, so that the tasks are recorded as lost after a lease and the gang starts elsewhere when the leases must have expired.

--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -98,13 +98,30 @@
         live = self._membership.live_ids(self._region)
         own = self._membership.instance_id
         unconfirmed = self._unconfirmed_workers()
+        declared = self._fleet.region(state, self._region)
         return [
             worker_id
-            for worker_id in self._fleet.region(state, self._region)
+            for worker_id in (*declared, *self._withdrawn_workers(state))
             if worker_id in unconfirmed
             or members.rank(worker_id, live)[0] == own
         ]
 
+    def _withdrawn_workers(self, state: models.State) -> list[str]:
+        """Return workers that left the settings while they had tasks.
+
+        Without a renewal nobody would notice how their tasks end.
+        """
+        declared = self._fleet.by_id(state)
+        return [
+            worker_id
+            for worker_id, tasks in state.tasks_by_worker.items()
+            if worker_id not in declared
+            and any(
+                state.jobs[task.job_id].region == self._region
+                for task in tasks
+            )
+        ]
+
     def _unconfirmed_workers(self) -> set[str]:
         return {
             placement.worker_id
