Keep what is known of a worker while the directory lacks it

- A worker that left the directory was forgotten with its births and its token.
Its next incarnation counted as a new worker, was not asked, and took the late start.
The scheduler keeps such workers (the last 1,000) and goes on from what it knows.
- An entry with an earlier birth than the one known was passed over by a successor.
It may be an old entry, or the time of day went back before a restart: the incarnation is in doubt now, and the worker is asked.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -22,7 +22,9 @@
 MAX_CONFIRMATION_AGE = datetime.timedelta(seconds=1.0)
 STRIKE_LIMIT = 2  # consecutive failures before a worker is avoided
 STRIKE_AVOID_DURATION = datetime.timedelta(seconds=3)
+MAX_DROPPED_WORKERS = 1_000  # a few megabytes
 _MS = datetime.timedelta(milliseconds=1)
+_ZERO = datetime.timedelta()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +80,8 @@
         self.durations = estimates.Durations()
         self.open_gangs: set[runs.StepState] = set()  # lack refused members
         self._raised_tokens_by_worker: dict[str, int] = {}
+        # No longer tracked; orders for them may still be carried out.
+        self._dropped_by_worker: dict[str, runs.Worker] = {}
         self.changed = asyncio.Event()
         self.is_closed = False  # the scheduler has ended
         self._tasks: set[asyncio.Task] = set()
@@ -137,6 +141,30 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def track(self, listing: fleet.Listing) -> runs.Worker:
+        """Track a worker of the directory, with what is known of its past."""
+        worker_id = listing.address.worker_id
+        worker = self._dropped_by_worker.pop(worker_id, None)
+        if worker is None:
+            worker = runs.Worker(listing.address, listing.born_ms)
+        # It is well, as far as its entry tells.
+        worker.unreachable_since = None
+        worker.avoid_until, worker.strikes = _ZERO, 0
+        self.workers_by_id[worker_id] = worker
+        return worker
+
+    def drop(self, worker: runs.Worker) -> None:
+        """Stop tracking a worker that has left the directory."""
+        worker_id = worker.worker_id
+        del self.workers_by_id[worker_id]
+        if worker.has_assignment_record:
+            worker.has_assignment_record = False
+            key = ledgers.Kind.ASSIGNMENT.key(worker_id)
+            self.journal.stage(key, None)
+        self._dropped_by_worker[worker_id] = worker
+        if len(self._dropped_by_worker) > MAX_DROPPED_WORKERS:
+            self._dropped_by_worker.pop(next(iter(self._dropped_by_worker)))
+
     def find_task(self, name: str) -> tuple[runs.StepState, int] | None:
         """Return a task's step and index; None if its job is not tracked."""
         try:
--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -55,7 +55,7 @@
         worker.former_token = self._cluster.token_for(worker)
         worker.born_ms = born_ms
         _forget_incarnation(worker)
-        worker.doubt_ends_at = datetime.timedelta.max
+        self._expect_first_inventory(worker)
         listed = [
             run
             for run in worker.runs_by_task.values()
@@ -63,7 +63,17 @@
             and not (run.has_lost_order or run.is_inherited)
         ]
         self.drop_runs(worker, listed, "worker restarted")
+
+    def handle_doubt(self, worker: runs.Worker, born_ms: int) -> None:
+        """Ask which incarnation lives if another one is listed.
+
+        Its birth is earlier: the entry is an old one, or the worker's time of
+        day has gone back before a restart.
+        """
+        worker.former_births.add(born_ms)
         self._expect_first_inventory(worker)
+        if worker.has_assignment_record:
+            self._cluster.stage_assignment(worker)
 
     def _expect_first_inventory(self, worker: runs.Worker) -> None:
         now = self._cluster.clock.monotonic()
@@ -71,6 +81,7 @@
             if run.phase in (runs.Phase.AT_WORK, runs.Phase.INHERITED):
                 run.phase = runs.Phase.INHERITED
                 run.absence_valid_from = now
+        worker.doubt_ends_at = datetime.timedelta.max
         worker.has_inventory = False
         worker.lease_expires_at = now + self._cluster.parameters.reborn_lease
         worker.unheard_lease = self._cluster.parameters.max_hold
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -302,15 +302,11 @@
         for worker_id, listing in listings.items():
             worker = self.cluster.workers_by_id.get(worker_id)
             if worker is None:
-                worker = runs.Worker(listing.address, listing.born_ms)
-                self.cluster.workers_by_id[worker_id] = worker
+                worker = self.cluster.track(listing)
             if worker.listing is not listing:
                 self._poller.apply_listing(worker, listing, now)
         for worker_id, worker in list(self.cluster.workers_by_id.items()):
             if worker_id not in listings and self._directory.is_loaded:
                 worker.withdraw_listing()
                 if worker.is_settled:
-                    del self.cluster.workers_by_id[worker_id]
-                    if worker.has_assignment_record:
-                        key = ledgers.Kind.ASSIGNMENT.key(worker_id)
-                        self.journal.stage(key, None)
+                    self.cluster.drop(worker)
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -71,6 +71,8 @@
         elif worker.is_born_later(listing):
             self._restarts.handle_restart(worker, listing.born_ms)
         elif listing.born_ms != worker.born_ms:
+            if listing.born_ms not in worker.former_births:
+                self._restarts.handle_doubt(worker, listing.born_ms)
             return
         worker.address = listing.address
         worker.listing = listing
