--- a/tests/scheduling/test_relisted_workers.py
+++ b/tests/scheduling/test_relisted_workers.py
@@ -87,3 +87,20 @@
         await self.wait_until(
             lambda: "w2" in [worker for _, worker in self.fleet.running()], 30
         )
+
+    async def test_relisted_incarnation_does_not_cost_the_claim(self):
+        """It has seen the token that was raised after its restart."""
+        self.add_workers(1)
+        self.start_node("a")
+        await self.pass_time(2)
+        self.restart_listed("w1")
+        await self.pass_time(2)
+        worker = self.fleet.workers_by_id["w1"]
+        cluster = self.nodes_by_name["a"].scheduler.cluster
+        self.assertGreater(worker.token, cluster.token)
+        await self.forget()
+        self.store.put(store.Stream.SERVERS, "w1", b"again")
+        self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running(), 5)
+        await self.pass_time(2)
+        self.assertEqual(self.holder(), "a")
