Ask a worker that was given up for its ends once it is back

Callers waited for a task to run again although it had ended as done: on a worker that was cut off beyond its lease the run was given up, and nobody asked that worker before its next start, so the task ran a second time elsewhere or there, seconds after the worker was back.

A worker whose runs were given up is polled, every 0.5 s, as long as the directory lists it, until it has been heard; so an end as done counts before its task has another start, if the worker is back by then. Tasks wait no longer for it.

--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -15,6 +15,7 @@
     "applied_ends",
     "commit",
     "ended_job_ids",
+    "has_unheard_ends",
     "unanswered_polls",
     "granted_deadline_ms",
     "lease_deadline_ms",
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -313,6 +313,8 @@
         self.acknowledged_end = 0  # the worker may discard ends up to it
         self.commit: asyncio.Task | None = None  # of its ends, under way
         self.ended_job_ids: set[str] = set()  # of ends not yet durable
+        # Runs were given up that may have ended before, as done even.
+        self.has_unheard_ends = False
         # On its clock: the latest deadline that this scheduler has granted,
         # and the latest that may be in force, also by orders of others.
         self.granted_deadline_ms = 0
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -22,6 +22,8 @@
 # A worker that is polled and well answers more often.
 MAX_SILENCE = LONG_POLL_WAIT + POLL_TIMEOUT
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
+# Between polls of a worker whose runs were given up: only ends are awaited.
+GIVEN_UP_PAUSE = datetime.timedelta(milliseconds=500)
 SHORT_POLL_PAUSE = datetime.timedelta(milliseconds=60)
 COMMIT_TIMEOUT = datetime.timedelta(milliseconds=400)
 # Of a worker that a successor has not heard yet: its inventory has that long
@@ -93,6 +95,7 @@
             _has_orders(worker)
             or worker.acknowledged_end < worker.received_end
             or not worker.has_inventory
+            or (worker.has_unheard_ends and worker.listing is not None)
         )
 
     def _poll_wait(
@@ -251,7 +254,8 @@
         self._cluster.record_silence(worker, result)
         if result.status is fleet.OrderStatus.OTHER_INCARNATION:
             self._restarts.handle_replacement(worker)
-        await self._clock.sleep(RETRY_PAUSE)
+        is_given_up = worker.has_unheard_ends and not worker.runs_by_task
+        await self._clock.sleep(GIVEN_UP_PAUSE if is_given_up else RETRY_PAUSE)
 
     async def _wait_until_durable(self, worker: runs.Worker) -> None:
         """Wait briefly: a slow store must not delay lease renewal.
@@ -297,6 +301,7 @@
             worker.record_first_inventory(inventory.clock_ms, now)
             self._cluster.wake()
         self._apply_ends(worker, inventory)
+        worker.has_unheard_ends = False
         # A run whose end could not be applied is not absent.
         listed = {
             (finished.task, finished.run)
@@ -481,15 +486,19 @@
             if not worker.has_lease_expired(now):
                 continue
             worker.has_inventory = True
-            if worker.runs_by_task:
+            had_runs = bool(worker.runs_by_task)
+            if had_runs:
                 lost = list(worker.runs_by_task.values())
                 self._restarts.drop_runs(worker, lost, "lease expired")
-            if worker.avoid_until <= now:
-                # Polling has ended; the next start order is the probe.
+                worker.has_unheard_ends = True
+            has_ended_polling = not self._needs_polling(worker)
+            if worker.avoid_until <= now and (had_runs or has_ended_polling):
                 worker.strikes += 1
                 pause = AVOID_BACKOFF_BASE * min(2**worker.strikes, 8)
                 worker.avoid_until = now + pause
-                worker.unreachable_since = None
+                if has_ended_polling:
+                    # The next start order is the probe.
+                    worker.unreachable_since = None
 
 
 def _has_orders(worker: runs.Worker) -> bool:
