Let the stand-in's restarted workers be as the protocol says

A lease could reach any time ahead, the clock of each incarnation began at 0 and the entry's ClockMs was always 0, and connections outlasted a restart, so that a long poll of the former incarnation answered with its ends and an order on its way reached the next one.

Change: a worker shortens deadlines that are more than 10 s ahead. Calls and late orders end with the incarnation that they were sent to; a restart of the process resets its connections, a restart of the host is silent first and its entry comes later. With a generator set, each incarnation draws the start and the rate of its clock; without one they are as before. The entry has a reading of the clock. Runs end when their lease does and not when that is seen, as the next run may start in between, and a late order no longer extends a lease that has ended. Completions that nobody could read before their lease expired are noted for the soak.

--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import random
 
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
@@ -15,6 +16,9 @@
 START_DELAY = datetime.timedelta(seconds=3)  # of orders carried out late
 ENDS_PER_ANSWER = 500
 STARTUP = datetime.timedelta(seconds=1)  # of a task that lasts
+MAX_HOLD = datetime.timedelta(seconds=10)  # MaxHoldMs; longer is shortened
+MAX_FIRST_CLOCK_MS = 1_000_000
+CLOCK_RATES = (0.98, 1.01)  # the slowest and the fastest
 _MS = datetime.timedelta(milliseconds=1)
 
 Status = fleet.OrderStatus
@@ -65,6 +69,7 @@
         self.lease_deadline_ms = 0
         self.end_count = 0
         self.is_cut = False
+        self.is_starting = False  # silent until its process is up
         self.stops_at_by_task: dict[str, datetime.timedelta] = {}
         self.lose_start_answers = 0
         self.refuse_starts = 0  # answered as by an unhealthy worker
@@ -74,13 +79,35 @@
         self.is_dead = False
         self.slowness = 1.0  # tasks take so many times as long
         self.born_at = fake_fleet.clock.monotonic()
+        self.listed_end = 0  # the last one in an answer
+        self._lapsed_ms = -1  # the last deadline that has passed
+        self.first_clock_ms = 0
+        self.clock_rate = 1.0
+
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the worker takes and answers calls."""
+        return not (self.is_cut or self.is_starting or self.is_dead)
 
     def clock_ms(self) -> int:
-        """Return the worker's monotonic clock; 0 is its start."""
-        return round((self._fleet.clock.monotonic() - self.born_at) / _MS)
+        """Return the steady clock of this incarnation."""
+        lived_ms = (self._fleet.clock.monotonic() - self.born_at) / _MS
+        return self.first_clock_ms + round(lived_ms * self.clock_rate)
+
+    def extend_lease(self, deadline_ms: int) -> None:
+        """Extend the lease, by the longest hold at most."""
+        longest_ms = self.clock_ms() + round(MAX_HOLD / _MS)
+        self.lease_deadline_ms = max(
+            self.lease_deadline_ms, min(deadline_ms, longest_ms)
+        )
 
-    def end(self, task: str, end: fleet.End) -> None:
-        """End a run and record its completion."""
+    def end(
+        self,
+        task: str,
+        end: fleet.End,
+        ended_at: datetime.timedelta | None = None,
+    ) -> None:
+        """End a run, now unless it ended earlier; record its completion."""
         run = self.runs_by_task.pop(task, None)
         if run is None:
             return  # ended already, with another member of its gang
@@ -89,19 +116,21 @@
         self.finished.append(
             fleet.FinishedTask(self.end_count, task, run.number, end, "")
         )
-        now = self._fleet.clock.monotonic()
+        if ended_at is None:
+            ended_at = self._fleet.clock.monotonic()
         self._fleet.intervals.append(
             Interval(
                 task,
                 run.number,
                 self.listing.address.worker_id,
                 run.began_at,
-                now,
+                max(run.began_at, ended_at),
                 end,
             )
         )
         if run.width:
-            self._fleet.end_gang(task.rpartition(".")[0], run.number, end)
+            group = task.rpartition(".")[0]
+            self._fleet.end_gang(group, run.number, end, ended_at)
 
     def highest(self, task: str) -> int:
         """Return the highest number of a run of a task; 0 if it had none."""
@@ -124,9 +153,9 @@
     def advance(self) -> None:
         """End the runs that are due, stopped or without a lease."""
         now = self._fleet.clock.monotonic()
-        if self.runs_by_task and self.clock_ms() > self.lease_deadline_ms:
-            for task in list(self.runs_by_task):
-                self.end(task, fleet.End.LAPSED)
+        overdue_ms = self.clock_ms() - self.lease_deadline_ms
+        if overdue_ms > 0:
+            self._lapse(now - overdue_ms * _MS / self.clock_rate)
         for task, stops_at in list(self.stops_at_by_task.items()):
             if stops_at <= now:
                 del self.stops_at_by_task[task]
@@ -142,6 +171,22 @@
             ) and not self._fleet.is_lasting(task):
                 self.end(task, self._outcome())
 
+    def _lapse(self, lapsed_at: datetime.timedelta) -> None:
+        """End the runs, as their lease has expired at a time."""
+        if self._lapsed_ms < self.lease_deadline_ms:
+            self._lapsed_ms = self.lease_deadline_ms
+            self._note_unread()
+        for task in list(self.runs_by_task):
+            self.end(task, fleet.End.LAPSED, lapsed_at)
+
+    def _note_unread(self) -> None:
+        self._fleet.unread_completions.update(
+            (end.task, end.run)
+            for end in self.finished
+            if end.end is fleet.End.DONE
+            and (self.is_cut or end.number > self.listed_end)
+        )
+
     def _outcome(self) -> fleet.End:
         return fleet.End.FAILED if self.fails_everything else fleet.End.DONE
 
@@ -189,6 +234,11 @@
         self.ends_per_answer = ENDS_PER_ANSWER
         # Completions (task, run) that ended with their worker, unacknowledged.
         self.lost_completions: list[tuple[str, int]] = []
+        # Those that no answer had listed when their worker's lease expired, or
+        # that were unacknowledged then on a worker that was cut off.
+        self.unread_completions: set[tuple[str, int]] = set()
+        # Draws the clock of each incarnation; without it all begin at 0.
+        self.clock_rng: random.Random | None = None
         self.injected: collections.Counter[str] = collections.Counter()
         # Orders to carry out START_DELAY after they came.
         self.late_starts: list[
@@ -228,7 +278,12 @@
             accelerators,
             None,
         )
-        self.workers_by_id[worker_id] = FakeWorker(self, listing)
+        worker = self.workers_by_id[worker_id] = FakeWorker(self, listing)
+        if self.clock_rng is not None:
+            worker.first_clock_ms = self.clock_rng.randrange(
+                MAX_FIRST_CLOCK_MS
+            )
+            worker.clock_rate = self.clock_rng.uniform(*CLOCK_RATES)
         return listing
 
     def restart(self, worker_id: str) -> fleet.Listing:
@@ -244,7 +299,7 @@
 
     def die(self, worker_id: str) -> None:
         """End a worker for good, with its runs; it answers nothing more."""
-        self._end_incarnation(worker_id).is_dead = True
+        self._end_incarnation(worker_id)
         del self.workers_by_id[worker_id]
         self.injected["died"] += 1
 
@@ -252,6 +307,7 @@
         worker = self.workers_by_id[worker_id]
         for task in list(worker.runs_by_task):
             worker.end(task, fleet.End.LAPSED)
+        worker.is_dead = True
         self.lost_completions += [
             (end.task, end.run)
             for end in worker.finished
@@ -275,7 +331,13 @@
             self._assembled_at_by_gang[key] = self.clock.monotonic()
         return self._assembled_at_by_gang[key]
 
-    def end_gang(self, group: str, number: int, end: fleet.End) -> None:
+    def end_gang(
+        self,
+        group: str,
+        number: int,
+        end: fleet.End,
+        ended_at: datetime.timedelta,
+    ) -> None:
         """End a gang's other members: done if one is, otherwise broken."""
         is_done = end is fleet.End.DONE
         other_end = fleet.End.DONE if is_done else fleet.End.GANG_BROKEN
@@ -283,14 +345,16 @@
             for task, run in list(worker.runs_by_task.items()):
                 is_member = task.rpartition(".")[0] == group
                 if is_member and run.number == number:
-                    worker.end(task, other_end)
+                    worker.end(task, other_end, ended_at)
 
     def advance(self) -> None:
         """Update every worker to the current time."""
         due = self.clock.monotonic() - START_DELAY
         while self.late_starts and self.late_starts[0][0] <= due:
             _, worker, order = self.late_starts.pop(0)
-            self._start(worker, order)
+            worker.advance()  # what has lapsed is not extended
+            if not worker.is_dead:
+                self._start(worker, order)
         for worker in self.workers_by_id.values():
             worker.advance()
 
@@ -304,9 +368,10 @@
         ]
 
     async def _reach(self, address: fleet.Address) -> FakeWorker | None:
-        await self.clock.sleep(ROUND_TRIP)
+        # A call on its way ends with the process that it is meant for.
         worker = self.workers_by_id.get(address.worker_id)
-        if worker is None or worker.is_cut:
+        await self.clock.sleep(ROUND_TRIP)
+        if worker is None or not worker.is_reachable:
             self.injected["unreachable"] += 1
             return None
         worker.advance()
@@ -349,9 +414,7 @@
         if order.token < worker.token:
             return fleet.OrderResult(Status.STALE_TOKEN, clock_ms)
         worker.token = order.token
-        worker.lease_deadline_ms = max(
-            worker.lease_deadline_ms, order.deadline_ms
-        )
+        worker.extend_lease(order.deadline_ms)
         if order.deadline_ms < clock_ms:
             return fleet.OrderResult(Status.EXPIRED, clock_ms)
         if order.run <= worker.highest_run_by_task.get(order.task, 0):
@@ -419,9 +482,7 @@
                 order.token, 0, None, datetime.timedelta()
             )
         if order.deadline_ms is not None:
-            worker.lease_deadline_ms = max(
-                worker.lease_deadline_ms, order.deadline_ms
-            )
+            worker.extend_lease(order.deadline_ms)
         worker.finished = [
             end
             for end in worker.finished
@@ -431,9 +492,12 @@
         while not worker.finished and self.clock.monotonic() < until:
             await self.clock.sleep(POLL_INTERVAL)
             worker.advance()
-        if worker.is_cut or worker.is_dead:
+        if not worker.is_reachable:
             self.injected["unreachable"] += 1
             return await self._time_out(timeout)
+        listed = tuple(worker.finished[: self.ends_per_answer])
+        if listed:
+            worker.listed_end = listed[-1].number
         return fleet.Inventory(
             worker.clock_ms(),
             worker.listing.born_ms,
@@ -443,7 +507,7 @@
                 )
                 for task, run in worker.runs_by_task.items()
             ),
-            tuple(worker.finished[: self.ends_per_answer]),
+            listed,
             len(worker.finished) < self.ends_per_answer,
             is_renewed,
         )
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -111,6 +111,10 @@
         self._addresses_by_worker: dict[str, str] = {}
         self._sites_by_worker: dict[str, web.SockSite] = {}
         self._transports_by_worker: dict[str, set[asyncio.Transport]] = {}
+        # Of the calls under way.
+        self._called_by_transport: dict[
+            asyncio.Transport, fleet.FakeWorker
+        ] = {}
         # Of each connection, in bytes a second.
         self.link_rates_by_client: dict[str, int] = {}
         self.shared_links_by_client: dict[
@@ -173,8 +177,20 @@
         self.fleet.die(worker_id)
         if refuses:
             await self._sites_by_worker.pop(worker_id).stop()
-            for transport in self._transports_by_worker.pop(worker_id):
-                transport.abort()
+            self._abort_connections(worker_id)
+            del self._transports_by_worker[worker_id]
+
+    def _abort_connections(
+        self, worker_id: str, is_waiting_spared: bool = False
+    ) -> None:
+        """End the connections to a worker that has a port of its own."""
+        transports = self._transports_by_worker.get(worker_id, set())
+        for transport in list(transports):
+            called = self._called_by_transport.get(transport)
+            if is_waiting_spared and called is not None and called.is_dead:
+                continue
+            transports.discard(transport)
+            transport.abort()
 
     def remove_entry(self, worker_id: str) -> None:
         """Remove a worker's entry, as the platform does after its silence."""
@@ -197,8 +213,34 @@
         self._register(worker_id, self.fleet.add(worker_id))
 
     def restart_worker(self, worker_id: str) -> None:
-        """Restart a worker under its id, without its tasks."""
-        self._register(worker_id, self.fleet.restart(worker_id))
+        """Restart a worker under its id, without its tasks.
+
+        Its connections end with its process.
+        """
+        listing = self.fleet.restart(worker_id)
+        self._abort_connections(worker_id)
+        self._register(worker_id, listing)
+
+    async def crash_worker(
+        self, worker_id: str, silent_s: float, unlisted_s: float
+    ) -> None:
+        """Restart a worker's host; return when its new entry is there.
+
+        The host is silent for a time, and then resets the connections of
+        before; a call that waits on one since before sends nothing and so is
+        not reset. The entry is written some time after.
+        """
+        listing = self.fleet.restart(worker_id)
+        worker = self.fleet.workers_by_id[worker_id]
+        worker.is_starting = True
+        await asyncio.sleep(silent_s)
+        if worker.is_dead:
+            return
+        self._abort_connections(worker_id, is_waiting_spared=True)
+        worker.is_starting = False
+        await asyncio.sleep(unlisted_s)
+        if not worker.is_dead:
+            self._register(worker_id, listing)
 
     def _register(self, worker_id: str, listing: fleets.Listing) -> None:
         entry = {
@@ -212,7 +254,7 @@
                 "Gpu": listing.accelerators,
             },
             "Labels": sorted(listing.labels),
-            "ClockMs": 0,
+            "ClockMs": self.fleet.workers_by_id[worker_id].clock_ms(),
             "born": listing.born_ms,
         }
         value = json.dumps(entry).encode()
@@ -227,13 +269,11 @@
         handler = self._handlers.get(request.path)
         if handler is None:
             return web.Response(status=404)
-        transports = self._transports_by_worker.get(
-            request.headers.get("X-Expected-Instance", "")
-        )
-        if transports is not None:
-            transports.add(request.transport)
         if request.transport is None:
             return web.Response(status=503)  # the client has gone
+        worker_id = request.headers.get("X-Expected-Instance", "")
+        if worker_id in self._transports_by_worker:
+            return await self._call_worker(worker_id, request, handler)
         # A client that gives up meanwhile takes its address away.
         client = self._client_name(request)
         rate = self.link_rates_by_client.get(client)
@@ -245,6 +285,22 @@
             return response
         return await _send_slowly(request, response, rate)
 
+    async def _call_worker(
+        self, worker_id: str, request: web.BaseRequest, handler
+    ) -> web.Response:
+        """Handle a call on a connection that ends with the incarnation."""
+        transport = request.transport
+        worker = self.fleet.workers_by_id.get(worker_id)
+        self._transports_by_worker[worker_id].add(transport)
+        if worker is not None:
+            self._called_by_transport[transport] = worker
+        try:
+            return await handler(request)
+        finally:
+            self._called_by_transport.pop(transport, None)
+            if worker is not None and worker.is_dead:
+                transport.abort()
+
     async def _append(self, request: web.BaseRequest) -> web.Response:
         query = request.query
         writer = None
--- a/tests/standin/test_fleet.py
+++ b/tests/standin/test_fleet.py
@@ -1,6 +1,8 @@
 """The stand-in's workers act as the workers' protocol requires."""
 
 import asyncio
+import itertools
+import random
 import unittest
 
 from cardamomcroft.ports import clock as clocks
@@ -138,3 +140,201 @@
         asyncio.run(clock.advance(harness.seconds(30)))
         self.assertEqual(fake.running(), [(task, "w1")])
         self.assertEqual(worker.percent(task, run), 100)
+
+
+class WorkerTestCase(unittest.IsolatedAsyncioTestCase):
+    """One worker and one task of two seconds."""
+
+    async def asyncSetUp(self):
+        """Create the worker."""
+        self.clock = clocks.FakeClock()
+        self.fake = standin_fleet.FakeFleet(self.clock, harness.seconds(2))
+        self.fake.steps_by_job[JOB] = (harness.make_step(),)
+        self.fake.add("w1")
+
+    @property
+    def worker(self) -> standin_fleet.FakeWorker:
+        """Return the worker's present incarnation."""
+        return self.fake.workers_by_id["w1"]
+
+    def call(self, order) -> asyncio.Task:
+        """Send a start or a renewal."""
+        send = (
+            self.fake.start
+            if isinstance(order, fleet.StartOrder)
+            else self.fake.renew_lease
+        )
+        address = self.worker.listing.address
+        return asyncio.ensure_future(send(address, order, harness.seconds(1)))
+
+    async def answer(self, order):
+        """Return the answer to an order."""
+        calling = self.call(order)
+        while not calling.done():
+            await self.clock.advance(standin_fleet.ROUND_TRIP)
+        return calling.result()
+
+    def start_order(self, deadline_ms: int) -> fleet.StartOrder:
+        """Return an order to start the task."""
+        return fleet.StartOrder(f"{JOB}.0.0.0", 1, "", deadline_ms, 1)
+
+    def renewal(
+        self, deadline_ms: int | None = None, wait_s: float = 0
+    ) -> fleet.LeaseRenewal:
+        """Return an order to renew the lease."""
+        return fleet.LeaseRenewal(1, 0, deadline_ms, harness.seconds(wait_s))
+
+
+class LeaseTest(WorkerTestCase):
+    """A lease ends at its deadline, and after the longest hold at latest."""
+
+    async def test_deadline_too_far_ahead_is_shortened(self):
+        """By starts and by renewals."""
+        max_ms = standin_fleet.MAX_HOLD / harness.seconds(0.001)
+        for order in (self.start_order(60_000), self.renewal(60_000)):
+            await self.answer(order)
+            left_ms = self.worker.lease_deadline_ms - self.worker.clock_ms()
+            self.assertLessEqual(left_ms, max_ms)
+            self.assertGreater(left_ms, max_ms - 100)
+            await self.clock.advance(harness.seconds(1))
+
+    async def test_run_ends_when_its_lease_does(self):
+        """Whenever that is seen, and on the worker's own clock."""
+        self.worker.clock_rate = 0.98
+        self.worker.hangs = True
+        await self.answer(self.start_order(4_900))
+        await self.clock.advance(harness.seconds(9))
+        self.fake.advance()
+        (interval,) = self.fake.intervals
+        self.assertIs(interval.end, fleet.End.LAPSED)
+        self.assertAlmostEqual(interval.ended_at.total_seconds(), 5, 2)
+
+    async def complete(self) -> None:
+        """Complete the task under a lease of four seconds."""
+        await self.answer(self.start_order(4_000))
+        await self.clock.advance(harness.seconds(2.5))
+        self.fake.advance()
+        self.assertIs(self.fake.intervals[0].end, fleet.End.DONE)
+
+    async def lapse(self) -> set[tuple[str, int]]:
+        """Return the completions unread at the end of the lease."""
+        self.assertFalse(self.fake.unread_completions)
+        await self.clock.advance(harness.seconds(4))
+        self.fake.advance()
+        return self.fake.unread_completions
+
+    async def test_completion_that_no_answer_listed_is_unread(self):
+        """It is read after the lease has ended."""
+        await self.complete()
+        self.assertEqual(await self.lapse(), {(f"{JOB}.0.0.0", 1)})
+
+    async def test_completion_listed_in_time_is_read(self):
+        """Also if it is acknowledged later, or the worker cut off later."""
+        await self.complete()
+        await self.answer(self.renewal())
+        self.assertEqual(await self.lapse(), set())
+        self.worker.is_cut = True
+        self.fake.advance()
+        self.assertFalse(self.fake.unread_completions)
+
+    async def test_unacknowledged_completion_of_a_worker_cut_off_is_unread(
+        self,
+    ):
+        """The answer may be with a scheduler that was stopped."""
+        await self.complete()
+        await self.answer(self.renewal())
+        self.worker.is_cut = True
+        self.assertEqual(await self.lapse(), {(f"{JOB}.0.0.0", 1)})
+
+
+class IncarnationTest(WorkerTestCase):
+    """A worker restarts under its id."""
+
+    async def test_long_poll_ends_with_its_incarnation(self):
+        """It lists neither the ends of one nor the tasks of the other."""
+        await self.answer(self.start_order(9_000))
+        polling = self.call(self.renewal(9_000, 5))
+        await self.clock.advance(harness.seconds(0.5))
+        self.fake.restart("w1")
+        while not polling.done():
+            await self.clock.advance(harness.seconds(0.1))
+        self.assertIs(polling.result().status, fleet.OrderStatus.MAY_HAVE_RUN)
+
+    async def test_order_on_its_way_does_not_reach_the_next_incarnation(self):
+        """Its connection ends with the process."""
+        starting = self.call(self.start_order(9_000))
+        await asyncio.sleep(0)
+        self.fake.restart("w1")
+        while not starting.done():
+            await self.clock.advance(harness.seconds(0.1))
+        self.assertIs(starting.result().status, fleet.OrderStatus.MAY_HAVE_RUN)
+        self.assertEqual(self.fake.running(), [])
+
+    async def test_late_order_ends_with_its_incarnation(self):
+        """It was delayed in the process."""
+        self.worker.delay_starts = 1
+        await self.answer(self.start_order(9_000))
+        former = self.worker
+        self.fake.restart("w1")
+        await self.clock.advance(standin_fleet.START_DELAY * 2)
+        self.assertEqual(self.fake.running(), [])
+        self.assertFalse(self.fake.late_starts or former.runs_by_task)
+        self.assertEqual(self.fake.injected["start_late"], 1)
+
+    async def test_late_order_does_not_extend_a_lease_that_has_ended(self):
+        """The run of the lease ends before the late one starts."""
+        await self.answer(self.start_order(1_000))
+        self.worker.delay_starts = 1
+        late = fleet.StartOrder(f"{JOB}.0.0.0", 2, "", 9_000, 1)
+        await self.answer(late)
+        await self.clock.advance(standin_fleet.START_DELAY)
+        self.fake.advance()
+        self.assertIs(self.fake.intervals[0].end, fleet.End.LAPSED)
+        self.assertEqual(len(self.fake.running()), 1)
+
+    async def test_worker_is_silent_until_its_process_is_up(self):
+        """Orders of this time are lost."""
+        self.worker.is_starting = True
+        result = await self.answer(self.start_order(9_000))
+        self.assertIs(result.status, fleet.OrderStatus.MAY_HAVE_RUN)
+        self.worker.is_starting = False
+        self.assertEqual(self.fake.running(), [])
+        result = await self.answer(self.start_order(9_000))
+        self.assertIs(result.status, fleet.OrderStatus.DONE)
+
+
+class ClockTest(unittest.TestCase):
+    """Each incarnation of a worker has a steady clock of its own."""
+
+    def clocks(self, seed: int | None) -> list[int]:
+        """Return the clocks of ten incarnations, each after ten seconds."""
+        clock = clocks.FakeClock()
+        fake = standin_fleet.FakeFleet(clock, harness.seconds(2))
+        if seed is not None:
+            fake.clock_rng = random.Random(seed)
+        fake.add("w1")
+        readings = []
+        for _ in range(10):
+            worker = fake.workers_by_id["w1"]
+            self.assertEqual(worker.clock_ms(), worker.first_clock_ms)
+            asyncio.run(clock.advance(harness.seconds(10)))
+            readings.append(worker.clock_ms())
+            lived_ms = worker.clock_ms() - worker.first_clock_ms
+            self.assertTrue(9_800 <= lived_ms <= 10_100)
+            fake.restart("w1")
+        return readings
+
+    def test_clocks_begin_at_zero_by_default(self):
+        """They run at the fleet's rate."""
+        self.assertEqual(self.clocks(None), [10_000] * 10)
+
+    def test_drawn_clocks_go_back_at_some_restarts(self):
+        """The seed determines them."""
+        readings = self.clocks(1)
+        self.assertEqual(readings, self.clocks(1))
+        self.assertNotEqual(readings, self.clocks(2))
+        steps = [
+            later - earlier for earlier, later in itertools.pairwise(readings)
+        ]
+        self.assertLess(min(steps), 0)
+        self.assertGreater(max(steps), 0)
