Cut reborn workers off beside a takeover in the soak

Change: four kinds of fault in soak/rebirths.py: one worker or a rack restarts while tasks of 15 to 30 s start on it, is cut off for 9 s, and the scheduler's holder is killed, frozen or stopped in between; also after two restarts, and cut off before it is listed. Until the holder is disrupted other faults spare the processes, and the rack's other workers refuse starts.

The check run_twice was wrong where a lease expires while a worker is cut off for longer than it, which no fault did before: it took a completion that could only be read after the lease had expired, which the rule excuses, for a violation. It now passes over exactly those completions: no answer had listed them when the lease expired, or they were unacknowledged then on a worker that was cut off. A further completion is found as before, and a test shows it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -131,8 +131,11 @@
 
 
 def _completed_twice(fake_fleet: standin_fleet.FakeFleet) -> list[str]:
-    """Return the tasks done twice, but for ends lost with their worker."""
-    lost = set(fake_fleet.lost_completions)
+    """Return the tasks done twice, but for ends that nobody could read.
+
+    They were lost with their worker, or its lease expired before.
+    """
+    lost = set(fake_fleet.lost_completions) | fake_fleet.unread_completions
     done = collections.Counter(
         interval.task
         for interval in fake_fleet.intervals
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -197,6 +197,13 @@
     return {"Spec": "crowd", "Phases": [phase]}
 
 
+def make_long(count: int, rack: str) -> dict:
+    """Return a submission with data in a rack."""
+    phase = {"Count": count, "Cpu": 200, "MemMb": 100}
+    phase |= {"EstimateMs": TASK_TIME_MS, "Affinity": rack}
+    return {"Spec": "long", "Phases": [phase]}
+
+
 def make_wide(count: int) -> dict:
     """Return a submission of one step that a rack runs a part at a time."""
     phase = {"Count": count, "Cpu": 500, "MemMb": 100, "Gpu": 4}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import datetime
+import functools
 import random
 import signal
 
@@ -14,9 +15,12 @@
 from soak import clients
 from soak import instances as processes
 from soak import proxy
+from soak import rebirths
 from soak import worker_faults
 
 MAX_LATE_S = 6.0
+TAKEOVER_FREEZE_S = (3.0, 5.0)  # during which another takes over
+MAX_KEEP_WAIT_S = 8.0
 HASTY_CALLERS = 3  # who submit while writes are late
 # Time after which the platform restarts a process that has ended.
 RESTART_DELAY_S = 0.5
@@ -55,6 +59,7 @@
         self._has_begun = False  # a fault, since this was last asked for
         self.history: list[str] = []
         self._disrupted: set[str] = set()  # instances with a fault under way
+        self._kept: set[str] = set()  # of these, spared for a later fault
         self.slow_stops: list[float] = []
         self.served_revoked_keys: list[str] = []
         self.kinds: dict[str, worker_faults.Action] = self._workers.kinds | {
@@ -73,6 +78,10 @@
             "store_writes_late": self._store_writes_late,
             "history_dropped": self._history_dropped,
             "worker_dies_at_takeover": self._worker_dies_at_takeover,
+            "worker_reborn_at_takeover": self._reborn(),
+            "rack_reborn_at_takeover": self._reborn(is_of_rack=True),
+            "worker_reborn_twice": self._reborn(restarts=2),
+            "worker_reborn_unlisted": self._reborn(is_unlisted=True),
             "configuration": self._configuration,
             "revoke_key": self._revoke_key,
         }
@@ -100,6 +109,10 @@
             self._under_way -= 1
             self._note(f"{kind} ends")
 
+    def missing_kinds(self) -> list[str]:
+        """Return the kinds of which no fault was injected."""
+        return sorted(self.kinds.keys() - self.counts.keys())
+
     def take_disturbed(self) -> bool:
         """Return whether a fault was under way since the last call."""
         is_disturbed = self._has_begun or self._under_way > 0
@@ -144,6 +157,9 @@
             self._rng.uniform(0.5, worker_faults.MAX_FAULT_S)
         )
 
+    async def _freeze_long(self, instance: processes.Instance) -> None:
+        await instance.freeze(self._rng.uniform(*TAKEOVER_FREEZE_S))
+
     async def _stop_one(self, instance: processes.Instance) -> None:
         took_s = await instance.stop()
         if took_s >= processes.GRACE_S:
@@ -244,6 +260,46 @@
         await self._pause()
         await asyncio.gather(first, actions[1])
 
+    def _reborn(self, **fields) -> worker_faults.Action:
+        """Return a fault of workers that restart beside a takeover."""
+        return functools.partial(
+            self._restart_workers, rebirths.Kind(**fields)
+        )
+
+    async def _restart_workers(self, kind: rebirths.Kind) -> None:
+        try:
+            await self._workers.restart_and_cut(
+                kind, self._keep_processes, self._disrupt_holder
+            )
+        finally:
+            self._disrupted -= self._kept
+            self._kept = set()
+
+    async def _keep_processes(self) -> None:
+        """Wait until no process is disrupted; let none be until the holder is.
+
+        Another takeover just before would hide the effect of this one.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + MAX_KEEP_WAIT_S
+        while loop.time() < until:
+            if not self._disrupted:
+                break
+            await asyncio.sleep(worker_faults.LOOK_INTERVAL_S)
+        names = {instance.name for instance in self._instances}
+        self._kept = names - self._disrupted
+        self._disrupted |= self._kept
+
+    async def _disrupt_holder(self) -> None:
+        """Kill or stop the scheduler's holder, or freeze it for long."""
+        self._disrupted -= self._kept
+        self._kept = set()
+        disrupt = self._rng.choice(
+            (self._kill_one, self._freeze_long, self._stop_one)
+        )
+        self._note(disrupt.__name__)
+        await self._disrupt_process(self.holder(), disrupt)
+
     async def _configuration(self) -> None:
         self._version += 1
         data = make_configuration(self._version, self._callers.key)
--- a/soak/main.py
+++ b/soak/main.py
@@ -94,6 +94,7 @@
         self._platform = platform.PlatformServer(
             clocks.SystemClock(), clients.TASK_TIME_MS * _MS
         )
+        self._platform.fleet.clock_rng = random.Random(seed + 4)
         self._links: list[proxy.Link] = []
         self._instances: list[processes.Instance] = []
 
@@ -210,17 +211,25 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + length_s
         kinds: list[str] = []
-        while loop.time() < until:
+        needs_all = length_s >= ALL_KINDS_MIN_S
+        while loop.time() < until or (needs_all and faults.missing_kinds()):
             burst_until = min(loop.time() + BURST_S, until)
-            await self._inject_burst(faults, kinds, burst_until)
+            is_last = needs_all and burst_until == until
+            await self._inject_burst(faults, kinds, burst_until, is_last)
             await asyncio.sleep(min(CALM_S, max(0, until - loop.time())))
         await faults.finish()
 
     async def _inject_burst(
-        self, faults: faults_module.Faults, kinds: list[str], until: float
+        self,
+        faults: faults_module.Faults,
+        kinds: list[str],
+        until: float,
+        is_last: bool,
     ) -> None:
+        """Inject faults for a time; in the last burst also what is missing."""
+        loop = asyncio.get_running_loop()
         running: list[asyncio.Task] = []
-        while asyncio.get_running_loop().time() < until:
+        while loop.time() < until or (is_last and faults.missing_kinds()):
             if not kinds:  # inject every kind once before any repeats
                 kinds += sorted(faults.kinds)
                 self._rng.shuffle(kinds)
@@ -273,7 +282,7 @@
         violations["slow_stop"] = [str(s) for s in faults.slow_stops]
         missing = []
         if length_s >= ALL_KINDS_MIN_S:
-            missing = sorted(faults.kinds.keys() - faults.counts.keys())
+            missing = faults.missing_kinds()
         return Report(
             self._seed,
             sum(job.is_accepted for job in jobs),
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -10,6 +10,7 @@
 from cardamomcroft.standin import platform
 from soak import checks
 from soak import clients
+from soak import rebirths
 
 MAX_FAULT_S = 4.0
 MAX_START_WAIT_S = 8.0  # of the tasks that a fault is about
@@ -97,8 +98,30 @@
         worker.fails_everything = False
 
     async def _restart(self) -> None:
+        """Restart a worker's process, or its host, which is silent then."""
         worker_id = self._random_worker().listing.address.worker_id
-        self._platform.restart_worker(worker_id)
+        if self._rng.random() < 0.5:
+            self._platform.restart_worker(worker_id)
+            return
+        await self._platform.crash_worker(
+            worker_id,
+            self._rng.uniform(*rebirths.SILENT_S),
+            rebirths.draw_unlisted(self._rng),
+        )
+
+    async def restart_and_cut(
+        self, kind: rebirths.Kind, prepare: Action, disrupt_holder: Action
+    ) -> None:
+        """Restart workers and cut them off beside a takeover."""
+        rebirth = rebirths.Rebirth(
+            self._platform,
+            self._callers,
+            self._rng,
+            self._note,
+            self._counts,
+            kind,
+        )
+        await rebirth.inject(prepare, disrupt_holder)
 
     async def _lose_start_answers(self) -> None:
         worker = self._random_worker()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -113,6 +113,15 @@
         ]
         self.assertEqual(self.violated(), ["out_of_turn"])
 
+    def test_completion_read_after_its_lease_may_be_repeated(self):
+        """Only that one; a third run is one too many."""
+        self.fake.intervals = [interval(1, 1, 2), interval(2, 9, 10)]
+        self.assertEqual(self.violated(), ["run_twice"])
+        self.fake.unread_completions = {(f"{JOB}.0.0.0", 1)}
+        self.assertEqual(self.violated(), [])
+        self.fake.intervals.append(interval(3, 11, 12))
+        self.assertEqual(self.violated(), ["run_twice"])
+
     def test_gone_job_is_lost(self):
         """A query of an accepted job was answered 410."""
         self.fake.intervals = [interval(1, 1, 2)]
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -118,6 +118,17 @@
         workers = self.platform.fleet.workers_by_id
         self.assertEqual(len(workers), WORKERS + 2)
 
+    async def test_kinds_that_were_not_injected_are_missing(self):
+        """A trial of a minute has to inject all."""
+        self.assertEqual(
+            self.faults.missing_kinds(), sorted(self.faults.kinds)
+        )
+        await self.faults.inject("worker_reborn")
+        self.assertEqual(
+            set(self.faults.missing_kinds()),
+            self.faults.kinds.keys() - {"worker_reborn"},
+        )
+
     async def test_short_fault_disturbs_once(self):
         """It begins and ends between two looks."""
         self.assertFalse(self.faults.take_disturbed())
