Start nothing on a worker that restarted unknown to a replaced owner

Callers saw a job run twice: an owner that had lost its peers and then the log kept its self-lease, its successor had fenced every worker, and one of them restarted and so forgot the fence.

Workers now name their process (incarnation, age) in inventories and in answers to reservations, and a start names the one that was reserved. Before it starts a gang the owner needs a state complete as of the birth of the gang's youngest process, and reads the log's end once if it lacks that. A claim unknown to it is then younger than those processes, so the claim's fence reaches them or their successors, which refuse the start. All fields are optional: what names none is treated as before.

The stand-in workers forget their fence with a loss, as a process does.

--- a/cardamomcroft/api/errors.py
+++ b/cardamomcroft/api/errors.py
@@ -18,6 +18,7 @@
     verdict.Reason.UNAVAILABLE: 503,
     verdict.Reason.LEAVING: 503,
     verdict.Reason.STALE: 503,
+    verdict.Reason.RESTARTED: 503,
     verdict.Reason.REMOTE: 502,
     verdict.Reason.TIMEOUT: 504,
 }
--- a/cardamomcroft/cli/standins.py
+++ b/cardamomcroft/cli/standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import pathlib
+import random
 import sys
 
 import cyclopts
@@ -59,7 +60,9 @@
         for problem in loaded.error:
             print(problem, file=sys.stderr)
         sys.exit(client.ExitCode.WRONG_USE)
-    standin = workers.StandinWorkers(clocks.SystemClock())
+    standin = workers.StandinWorkers(
+        clocks.SystemClock(), listen, random.Random()
+    )
     for document in loaded.ok.values():
         if isinstance(document, documents.DataCentre):
             standin.add_declared(document)
--- a/cardamomcroft/jobs/dependencies.py
+++ b/cardamomcroft/jobs/dependencies.py
@@ -16,6 +16,7 @@
 from cardamomcroft.membership import members
 from cardamomcroft.policy import base as policies
 from cardamomcroft.ports import base
+from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import messages
 from cardamomcroft.settings import instance
 from cardamomcroft.workers import health as healths
@@ -87,6 +88,15 @@
             self.workers, self.clock, worker_id, command, expires_at
         )
 
+    async def confirm(self, at: datetime.timedelta) -> bool:
+        """Return whether the state is complete as of then; read if not."""
+        limit = self.timing.duration("call_timeout")
+        is_known = self.freshness.is_complete_as_of(at, limit)
+        if not is_known and self.replica.reachable:
+            await clocks.within(self.clock, limit, self.replica.refresh())
+            is_known = self.freshness.is_complete_as_of(at, limit)
+        return is_known
+
     def holds_claim(self) -> bool:
         """Return whether the newest known claim is this incarnation's."""
         claim = self.replica.state.claims.get(self.region)
--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -16,6 +16,12 @@
 
 STOP_RETRY_DELAY = datetime.timedelta(milliseconds=500)
 MIN_CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
+MAX_CLOCK_RATE = 1.02  # fastest rate
+
+
+Confirm = collections.abc.Callable[
+    [datetime.timedelta], collections.abc.Awaitable[bool]
+]
 
 
 class LaunchOutcome(enum.Enum):
@@ -52,10 +58,13 @@
         timing: instance.Timing,
         may_act: collections.abc.Callable[[], bool],
         report_missed: collections.abc.Callable[[str], None],
+        confirm: Confirm | None = None,
     ) -> None:
         """Launch as planned; ``may_act`` gates the reserves and the start.
 
         ``report_missed`` gets the worker that failed, before the release.
+        ``confirm`` returns whether the state, and so the claim, is complete
+        as of the latest birth of a worker's process.
         """
         self.job = job
         self.attempt = attempt
@@ -67,6 +76,8 @@
         self._timing = timing
         self._may_act = may_act
         self._report_missed = report_missed
+        self._confirm = confirm
+        self._incarnations = [""] * len(placements)
         self._failure = LaunchResult(LaunchOutcome.RELEASED)
         self._reserved: list[int] = []
         self._held_until = clock.monotonic()
@@ -109,7 +120,26 @@
         for member, result in enumerate(results):
             if result.is_error():
                 self._record_failure(member, result.error.detail, False)
-        return len(self._reserved) == len(members)
+        if len(self._reserved) < len(members):
+            return False
+        return await self._confirm_births([result.ok for result in results])
+
+    async def _confirm_births(self, answers: list[messages.Done]) -> bool:
+        """Return whether a later claim's fence reaches these processes.
+
+        One that began after a claim unknown here has not seen its fence.
+        """
+        self._incarnations = [answer.incarnation for answer in answers]
+        ages = [answer.age_s for answer in answers if answer.incarnation]
+        if self._confirm is None or not ages:
+            return True
+        age = datetime.timedelta(seconds=min(ages))
+        latest_birth = self._clock.monotonic() - age / MAX_CLOCK_RATE
+        if await self._confirm(latest_birth):
+            return True
+        return self._record_failure(
+            None, "no read of the log since a worker restarted", False
+        )
 
     async def _reserve_member(self, member: int):
         placement = self.placements[member]
@@ -141,6 +171,7 @@
             self._timing.lease_s,
             self.job.spec.payload,
             max(0.0, self.job.spec.run_s - self.job.checkpoint_s),
+            self._incarnations[member],
         )
         worker_id = self.placements[member].worker_id
         result = await self._workers.start(worker_id, command)
--- a/cardamomcroft/jobs/launcher.py
+++ b/cardamomcroft/jobs/launcher.py
@@ -82,6 +82,7 @@
             self._dependencies.timing,
             self._dependencies.may_act,
             self._dependencies.health.record_unreachable,
+            self._dependencies.confirm,
         )
         self._by_job[job.job_id] = launch
         self._dependencies.background.spawn(self._run(launch, token))
--- a/cardamomcroft/ports/messages.py
+++ b/cardamomcroft/ports/messages.py
@@ -76,13 +76,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
-    """Start a reserved task under a lease of ``lease_s`` seconds."""
+    """Start a reserved task under a lease of ``lease_s`` seconds.
+
+    Another incarnation of the worker than the one named refuses it; none is
+    named if the reservation was answered without one.
+    """
 
     task: TaskId
     token: int
     lease_s: float
     payload: str
     run_s: float
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,7 +140,8 @@
     """Report the tasks on a worker.
 
     If ``is_whole`` is false, running tasks are omitted: only renewed tasks
-    run, and each renewed task that isn't reported is running.
+    run, and each renewed task that isn't reported is running. ``age_s`` is
+    the time on the worker's steady clock since its process began.
     """
 
     worker_id: str
@@ -143,6 +149,8 @@
     leaving: bool
     tasks: tuple[TaskReport, ...] = ()
     is_whole: bool = True
+    incarnation: str = ""
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,8 +176,11 @@
     """Confirm a command.
 
     After a stop, ``checkpoint_s`` is the work saved, in seconds, and
-    ``is_finished`` is set if the task had finished before.
+    ``is_finished`` is set if the task had finished before. After a
+    reservation, ``incarnation`` and ``age_s`` are as in an inventory.
     """
 
     checkpoint_s: float = 0.0
     is_finished: bool = False
+    incarnation: str = ""
+    age_s: float = 0.0
--- a/cardamomcroft/ports/verdict.py
+++ b/cardamomcroft/ports/verdict.py
@@ -26,6 +26,7 @@
     TIMEOUT = "timeout"
     STALE = "stale"
     LEAVING = "leaving"
+    RESTARTED = "restarted"  # the command is for another incarnation
     REMOTE = "remote"
 
 
--- a/cardamomcroft/standin/workers.py
+++ b/cardamomcroft/standin/workers.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 import datetime
+import itertools
+import random
 
 import expression
 
@@ -61,15 +63,20 @@
     """A worker that runs tasks under leases and answers requests."""
 
     def __init__(
-        self, worker_id: str, units: int, slots: int, clock: base.Clock
+        self,
+        worker_id: str,
+        units: int,
+        slots: int,
+        clock: base.Clock,
+        address: str,
+        generator: random.Random,
     ) -> None:
-        """Create a worker without tasks."""
+        """Create a worker without tasks; the generator names its process."""
         self.worker_id = worker_id
         self.units = units
         self.slots = slots
         self.leaving = False
         self.faults = Faults()
-        self.fence = -1
         self.runs: list[Run] = []
         self.executed: list[str] = []
         self.executed_bodies: list[str] = []
@@ -78,10 +85,20 @@
         self.expired_leases = 0
         self.outages: list[Outage] = []
         self.reported_at: list[datetime.timedelta] = []
+        self._address = address
+        self._generator = generator
+        self._clock = clock
+        self._begin_process()
+
+    def _begin_process(self) -> None:
+        self.incarnation = (
+            f"{self._address}@{self._generator.getrandbits(32):08x}"
+        )
+        self.fence = -1
+        self._born_at = self._clock.monotonic()
         self._tasks: dict[messages.TaskId, _Task] = {}
         self._stopped: set[messages.TaskId] = set()
         self._renewed: frozenset[messages.TaskId] = frozenset()
-        self._clock = clock
 
     def refresh(self) -> None:
         """Finish the tasks that are due; expire reservations and leases."""
@@ -157,7 +174,7 @@
         self.refresh()
 
     def lose(self) -> None:
-        """Remove every task, as a crash of the machine does."""
+        """Forget everything and begin a new process at the address."""
         self.refresh()
         now = self._clock.monotonic()
         for task_id in self._tasks:
@@ -168,7 +185,7 @@
             else run
             for run in self.runs
         ]
-        self._tasks.clear()
+        self._begin_process()
 
     def _used_units(self) -> int:
         used = 0
@@ -193,7 +210,7 @@
         if command.task in self._stopped:
             return _refusal(verdict.Reason.CONFLICT, "task was stopped")
         if command.task in self._tasks:
-            return expression.Ok(messages.Done())
+            return expression.Ok(self._reserved())
         cell = command.cell
         mask = ((1 << cell.size) - 1) << cell.start
         if mask >> self.units or self._used_units() & mask:
@@ -204,13 +221,21 @@
         )
         until = self._clock.monotonic() + hold
         self._tasks[command.task] = _Task(report, until)
-        return expression.Ok(messages.Done())
+        return expression.Ok(self._reserved())
+
+    def _age_s(self) -> float:
+        return (self._clock.monotonic() - self._born_at).total_seconds()
+
+    def _reserved(self) -> messages.Done:
+        return messages.Done(incarnation=self.incarnation, age_s=self._age_s())
 
     def start(self, command: messages.Start) -> expression.Result:
         """Start a reserved task; starting it again has no effect."""
         task = self._tasks.get(command.task)
         if command.token < self.fence:
             return _refusal(verdict.Reason.STALE, "stale fencing token")
+        if command.incarnation not in ("", self.incarnation):
+            return _refusal(verdict.Reason.RESTARTED, "another incarnation")
         if task is None:
             return _refusal(verdict.Reason.CONFLICT, "task is not held")
         if task.report.phase is not messages.TaskPhase.HELD:
@@ -277,7 +302,13 @@
                 report for report in reports if report.task not in running
             )
         return messages.Inventory(
-            self.worker_id, self.fence, self.leaving, reports, is_whole
+            self.worker_id,
+            self.fence,
+            self.leaving,
+            reports,
+            is_whole,
+            self.incarnation,
+            self._age_s(),
         )
 
     async def execute(self, command: messages.Execute) -> expression.Result:
@@ -306,16 +337,30 @@
 class StandinWorkers(base.WorkerClient):
     """A client that calls stand-in workers, with injected faults."""
 
-    def __init__(self, clock: base.Clock) -> None:
-        """Create a client without workers."""
+    def __init__(
+        self,
+        clock: base.Clock,
+        host: str = "standin",
+        generator: random.Random | None = None,
+    ) -> None:
+        """Create a client without workers; the generator names processes."""
         self.by_id: dict[str, StandinWorker] = {}
         self.injected: collections.Counter[str] = collections.Counter()
         self._clock = clock
+        self._host = host
+        self._generator = generator or random.Random(0)
+        self._ports = itertools.count(1)
 
     def add(self, worker_id: str, units: int = 8, slots: int = 8) -> None:
-        """Add an empty worker."""
+        """Add an empty worker at an address of its own."""
+        address = f"{self._host}:{next(self._ports)}"
         self.by_id[worker_id] = StandinWorker(
-            worker_id, units, slots, self._clock
+            worker_id,
+            units,
+            slots,
+            self._clock,
+            address,
+            self._generator,
         )
 
     def add_declared(self, document: documents.DataCentre) -> None:
