Wait for the leases of a worker's former process at another address

Callers saw a job run twice: a new process answered under a worker's id while the former one ran on out of reach. A takeover took the new process for the one that it has to fence.

The record of a start names the incarnation of each placement, and stops name the one that they are for. A process that listens at the former one's address confirms the stop, as the former one has ended; any other refuses it, and the attempt is settled after the lease bound from the record of the loss. Nothing in the fold depends on the new field, so instances of two versions fold alike.

--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -77,7 +77,6 @@
         self._may_act = may_act
         self._report_missed = report_missed
         self._confirm = confirm
-        self._incarnations = [""] * len(placements)
         self._failure = LaunchResult(LaunchOutcome.RELEASED)
         self._reserved: list[int] = []
         self._held_until = clock.monotonic()
@@ -115,6 +114,12 @@
         self._reserved = [
             member for member in members if results[member].is_ok()
         ]
+        self.placements = tuple(
+            dataclasses.replace(placement, incarnation=result.ok.incarnation)
+            if result.is_ok()
+            else placement
+            for placement, result in zip(self.placements, results, strict=True)
+        )
         hold = self._timing.duration("hold") / MIN_CLOCK_RATE
         self._held_until = self._clock.monotonic() + hold
         for member, result in enumerate(results):
@@ -129,7 +134,6 @@
 
         One that began after a claim unknown here has not seen its fence.
         """
-        self._incarnations = [answer.incarnation for answer in answers]
         ages = [answer.age_s for answer in answers if answer.incarnation]
         if self._confirm is None or not ages:
             return True
@@ -165,15 +169,16 @@
         return True
 
     async def _start_member(self, member: int):
+        placement = self.placements[member]
         command = messages.Start(
             self._task(member),
             self._token,
             self._timing.lease_s,
             self.job.spec.payload,
             max(0.0, self.job.spec.run_s - self.job.checkpoint_s),
-            self._incarnations[member],
+            placement.incarnation,
         )
-        worker_id = self.placements[member].worker_id
+        worker_id = placement.worker_id
         result = await self._workers.start(worker_id, command)
         unknown = (
             result.is_error()
@@ -202,11 +207,16 @@
         await self.release()
         return self._failure
 
+    def _stop_command(self, member: int) -> messages.Stop:
+        incarnation = self.placements[member].incarnation
+        return messages.Stop(
+            self._task(member), self._token, incarnation=incarnation
+        )
+
     async def _release_member(self, member: int) -> None:
         """Release a reservation, which otherwise expires by itself."""
         await self._workers.stop(
-            self.placements[member].worker_id,
-            messages.Stop(self._task(member), self._token),
+            self.placements[member].worker_id, self._stop_command(member)
         )
 
     async def _stop_member(self, member: int) -> None:
@@ -217,7 +227,7 @@
             self._workers,
             self._clock,
             self.placements[member].worker_id,
-            messages.Stop(self._task(member), self._token),
+            self._stop_command(member),
             expires_at,
         )
 
--- a/cardamomcroft/jobs/launcher.py
+++ b/cardamomcroft/jobs/launcher.py
@@ -154,6 +154,7 @@
                     messages.Stop(
                         messages.TaskId(job_id, attempt, member),
                         claim.epoch,
+                        incarnation=placement.incarnation,
                     ),
                 )
                 for member, placement in enumerate(launch.placements)
--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -135,7 +135,7 @@
     async def _fence_workers(self) -> None:
         state = self._dependencies.replica.state
         fleet = self._fleet.region(state, self._dependencies.region)
-        await self.takeover.step(tuple(fleet))
+        await self.takeover.step(tuple(fleet), state)
         if not self.takeover.is_settled:
             return
         for worker_id in itertools.filterfalse(self.takeover.is_fenced, fleet):
@@ -147,6 +147,7 @@
             self._dependencies.overlay.state(),
             self.takeover.epoch,
             self.takeover.reports_by_worker,
+            self.takeover.incarnations,
         )
         for adoption in reconciliation.adoptions:
             self._logger.info("gang_adopted", job_id=adoption.record.job_id)
@@ -154,7 +155,11 @@
                 adoption.record, appenders.Priority.START
             )
         for orphan in reconciliation.orphans:
-            command = messages.Stop(orphan.task, self.takeover.epoch)
+            command = messages.Stop(
+                orphan.task,
+                self.takeover.epoch,
+                incarnation=orphan.incarnation,
+            )
             self._dependencies.background.spawn(
                 self._dependencies.stop_until_confirmed(
                     orphan.worker_id, command
--- a/cardamomcroft/jobs/settler.py
+++ b/cardamomcroft/jobs/settler.py
@@ -94,7 +94,12 @@
             *(
                 self._dependencies.stop_until_confirmed(
                     placement.worker_id,
-                    messages.Stop(job.task(member), token, checkpoint),
+                    messages.Stop(
+                        job.task(member),
+                        token,
+                        checkpoint,
+                        placement.incarnation,
+                    ),
                     self._lost.since(job.task(member)),
                 )
                 for member, placement in enumerate(job.placements)
--- a/cardamomcroft/jobs/takeover.py
+++ b/cardamomcroft/jobs/takeover.py
@@ -23,6 +23,7 @@
 
     worker_id: str
     report: messages.TaskReport
+    incarnation: str
 
 
 class Takeover:
@@ -41,6 +42,7 @@
         self.is_settled = False
         self.is_reconciled = False
         self.reports_by_worker: dict[str, tuple[messages.TaskReport, ...]] = {}
+        self.incarnations: dict[str, str] = {}
         self._failures: collections.Counter[str] = collections.Counter()
         self._workers = workers
         self._clock = clock
@@ -51,16 +53,21 @@
         """Return whether the worker rejects older fencing tokens."""
         return worker_id in self.reports_by_worker
 
-    async def step(self, worker_ids: tuple[str, ...]) -> None:
+    async def step(
+        self,
+        worker_ids: tuple[str, ...],
+        state: models.State | None = None,
+    ) -> None:
         """Fence the unconfirmed workers and settle if nothing is unknown.
 
-        The takeover settles when every worker is fenced, or when any lease
-        renewed for a former owner must have expired.
+        The takeover settles when every worker is fenced and none has moved,
+        or when any lease renewed for a former owner must have expired.
         """
         await self._fence_all(worker_ids)
         waited = self._clock.monotonic() - self.started_at
         all_fenced = all(map(self.is_fenced, worker_ids))
-        if all_fenced or waited >= launch.lease_expiry_bound(self._timing):
+        is_known = all_fenced and not self._has_moved_workers(state)
+        if is_known or waited >= launch.lease_expiry_bound(self._timing):
             self.is_settled = True
             self._logger.info(
                 "takeover_settled",
@@ -69,6 +76,11 @@
                 waited_s=waited.total_seconds(),
             )
 
+    def _has_moved_workers(self, state: models.State | None) -> bool:
+        return state is not None and bool(
+            moved_workers(state, self.incarnations)
+        )
+
     async def _fence_all(self, worker_ids: tuple[str, ...]) -> None:
         """Fence group by group, those that failed last.
 
@@ -94,10 +106,34 @@
         result = await self._workers.renew(worker_id, command)
         if result.is_ok():
             self.reports_by_worker[worker_id] = result.ok.tasks
+            self.incarnations[worker_id] = result.ok.incarnation
         else:
             self._failures[worker_id] += 1
 
 
+def moved_workers(
+    state: models.State, incarnations: dict[str, str]
+) -> frozenset[str]:
+    """Return workers of which a former process may run on elsewhere.
+
+    The log shows tasks of that process; it may have others, unrecorded.
+    """
+    return frozenset(
+        placement.worker_id
+        for job in state.jobs.values()
+        if not job.phase.is_final
+        for placement in job.placements
+        if _has_moved(placement, incarnations.get(placement.worker_id, ""))
+    )
+
+
+def _has_moved(placement: records.Placement, incarnation: str) -> bool:
+    former = placement.incarnation
+    if not former or not incarnation or former == incarnation:
+        return False
+    return not messages.has_replaced(incarnation, former)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Adoption:
     """Adopt an unrecorded gang by appending this start record."""
@@ -111,6 +147,7 @@
 
     worker_id: str
     task: messages.TaskId
+    incarnation: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,6 +162,7 @@
     state: models.State,
     epoch: int,
     reports_by_worker: dict[str, tuple[messages.TaskReport, ...]],
+    incarnations: dict[str, str],
 ) -> Reconciliation:
     """Adopt complete gangs that the log lacks; the other tasks are orphans."""
     by_attempt: dict[tuple[str, int], dict[int, ReportedTask]] = (
@@ -134,7 +172,7 @@
         for report in reports:
             if _is_unrecorded(state, report.task):
                 key = (report.task.job_id, report.task.attempt)
-                task = ReportedTask(worker_id, report)
+                task = ReportedTask(worker_id, report, incarnations[worker_id])
                 by_attempt[key][report.task.member] = task
     adoptions, orphans = [], []
     for (job_id, attempt), tasks_by_member in sorted(by_attempt.items()):
@@ -145,7 +183,7 @@
             adoptions.append(_adopt(job, attempt, epoch, tasks_by_member))
         else:
             orphans.extend(
-                Orphan(task.worker_id, task.report.task)
+                Orphan(task.worker_id, task.report.task, task.incarnation)
                 for task in tasks_by_member.values()
             )
     return Reconciliation(tuple(adoptions), tuple(orphans))
@@ -181,6 +219,7 @@
         records.Placement(
             tasks_by_member[member].worker_id,
             tasks_by_member[member].report.cell,
+            incarnation=tasks_by_member[member].incarnation,
         )
         for member in range(job.spec.members)
     )
--- a/cardamomcroft/log/records.py
+++ b/cardamomcroft/log/records.py
@@ -65,11 +65,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """Place a gang member; ``grant`` names the guaranteed cell used."""
+    """Place a gang member; ``grant`` names the guaranteed cell used.
+
+    ``incarnation`` is the worker's, empty if unknown.
+    """
 
     worker_id: str
     cell: messages.Cell
     grant: str = ""
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/ports/messages.py
+++ b/cardamomcroft/ports/messages.py
@@ -92,11 +92,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
-    """Stop a task, after a checkpoint if ``checkpoint`` is set."""
+    """Stop a task, after a checkpoint if ``checkpoint`` is set.
+
+    An incarnation that has not replaced the named one refuses it, as the
+    task may run on there.
+    """
 
     task: TaskId
     token: int
     checkpoint: bool = False
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +128,17 @@
     return hashlib.blake2b(text, digest_size=6).hexdigest()
 
 
+def has_replaced(incarnation: str, former: str) -> bool:
+    """Return whether an incarnation shows that a former one has ended.
+
+    An incarnation is ``ADDRESS@NUMBER``: the address that the process alone
+    listens on, empty if it can't say, and a number of its own.
+    """
+    address = incarnation.rpartition("@")[0]
+    is_same = bool(address) and address == former.rpartition("@")[0]
+    return is_same and incarnation != former
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskReport:
     """Report the state of a task on its worker."""
--- a/cardamomcroft/standin/workers.py
+++ b/cardamomcroft/standin/workers.py
@@ -255,6 +255,8 @@
         """Stop the task and refuse it from now on."""
         if command.token < self.fence:
             return _refusal(verdict.Reason.STALE, "stale fencing token")
+        if self._may_be_elsewhere(command.incarnation):
+            return _refusal(verdict.Reason.RESTARTED, "another incarnation")
         task = self._tasks.get(command.task)
         if task and task.report.phase is messages.TaskPhase.FINISHED:
             return expression.Ok(messages.Done(is_finished=True))
@@ -268,6 +270,11 @@
                 kept_s = (now - task.started_at).total_seconds()
         return expression.Ok(messages.Done(kept_s))
 
+    def _may_be_elsewhere(self, incarnation: str) -> bool:
+        if incarnation in ("", self.incarnation):
+            return False
+        return not messages.has_replaced(self.incarnation, incarnation)
+
     def renew(self, command: messages.Renew) -> expression.Result:
         """Extend the leases, raise the fence and return the inventory."""
         if command.token < self.fence:
--- a/tests/jobs/test_incarnations.py
+++ b/tests/jobs/test_incarnations.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from cardamomcroft.log import records
 from cardamomcroft.ports import messages
 from cardamomcroft.ports import verdict
 from cardamomcroft.settings import parsing
@@ -58,6 +59,32 @@
     async def test_start_of_an_older_instance_names_none(self):
         self.assertTrue(self.start("").is_ok())
 
+    def stop(self, incarnation: str):
+        """Stop the task on the named incarnation."""
+        return self.worker.stop(
+            messages.Stop(TASK, TOKEN, incarnation=incarnation)
+        )
+
+    async def test_new_process_at_the_address_confirms_a_stop(self):
+        self.worker.lose()
+        self.assertTrue(self.stop(self.former).is_ok())
+
+    async def test_process_at_another_address_confirms_no_stop(self):
+        self.cluster.workers.add("w1")
+        self.worker = self.cluster.workers.by_id["w1"]
+        refused = self.stop(self.former).error
+        self.assertIs(verdict.Verdict.NOT_RUN, refused.verdict)
+        self.assertIs(verdict.Reason.RESTARTED, refused.reason)
+
+    async def test_process_without_an_address_confirms_no_stop(self):
+        self.assertFalse(messages.has_replaced("@1", "@0"))
+        self.assertFalse(messages.has_replaced("a:1@1", "a:1@1"))
+        self.assertFalse(messages.has_replaced("a:1@1", ""))
+        self.assertTrue(messages.has_replaced("a:1@1", "a:1@0"))
+
+    async def test_stop_of_an_older_instance_names_none(self):
+        self.assertTrue(self.stop("").is_ok())
+
     async def test_age_counts_from_the_start_of_the_process(self):
         await self.cluster.advance(5)
         self.assertEqual(5.0, self.reserve().age_s)
@@ -69,6 +96,8 @@
         for message in (
             messages.Done(),
             messages.Start(TASK, TOKEN, 12.0, "", 1.0),
+            messages.Stop(TASK, TOKEN),
+            records.Placement("w1", messages.Cell(0, 1)),
             messages.Inventory("w1", TOKEN, False),
         ):
             older = converter.unstructure(message)
@@ -116,6 +145,15 @@
         self.assertEqual(1, self.refreshes)
         self.assertEqual(1, len(self.cluster.runs(job_id)))
 
+    async def test_job_runs_again_at_once_at_the_same_address(self):
+        job_id = await self.cluster.submit(run_s=60.0)
+        await self.cluster.reach(job_id, models.Phase.RUNNING)
+        self.cluster.workers.by_id["w1"].lose()
+        restarted = await self.cluster.until(
+            lambda: len(self.cluster.runs(job_id)) == 2, 3
+        )
+        self.assertTrue(restarted)
+
     async def test_start_on_an_older_process_reads_nothing(self):
         job_id = await self.cluster.submit(run_s=5.0)
         await self.cluster.reach(job_id, models.Phase.COMPLETED)
--- a/tests/jobs/test_unbounded_orders.py
+++ b/tests/jobs/test_unbounded_orders.py
@@ -75,15 +75,15 @@
         self.assertEqual({}, self.cluster.violations())
 
 
-class WithdrawnWorkerTest(harness.ClusterCase):
-    """A worker leaves the settings just before a takeover."""
+class UnrecordedGangCase(harness.ClusterCase):
+    """Give each test a gang that ran before its owner could record it."""
 
-    async def lose_owner_with_its_start_record(self) -> str:
+    async def lose_owner_with_its_start_record(self, **spec) -> str:
         """Kill the owner of a job that the log shows as queued."""
         cluster, owner = self.cluster, self.cluster.owner
         for worker in cluster.workers.by_id.values():
             worker.faults.refused["reserve"] = 1000
-        job_id = await cluster.submit(run_s=60.0)
+        job_id = await cluster.submit(run_s=60.0, **spec)
         cluster.log.down = True
         for worker in cluster.workers.by_id.values():
             worker.faults.refused["reserve"] = 0
@@ -95,6 +95,32 @@
         await cluster.until(lambda: cluster.node().replica.reachable, 5)
         return job_id
 
+
+class MovedWorkerTakeoverTest(UnrecordedGangCase):
+    """A worker's new process answers a takeover; the former one runs on."""
+
+    async def test_unrecorded_gang_there_is_not_run_twice(self):
+        """The log shows another gang of the former process."""
+        self.cluster = harness.FakeCluster(worker_count=1)
+        await self.cluster.ready()
+        recorded = await self.cluster.submit(accelerators=4, run_s=90.0)
+        await self.cluster.reach(recorded, models.Phase.RUNNING)
+        job_id = await self.lose_owner_with_its_start_record(accelerators=4)
+        victim = self.cluster.runs(job_id)[0].worker_id
+        by_id = self.cluster.workers.by_id
+        by_id["former"] = by_id[victim]
+        self.cluster.workers.add(victim)
+        started = await self.cluster.until(
+            lambda: len(self.cluster.runs(job_id)) == 2
+        )
+        self.assert_injected("log_down")
+        self.assertTrue(started)
+        self.assertEqual({}, self.cluster.violations())
+
+
+class WithdrawnWorkerTest(UnrecordedGangCase):
+    """A worker leaves the settings just before a takeover."""
+
     async def test_its_unrecorded_gang_is_not_run_twice(self):
         await self.cluster.ready()
         job_id = await self.lose_owner_with_its_start_record()
