Count on workers that left the settings lately in a takeover

Callers saw a job run twice: an owner started a gang and died before the log had its start record, an operator removed the gang's worker, and the successor fenced and asked only the workers that were still declared, settled and started the job again (WithdrawnWorkerTest failed with {'doubled': 1}).

The audit of the settings is part of the log's state and shows what a change replaced and when. A takeover now also fences the workers that left within the lease bound and 10 s, which the instances' wall clocks may differ, so it adopts or stops what runs there; it waits for those that it can't reach, for those declared elsewhere meanwhile, and if the audit of that time is full, until that time is over or its own bound is reached.

A worker that is undeclared has no address over HTTP, so it is always out of reach there.

--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -9,6 +9,7 @@
 from cardamomcroft.jobs import claim as claims
 from cardamomcroft.jobs import declared
 from cardamomcroft.jobs import dependencies as bundles
+from cardamomcroft.jobs import launch as launches
 from cardamomcroft.jobs import launcher as launchers
 from cardamomcroft.jobs import planning
 from cardamomcroft.jobs import settler as settlers
@@ -19,6 +20,7 @@
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import messages
 from cardamomcroft.state import models
+from cardamomcroft.workers import departures
 from cardamomcroft.workers import fleet as fleets
 
 DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -135,12 +137,26 @@
     async def _fence_workers(self) -> None:
         state = self._dependencies.replica.state
         fleet = self._fleet.region(state, self._dependencies.region)
-        await self.takeover.step(tuple(fleet), state)
+        left = self._departures(state)
+        await self.takeover.step(
+            (*fleet, *sorted(left.worker_ids)), state, left.is_complete
+        )
         if not self.takeover.is_settled:
             return
         for worker_id in itertools.filterfalse(self.takeover.is_fenced, fleet):
             self._dependencies.health.record_unreachable(worker_id)
 
+    def _departures(self, state: models.State) -> departures.Departures:
+        """Return the workers that left when the former owner could act."""
+        dependencies = self._dependencies
+        bound = launches.lease_expiry_bound(dependencies.timing)
+        return departures.find(
+            state,
+            dependencies.region,
+            self._fleet.by_id(state),
+            dependencies.clock.now() - bound,
+        )
+
     def _reconcile(self) -> None:
         """Adopt the unrecorded gangs that are complete, stop the others."""
         reconciliation = takeovers.reconcile(
--- a/cardamomcroft/jobs/takeover.py
+++ b/cardamomcroft/jobs/takeover.py
@@ -57,15 +57,17 @@
         self,
         worker_ids: tuple[str, ...],
         state: models.State | None = None,
+        is_complete: bool = True,
     ) -> None:
         """Fence the unconfirmed workers and settle if nothing is unknown.
 
-        The takeover settles when every worker is fenced and none has moved,
-        or when any lease renewed for a former owner must have expired.
+        The takeover settles when every worker is fenced, none has moved and
+        the list of workers is complete, or when any lease renewed for a
+        former owner must have expired.
         """
         await self._fence_all(worker_ids)
         waited = self._clock.monotonic() - self.started_at
-        all_fenced = all(map(self.is_fenced, worker_ids))
+        all_fenced = is_complete and all(map(self.is_fenced, worker_ids))
         is_known = all_fenced and not self._has_moved_workers(state)
         if is_known or waited >= launch.lease_expiry_bound(self._timing):
             self.is_settled = True
--- a/cardamomcroft/workers/fleet.py
+++ b/cardamomcroft/workers/fleet.py
@@ -1,5 +1,6 @@
 """Read the declared fleet from the settings in the state."""
 
+import collections.abc
 import dataclasses
 
 from cardamomcroft.policy import base
@@ -50,15 +51,23 @@
         document = state.settings[path].document
         if not isinstance(document, documents.DataCentre):
             continue
-        data_centre = path.removeprefix("fleet/")
-        for rack, contents in document.racks.items():
-            for worker_id, worker in contents.workers.items():
-                by_id[worker_id] = FleetWorker(
-                    worker_id, document.region, data_centre, rack, worker
-                )
+        for fleet_worker in read_data_centre(path, document):
+            by_id[fleet_worker.worker_id] = fleet_worker
     return by_id
 
 
+def read_data_centre(
+    path: str, document: documents.DataCentre
+) -> collections.abc.Iterator[FleetWorker]:
+    """Return the workers that a document at a path declares."""
+    data_centre = path.removeprefix("fleet/")
+    for rack, contents in document.racks.items():
+        for worker_id, worker in contents.workers.items():
+            yield FleetWorker(
+                worker_id, document.region, data_centre, rack, worker
+            )
+
+
 def to_view(fleet_worker: FleetWorker, usable: bool = True) -> base.WorkerView:
     """Return a worker as policies see it."""
     return base.WorkerView(
