--- a/cardamomcroft/platform/connections.py
+++ b/cardamomcroft/platform/connections.py
@@ -97,4 +97,4 @@
                 raise UngreetedError
             if born_ms == call.born_ms:
                 return connection
-            connection.close()  # of an incarnation that has ended
+            connection.close()  # of another incarnation, which has ended
--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -16,8 +16,10 @@
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips between data centres
 ADVICE_TIMEOUT_S = 2.0
+# Of a start: greeting and claim's age stay below candidate.HOLDER_TIMEOUT.
+GREETING_TIMEOUT = datetime.timedelta(milliseconds=400)
 # Another call may take the connection that was greeted for this one.
-MAX_GREETINGS = 10
+MAX_GREETINGS = 5
 MAX_REMAINING_MS = 86_400_000  # a day; larger numbers overflow a duration
 # The protocol returns the remaining ends in later answers.
 ENDS_PER_ANSWER = 500
@@ -143,13 +145,14 @@
         token: int,
         timeout: datetime.timedelta,
         ungreeted: connections.Call,
+        silence: datetime.timedelta | None = None,
     ) -> tuple[fleet.OrderResult, dict]:
         """Ask for the inventory on the connection that a call has found."""
         call = connections.Call(address.worker_id, None, ungreeted)
         body = {"FencingToken": token, "LastSeen": 0}
         try:
             return await self._post(
-                address, "/hold", body, timeout, call, timeout
+                address, "/hold", body, timeout, call, silence
             )
         finally:
             ungreeted.connection.release()  # if no call has used it
@@ -167,6 +170,7 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
+        until = self._clock.monotonic() + GREETING_TIMEOUT
         for _ in range(MAX_GREETINGS):
             call = connections.Call(address.worker_id, order.born_ms)
             result, _ = await self._post(
@@ -174,8 +178,9 @@
             )
             if not call.is_ungreeted:
                 return result
+            left = max(until - self._clock.monotonic(), datetime.timedelta())
             greeting, data = await self._greet(
-                address, order.token, timeout, call
+                address, order.token, left, call
             )
             if greeting.status is not fleet.OrderStatus.DONE:
                 return _unsent(greeting)
@@ -226,7 +231,7 @@
         )
         if call.is_ungreeted:
             result, data = await self._greet(
-                address, order.token, timeout, call
+                address, order.token, timeout, call, timeout
             )
         if result.status is not fleet.OrderStatus.DONE:
             return result
@@ -337,7 +342,7 @@
             capacity.get("MemMb", 0),
             capacity.get("Gpu", 0),
             data["ClockMs"],
-            data.get("born", 0),
+            data["born"],
         )
         texts = (
             data["Service"],
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -17,8 +17,8 @@
 from cardamomcroft.scheduling import runs
 
 # Other instances claim the role when the last record is older than
-# candidate.HOLDER_TIMEOUT; an order sent within this shorter time of a record
-# precedes any such claim.
+# candidate.HOLDER_TIMEOUT; a start that is begun within this shorter time of a
+# record, and sent after a greeting at most, precedes any such claim.
 MAX_CONFIRMATION_AGE = datetime.timedelta(seconds=1.0)
 STRIKE_LIMIT = 2  # consecutive failures before a worker is avoided
 STRIKE_AVOID_DURATION = datetime.timedelta(seconds=3)
@@ -110,7 +110,8 @@
 
         Another order may have brought a higher token of this scheduler.
         """
-        return token == self.token_for(worker)
+        newest = self._raised_tokens_by_worker.get(worker.worker_id)
+        return token == (newest or self.token)
 
     @property
     def is_claim_confirmed(self) -> bool:
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -105,28 +105,28 @@
     async def _order_start(
         self, worker: runs.Worker, run: runs.Run
     ) -> fleet.OrderResult:
-        is_first = True
+        may_have_run = False
         for timeout in START_TIMEOUTS:
             order = self._start_order(worker, run)
             result = await self._link.start(worker.address, order, timeout)
             is_current = worker.born_ms == order.born_ms
             if is_current:
                 self._record_contact(worker, order, result)
-            result = self._settle_fence(worker, order, result)
-            if result.status in _REFUSED and not is_first:
+            result = self._resolve_stale_token(worker, order, result)
+            if result.status in _REFUSED and may_have_run:
                 # The unanswered order may still be carried out.
                 result = fleet.OrderResult(
                     Status.MAY_HAVE_RUN, result.clock_ms, result.detail
                 )
                 break
             if (
-                result.status is not Status.MAY_HAVE_RUN
+                result.status not in _SILENT
                 or run.phase is not runs.Phase.STARTING
                 or not self._cluster.is_claim_confirmed
             ):
                 break
-            is_first = False
-            run.has_lost_order = True
+            may_have_run = result.status is Status.MAY_HAVE_RUN
+            run.has_lost_order = run.has_lost_order or may_have_run
         if is_current and result.clock_ms is None:
             if result.status in _SILENT:
                 self._cluster.record_silence(worker, result)
@@ -149,7 +149,7 @@
         elif result.status is Status.RESTARTED:
             worker.has_inventory = False  # a poll shows the new incarnation
 
-    def _settle_fence(
+    def _resolve_stale_token(
         self,
         worker: runs.Worker,
         order: fleet.StartOrder,
--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 
+from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import runs
@@ -65,13 +66,16 @@
         ]
         self.drop_runs(worker, listed, "worker restarted")
 
-    def handle_doubt(self, worker: runs.Worker, born_ms: int) -> None:
+    def handle_doubt(
+        self, worker: runs.Worker, listing: fleet.Listing
+    ) -> None:
         """Ask which incarnation lives if another one is listed.
 
         Its birth is earlier: the entry is an old one, or the worker's time of
         day has gone back before a restart.
         """
-        worker.former_births.add(born_ms)
+        worker.former_births.add(listing.born_ms)
+        worker.address = listing.address
         self._expect_first_inventory(worker)
         if worker.has_assignment_record:
             self._cluster.stage_assignment(worker)
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -413,9 +413,7 @@
             )
         return self.granted_deadline_ms
 
-    def record_first_inventory(
-        self, clock_ms: int, now: datetime.timedelta
-    ) -> None:
+    def record_first_inventory(self, clock_ms: int) -> None:
         """Count the lease that an earlier order may have granted.
 
         From now on the worker refuses the orders of earlier schedulers, and
@@ -424,7 +422,11 @@
         self.has_inventory = True
         deadline = round(clock_ms + self.unheard_lease / _MS)
         self.lease_deadline_ms = max(self.lease_deadline_ms, deadline)
-        if self.doubt_ends_at is not None:
+
+    def bound_doubt(self, clock_ms: int, now: datetime.timedelta) -> None:
+        """Let the doubt end, as no order for a former one is accepted now."""
+        if self.doubt_ends_at == datetime.timedelta.max:
+            self.record_first_inventory(clock_ms)
             self.doubt_ends_at = now + self.unheard_lease / MIN_CLOCK_RATE
 
     def grant_start_lease(self, now: datetime.timedelta) -> int:
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -26,9 +26,9 @@
 GIVEN_UP_PAUSE = datetime.timedelta(milliseconds=500)
 SHORT_POLL_PAUSE = datetime.timedelta(milliseconds=60)
 COMMIT_TIMEOUT = datetime.timedelta(milliseconds=400)
-# Of a worker that a successor has not heard yet: its inventory has that long
-# to arrive over a slow link, and a run on a dead worker waits no longer for it
-# than for the leases of the predecessor.
+# Of a worker that a successor has not heard yet, on a connection that has been
+# greeted: its inventory has that long to arrive over a slow link, and a run on
+# a dead worker waits no longer for it than for the leases of the predecessor.
 FIRST_LEASE = datetime.timedelta(seconds=4)
 # Near the horizon leases are short; the next poll has to renew them in time.
 RENEWAL_MARGIN = datetime.timedelta(seconds=1)
@@ -70,11 +70,12 @@
         """Apply a worker's directory listing."""
         if not worker.born_ms:
             worker.born_ms = listing.born_ms
+            worker.reset_clock()
         elif worker.is_born_later(listing):
             self._restarts.handle_restart(worker, listing.born_ms)
         elif listing.born_ms != worker.born_ms:
             if listing.born_ms not in worker.former_births:
-                self._restarts.handle_doubt(worker, listing.born_ms)
+                self._restarts.handle_doubt(worker, listing)
             return
         worker.address = listing.address
         worker.listing = listing
@@ -172,12 +173,10 @@
             worker.born_ms,
         )
         result = await self._call(worker, order)
-        if result is None:
-            return
+        if result is None or worker.born_ms != order.born_ms:
+            return  # a listing has shown another incarnation meanwhile
         if isinstance(result, fleet.OrderResult):
             await self._handle_failed_poll(worker, order, result)
-        elif worker.born_ms != order.born_ms:
-            return  # a listing has shown another incarnation meanwhile
         elif result.born_ms != order.born_ms:
             self._apply_birth(worker, result)
         else:
@@ -192,6 +191,7 @@
         if worker.born_ms:
             self._restarts.handle_restart(worker, inventory.born_ms)
         worker.born_ms = inventory.born_ms
+        worker.reset_clock()
         worker.record_clock(inventory.clock_ms, now)
 
     async def _apply_answer(
@@ -207,6 +207,7 @@
             # Orders for the former incarnation may still be carried out.
             await self._clock.sleep(RETRY_PAUSE)
             return
+        worker.bound_doubt(inventory.clock_ms, worker.heard_at)
         if inventory.is_renewed:
             self._cluster.check_lease(
                 worker, order.deadline_ms, inventory.clock_ms
@@ -217,7 +218,11 @@
         self._apply_inventory(worker, inventory, sent_at)
         if worker.durable_end < worker.received_end:
             await self._wait_until_durable(worker)
-        elif order.wait == _ZERO or worker.applied_ends:
+        elif (
+            order.wait == _ZERO
+            or worker.applied_ends
+            or not inventory.is_renewed
+        ):
             await self._clock.sleep(SHORT_POLL_PAUSE)
 
     async def _call(
@@ -298,7 +303,7 @@
             worker.unreachable_since = None
             self._log.emit("worker_regained", worker_id=worker.worker_id)
         if not worker.has_inventory:
-            worker.record_first_inventory(inventory.clock_ms, now)
+            worker.record_first_inventory(inventory.clock_ms)
             self._cluster.wake()
         self._apply_ends(worker, inventory)
         worker.has_unheard_ends = False
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -104,6 +104,10 @@
             with self.subTest(changes=changes):
                 damaged = entry(**changes)
                 self.assertIsNone(workers.decode_listing(damaged))
+        unborn = json.loads(entry().value)
+        del unborn["born"]
+        raw = store.Record(0, "i-1", json.dumps(unborn).encode())
+        self.assertIsNone(workers.decode_listing(raw))
         raw = store.Record(0, "i-1", b"\xff\x00")
         self.assertIsNone(workers.decode_listing(raw))
 
--- a/tests/scheduling/test_reborn_takeover.py
+++ b/tests/scheduling/test_reborn_takeover.py
@@ -83,7 +83,7 @@
         )
 
 
-class DoubtfulIncarnationTest(RebornTakeoverTestCase):
+class DoubtfulRestartTestCase(RebornTakeoverTestCase):
     """A new incarnation carries out a start that was for the former one."""
 
     async def restart_with_late_start(self) -> None:
@@ -111,6 +111,20 @@
         self.fleet._start(worker, late_start)
         self.store.put(store.Stream.SERVERS, "w1", b"reborn")
 
+    def recorded_birth(self) -> int:
+        """Return the incarnation that the worker's record names."""
+        key = ledgers.Kind.ASSIGNMENT.key("w1")
+        values = [
+            record.value
+            for record in self.store.records_by_stream[store.Stream.JOBS]
+            if record.key == key
+        ]
+        return codec.decode_assignment(values[-1]).born_ms
+
+
+class DoubtfulIncarnationTest(DoubtfulRestartTestCase):
+    """The holder, which knew of the restart, dies."""
+
     async def test_successor_counts_the_longest_hold(self):
         """The holder, which knew of the restart, dies; the worker is cut."""
         await self.restart_with_late_start()
@@ -148,16 +162,6 @@
         self.assertLess(took, 11)
         self.assertGreater(took, 9)
 
-    def recorded_birth(self) -> int:
-        """Return the incarnation that the worker's record names."""
-        key = ledgers.Kind.ASSIGNMENT.key("w1")
-        values = [
-            record.value
-            for record in self.store.records_by_stream[store.Stream.JOBS]
-            if record.key == key
-        ]
-        return codec.decode_assignment(values[-1]).born_ms
-
 
 class TakeoverCostTest(RebornTakeoverTestCase):
     """Only tasks of workers in doubt wait longer after a takeover."""
