--- a/tests/scheduling/test_reborn_takeover.py
+++ b/tests/scheduling/test_reborn_takeover.py
@@ -19,6 +19,20 @@
         self.restart(worker_id)
         self.store.put(store.Stream.SERVERS, worker_id, b"reborn")
 
+    async def lose_start(self) -> fleet.StartOrder:
+        """Return a start that got no answer."""
+        late = []
+
+        async def lose(address, order, timeout):
+            late.append(order)
+            await self.clock.sleep(timeout)
+            return test_lease_safety.UNANSWERED
+
+        with mock.patch.object(self.fleet, "start", lose):
+            self.submit(harness.make_step())
+            await self.wait_until(lambda: late)
+        return late[0]
+
     async def run_with_lost_answer(self) -> str:
         """Start a task whose first start order got no answer."""
         self.add_workers(1)
@@ -64,6 +78,23 @@
         self.assertTrue(granted)
         self.assertLessEqual(max(granted), lease_ms)
 
+    async def test_first_overlong_lease_of_an_incarnation_is_logged(self):
+        """Once, and none that a successor counts as well."""
+        self.add_workers(1)
+        node = self.start_node("a")
+        await self.pass_time(1)
+        cluster = node.scheduler.cluster
+        worker = cluster.workers_by_id["w1"]
+        lease_ms = round(harness.LEASE.total_seconds() * 1000)
+        with mock.patch.object(cluster.log, "emit") as emit:
+            cluster.check_lease(worker, None, 0)
+            cluster.check_lease(worker, lease_ms, 0)
+            emit.assert_not_called()
+            for _ in range(2):
+                cluster.check_lease(worker, lease_ms + 1, 0)
+            emit.assert_called_once()
+        self.assertEqual(emit.call_args.args, ("lease_overlong",))
+
     async def test_task_of_a_reborn_worker_does_not_run_twice(self):
         """Its holder dies and the worker is cut off just after its start."""
         await self.run_with_lost_answer()
@@ -92,22 +123,13 @@
         self.start_node("a")
         self.start_node("b")
         await self.pass_time(20)  # the former clock is far ahead of the new
-        late = []
-
-        async def lose_start(address, order, timeout):
-            late.append(order)
-            await self.clock.sleep(timeout)
-            return test_lease_safety.UNANSWERED
-
-        with mock.patch.object(self.fleet, "start", lose_start):
-            self.submit(harness.make_step())
-            await self.wait_until(lambda: late)
-            self.restart("w1")
+        late = await self.lose_start()
+        self.restart("w1")
         worker = self.fleet.workers_by_id["w1"]
         longest_ms = harness.PARAMETERS.max_hold.total_seconds() * 1000
         deadline_ms = worker.clock_ms() + round(longest_ms)
-        self.assertGreater(late[0].deadline_ms, deadline_ms)
-        late_start = dataclasses.replace(late[0], deadline_ms=deadline_ms)
+        self.assertGreater(late.deadline_ms, deadline_ms)
+        late_start = dataclasses.replace(late, deadline_ms=deadline_ms)
         self.fleet._start(worker, late_start)
         self.store.put(store.Stream.SERVERS, "w1", b"reborn")
 
@@ -221,20 +243,11 @@
         self.add_workers(1)
         self.start_node("a")
         await self.wait_until(self.holder)
-        late = []
-
-        async def lose_start(address, order, timeout):
-            late.append(order)
-            await self.clock.sleep(timeout)
-            return test_lease_safety.UNANSWERED
-
-        with mock.patch.object(self.fleet, "start", lose_start):
-            self.submit(harness.make_step())
-            await self.wait_until(lambda: late)
-            self.restart_listed("w1")
+        late = await self.lose_start()
+        self.restart_listed("w1")
         await self.wait_until(lambda: self.fleet.running())
         worker = self.fleet.workers_by_id["w1"]
-        result = self.fleet._start(worker, late[0])
+        result = self.fleet._start(worker, late)
         self.assertIs(result.status, fleet.OrderStatus.STALE_TOKEN)
         await self.pass_time(3)
         self.assertEqual(self.holder(), "a")
--- a/tests/scheduling/test_relisted_workers.py
+++ b/tests/scheduling/test_relisted_workers.py
@@ -1,32 +1,16 @@
 """A restart shows in the directory only, and an order comes late."""
 
 import dataclasses
-from unittest import mock
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
 from tests.scheduling import harness
-from tests.scheduling import test_lease_safety
 from tests.scheduling import test_reborn_takeover
 
 
 class RelistedWorkerTest(test_reborn_takeover.RebornTakeoverTestCase):
     """The holder forgot the worker before its next entry."""
 
-    async def lose_start(self) -> fleet.StartOrder:
-        """Return a start that got no answer."""
-        late = []
-
-        async def lose(address, order, timeout):
-            late.append(order)
-            await self.clock.sleep(timeout)
-            return test_lease_safety.UNANSWERED
-
-        with mock.patch.object(self.fleet, "start", lose):
-            self.submit(harness.make_step())
-            await self.wait_until(lambda: late)
-        return late[0]
-
     def carry_out(self, order: fleet.StartOrder) -> fleet.OrderResult:
         """Let w1 carry out a start, no longer than its longest hold."""
         worker = self.fleet.workers_by_id["w1"]
