--- a/tests/scheduling/restarting_fleet.py
+++ b/tests/scheduling/restarting_fleet.py
@@ -46,12 +46,17 @@
             if end.end is fleet.End.DONE
         }
 
-    def end(self, task: str, end: fleet.End) -> None:
+    def end(
+        self,
+        task: str,
+        end: fleet.End,
+        ended_at: datetime.timedelta | None = None,
+    ) -> None:
         """End a run; note a completion that nobody can read."""
         run = self.runs_by_task.get(task)
         if run is not None and self.is_cut and end is fleet.End.DONE:
             self._fleet.unreadable.add((task, run.number))
-        super().end(task, end)
+        super().end(task, end, ended_at)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
