--- a/tests/scheduling/test_reborn_takeover.py
+++ b/tests/scheduling/test_reborn_takeover.py
@@ -86,7 +86,7 @@
         cluster = node.scheduler.cluster
         worker = cluster.workers_by_id["w1"]
         lease_ms = round(harness.LEASE.total_seconds() * 1000)
-        with mock.patch.object(cluster.log, "emit") as emit:
+        with mock.patch.object(cluster.log, "emit", autospec=True) as emit:
             cluster.check_lease(worker, None, 0)
             cluster.check_lease(worker, lease_ms, 0)
             emit.assert_not_called()
