Greet each new connection, also those of stops

Stops were sent over new connections without a greeting, which left connections in the pool that a start may not use; it greeted one after the other and gave up at the fifth.

Every connection is greeted by its first call now, whatever that is for, so that none that was not is left in the pool. test_start_is_sent_after_many_stops failed before. Two tests of the stand-in greet the connection before the worker falls silent; what they check is unchanged.

--- a/cardamomcroft/platform/connections.py
+++ b/cardamomcroft/platform/connections.py
@@ -17,22 +17,28 @@
     """Track the connection of one call to a worker."""
 
     def __init__(
-        self, worker_id: str, born_ms: int | None, greets: "Call | None" = None
+        self,
+        worker_id: str,
+        born_ms: int | None = None,
+        greets: "Call | None" = None,
+        is_greeting: bool = False,
     ) -> None:
         """Require a connection to an incarnation, or to any if it is None.
 
-        A greeting uses the connection that the call ``greets`` has found.
+        It must have been greeted, unless the call is a greeting. That may use
+        the connection that the call ``greets`` has found.
         """
         self.worker_id = worker_id
         self.born_ms = born_ms
         self.greets = greets
+        self.is_greeting = is_greeting or greets is not None
         self.connection: aiohttp.connector.Connection | None = None
         self.protocol: client_proto.ResponseHandler | None = None
 
     @property
     def is_ungreeted(self) -> bool:
         """Return whether the call has found only a connection to greet."""
-        return self.born_ms is not None and self.connection is not None
+        return not self.is_greeting and self.connection is not None
 
 
 _current_call: contextvars.ContextVar[Call | None] = contextvars.ContextVar(
@@ -77,8 +83,8 @@
     ) -> aiohttp.connector.Connection:
         """Return a connection for the current call.
 
-        Raise UngreetedError if the call is for one incarnation and the
-        connection is not known to reach any.
+        Raise UngreetedError if no incarnation has answered on it: one that is
+        left in the pool like that would be in the way of other calls.
         """
         call = _current_call.get()
         if call is None:
@@ -88,13 +94,13 @@
             if connection is None:
                 connection = await super().connect(req, traces, timeout)
             call.protocol = connection.protocol
-            if call.born_ms is None:
+            if call.is_greeting:
                 return connection
             known = self._born_ms_by_worker.get(connection.protocol, {})
             born_ms = known.get(call.worker_id)
             if born_ms is None:
                 call.connection = connection
                 raise UngreetedError
-            if born_ms == call.born_ms:
+            if call.born_ms in (None, born_ms):
                 return connection
             connection.close()  # of another incarnation, which has ended
--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -148,7 +148,7 @@
         silence: datetime.timedelta | None = None,
     ) -> tuple[fleet.OrderResult, dict]:
         """Ask for the inventory on the connection that a call has found."""
-        call = connections.Call(address.worker_id, None, ungreeted)
+        call = connections.Call(address.worker_id, greets=ungreeted)
         body = {"FencingToken": token, "LastSeen": 0}
         try:
             return await self._post(
@@ -157,6 +157,31 @@
         finally:
             ungreeted.connection.release()  # if no call has used it
 
+    async def _order(
+        self,
+        address: fleet.Address,
+        path: str,
+        body: dict,
+        timeout: datetime.timedelta,
+        born_ms: int | None = None,
+    ) -> fleet.OrderResult:
+        """Send an order to one incarnation, or to any if none is named."""
+        until = self._clock.monotonic() + GREETING_TIMEOUT
+        for _ in range(MAX_GREETINGS):
+            call = connections.Call(address.worker_id, born_ms)
+            result, _ = await self._post(address, path, body, timeout, call)
+            if not call.is_ungreeted:
+                return result
+            left = max(until - self._clock.monotonic(), datetime.timedelta())
+            greeting, data = await self._greet(
+                address, body["FencingToken"], left, call
+            )
+            if greeting.status is not fleet.OrderStatus.DONE:
+                return _unsent(greeting)
+            if born_ms not in (None, data.get("born", 0)):
+                return fleet.OrderResult(fleet.OrderStatus.RESTARTED)
+        return fleet.OrderResult(fleet.OrderStatus.NOT_RUN)
+
     async def start(self, address, order, timeout) -> fleet.OrderResult:
         """Start a task on the incarnation that the order names."""
         body = {
@@ -170,32 +195,16 @@
             body["Checkpoint"] = order.checkpoint
         if order.ticket:
             body["Ticket"] = order.ticket
-        until = self._clock.monotonic() + GREETING_TIMEOUT
-        for _ in range(MAX_GREETINGS):
-            call = connections.Call(address.worker_id, order.born_ms)
-            result, _ = await self._post(
-                address, "/run-start", body, timeout, call
-            )
-            if not call.is_ungreeted:
-                return result
-            left = max(until - self._clock.monotonic(), datetime.timedelta())
-            greeting, data = await self._greet(
-                address, order.token, left, call
-            )
-            if greeting.status is not fleet.OrderStatus.DONE:
-                return _unsent(greeting)
-            if data.get("born", 0) != order.born_ms:
-                return fleet.OrderResult(fleet.OrderStatus.RESTARTED)
-        return fleet.OrderResult(fleet.OrderStatus.NOT_RUN)
+        return await self._order(
+            address, "/run-start", body, timeout, order.born_ms
+        )
 
     async def stop(
         self, address, task, run, token, timeout
     ) -> fleet.OrderResult:
         """Stop a run."""
         body = {"Task": task, "RunId": run, "FencingToken": token}
-        call = connections.Call(address.worker_id, None)
-        result, _ = await self._post(address, "/run-stop", body, timeout, call)
-        return result
+        return await self._order(address, "/run-stop", body, timeout)
 
     async def pace(
         self, address, task, run, percent, token, timeout
@@ -207,9 +216,7 @@
             "Percent": percent,
             "FencingToken": token,
         }
-        call = connections.Call(address.worker_id, None)
-        result, _ = await self._post(address, "/pace", body, timeout, call)
-        return result
+        return await self._order(address, "/pace", body, timeout)
 
     async def renew_lease(
         self, address, order, timeout
@@ -224,8 +231,11 @@
             body["DeadlineMs"] = order.deadline_ms
         if wait_ms:
             body["WaitMs"] = wait_ms
-        born_ms = order.born_ms if order.names_incarnation else None
-        call = connections.Call(address.worker_id, born_ms)
+        call = connections.Call(
+            address.worker_id,
+            order.born_ms,
+            is_greeting=not order.names_incarnation,
+        )
         result, data = await self._post(
             address, "/hold", body, timeout + order.wait, call, timeout
         )
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -271,14 +271,15 @@
             return web.Response(status=404)
         if request.transport is None:
             return web.Response(status=503)  # the client has gone
-        worker_id = request.headers.get("X-Expected-Instance", "")
-        if worker_id in self._transports_by_worker:
-            return await self._call_worker(worker_id, request, handler)
         # A client that gives up meanwhile takes its address away.
         client = self._client_name(request)
         rate = self.link_rates_by_client.get(client)
         link = self.shared_links_by_client.get(client)
-        response = await handler(request)
+        worker_id = request.headers.get("X-Expected-Instance", "")
+        if worker_id in self._transports_by_worker:
+            response = await self._call_worker(worker_id, request, handler)
+        else:
+            response = await handler(request)
         if link is not None:
             return await link.send(request, response)
         if rate is None:
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -182,4 +182,15 @@
         await self.restart()
         result = await self.link.stop(self.address, "t", 1, 3, TIMEOUT)
         self.assertIs(result.status, fleet.OrderStatus.DONE)
-        self.assertEqual(self.second.paths(), ["/run-stop"])
+        self.assertEqual(self.second.paths(), ["/hold", "/run-stop"])
+
+    async def test_start_is_sent_after_many_stops(self):
+        """Their connections are of use for it."""
+        stops = [
+            self.link.stop(self.address, "t", number, 3, TIMEOUT)
+            for number in range(20)
+        ]
+        await asyncio.gather(*stops)
+        before = len(self.first.calls)
+        self.assertIs(await self.start(), fleet.OrderStatus.DONE)
+        self.assertEqual(self.first.paths()[before:], ["/run-start"])
--- a/tests/standin/test_platform.py
+++ b/tests/standin/test_platform.py
@@ -55,11 +55,13 @@
 
     async def test_silent_worker_gives_no_answer(self):
         """Not even that it has done nothing."""
+        await self.stop_task()  # greets the connection
         await self.platform.end_worker(WORKER, refuses=False)
         self.assertIs(await self.stop_task(), fleet.OrderStatus.MAY_HAVE_RUN)
 
     async def test_worker_cut_off_gives_no_answer(self):
         """Its host may have carried out the order."""
+        await self.stop_task()  # greets the connection
         self.platform.fleet.workers_by_id[WORKER].is_cut = True
         self.assertIs(await self.stop_task(), fleet.OrderStatus.MAY_HAVE_RUN)
 
