Ask a worker in doubt where its runs are

Callers could see a task run twice after a takeover at which the directory still showed an old entry of the worker, at an address that another worker has by now.

Cause: since a successor that finds an entry with an earlier birth than the record's asked the worker at the address of that entry. The other worker there answers that it is another one, which was taken for the end of the worker's runs.

The worker is asked at the address where its runs were started, as long as it has any: who answers there decides about them. One without runs is asked at the address listed, so that a restart with an earlier birth at another address is noticed.

--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -72,10 +72,15 @@
         """Ask which incarnation lives if another one is listed.
 
         Its birth is earlier: the entry is an old one, or the worker's time of
-        day has gone back before a restart.
+        day has gone back before a restart. It is asked where its runs are, and
+        at the address listed once it has none.
         """
-        worker.former_births.add(listing.born_ms)
-        worker.address = listing.address
+        if not worker.runs_by_task:
+            worker.former_births.add(listing.born_ms)
+            worker.address = listing.address
+        elif worker.doubted_birth == listing.born_ms:
+            return
+        worker.doubted_birth = listing.born_ms
         self._expect_first_inventory(worker)
         if worker.has_assignment_record:
             self._cluster.stage_assignment(worker)
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -326,6 +326,7 @@
         self.has_overlong_lease = False  # beyond what a successor counts
         self.former_token = 0  # of orders for former incarnations
         self.former_births: set[int] = set()
+        self.doubted_birth = 0  # of an entry that may be of another one
         # Until this time, orders for a former incarnation may act on this one,
         # of which a successor has to know; None if there was none.
         self.doubt_ends_at: datetime.timedelta | None = None
--- a/tests/scheduling/test_doubtful_workers.py
+++ b/tests/scheduling/test_doubtful_workers.py
@@ -179,3 +179,65 @@
         took = await self.wait_until(lambda: self.fleet.running())
         self.assertTrue(lost)
         self.assertLess(took, 0.6)
+
+
+class OldEntryTest(test_reborn_takeover.RebornTakeoverTestCase):
+    """The directory shows an old entry, at an address of another worker."""
+
+    async def test_runs_are_not_given_up_for_it(self):
+        """A successor knows of a later incarnation by the record only."""
+        self.add_workers(1)
+        self.start_node("a")
+        self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running())
+        await self.pass_time(1)
+        self.kill("a")
+        current = self.listings["w1"]
+        old = fleet.Address("w1", "old:80")
+        self.listings["w1"] = dataclasses.replace(
+            current, address=old, born_ms=-7
+        )
+        self.store.put(store.Stream.SERVERS, "w1", b"old")
+        renew = self.fleet.renew_lease
+        asked = []
+
+        async def answer_at(address, order, timeout):
+            asked.append(address.host_port)
+            if address == old:
+                status = fleet.OrderStatus.OTHER_INCARNATION
+                return fleet.OrderResult(status)
+            return await renew(address, order, timeout)
+
+        self.fleet.renew_lease = answer_at
+        self.add_workers(1)
+        self.start_node("b")
+        await self.pass_time(12)
+        self.assertNotIn(old.host_port, asked)
+        self.assertEqual([w for _, w in self.fleet.running()], ["w1"])
+
+    async def test_idle_worker_is_asked_at_the_address_listed(self):
+        """It has restarted there, with an earlier birth."""
+        self.add_workers(1)
+        self.start_node("a")
+        await self.pass_time(2)
+        self.restart("w1")
+        moved = dataclasses.replace(
+            self.listings["w1"],
+            address=fleet.Address("w1", "moved:80"),
+            born_ms=-7,
+        )
+        self.fleet.workers_by_id["w1"].listing = moved
+        self.listings["w1"] = moved
+        self.store.put(store.Stream.SERVERS, "w1", b"moved")
+        start = self.fleet.start
+        asked = []
+
+        async def record(address, order, timeout):
+            asked.append(address.host_port)
+            return await start(address, order, timeout)
+
+        self.fleet.start = record
+        await self.pass_time(1)
+        self.submit(harness.make_step())
+        await self.wait_until(lambda: self.fleet.running(), 2)
+        self.assertEqual(set(asked), {"moved:80"})
