Let greetings make progress, and no start follow a long one

Callers waited without a bound for stops and starts on a worker whose inventory takes over 0.4 s to arrive: since a greeting was given up after that time, its connection was closed, and the next order began with a new one. A worker that answered was even taken for silent.

Evidence: test_start_is_not_sent_after_a_long_greeting and test_stop_is_sent_after_a_long_greeting failed with `unreached`; found by reading.

A greeting may take as long as its inventory makes progress, as any poll. A stop follows it whenever it ends. A start does not follow one of over 0.4 s, as its claim was checked before; it is reported as not run, which says nothing about the worker, and the next start finds the connection greeted.

--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -16,8 +16,9 @@
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips between data centres
 ADVICE_TIMEOUT_S = 2.0
-# Of a start: greeting and claim's age stay below candidate.HOLDER_TIMEOUT.
-GREETING_TIMEOUT = datetime.timedelta(milliseconds=400)
+# A start is not sent after a longer greeting, as its claim was checked before;
+# the next one finds the connection greeted.
+MAX_GREETING = datetime.timedelta(milliseconds=400)
 # Another call may take the connection that was greeted for this one.
 MAX_GREETINGS = 5
 MAX_REMAINING_MS = 86_400_000  # a day; larger numbers overflow a duration
@@ -145,14 +146,13 @@
         token: int,
         timeout: datetime.timedelta,
         ungreeted: connections.Call,
-        silence: datetime.timedelta | None = None,
     ) -> tuple[fleet.OrderResult, dict]:
         """Ask for the inventory on the connection that a call has found."""
         call = connections.Call(address.worker_id, greets=ungreeted)
         body = {"FencingToken": token, "LastSeen": 0}
         try:
             return await self._post(
-                address, "/hold", body, timeout, call, silence
+                address, "/hold", body, timeout, call, timeout
             )
         finally:
             ungreeted.connection.release()  # if no call has used it
@@ -166,20 +166,21 @@
         born_ms: int | None = None,
     ) -> fleet.OrderResult:
         """Send an order to one incarnation, or to any if none is named."""
-        until = self._clock.monotonic() + GREETING_TIMEOUT
+        until = self._clock.monotonic() + MAX_GREETING
         for _ in range(MAX_GREETINGS):
             call = connections.Call(address.worker_id, born_ms)
             result, _ = await self._post(address, path, body, timeout, call)
             if not call.is_ungreeted:
                 return result
-            left = max(until - self._clock.monotonic(), datetime.timedelta())
             greeting, data = await self._greet(
-                address, body["FencingToken"], left, call
+                address, body["FencingToken"], timeout, call
             )
             if greeting.status is not fleet.OrderStatus.DONE:
                 return _unsent(greeting)
             if born_ms not in (None, data.get("born", 0)):
                 return fleet.OrderResult(fleet.OrderStatus.RESTARTED)
+            if born_ms is not None and self._clock.monotonic() > until:
+                break
         return fleet.OrderResult(fleet.OrderStatus.NOT_RUN)
 
     async def start(self, address, order, timeout) -> fleet.OrderResult:
@@ -241,7 +242,7 @@
         )
         if call.is_ungreeted:
             result, data = await self._greet(
-                address, order.token, timeout, call, timeout
+                address, order.token, timeout, call
             )
         if result.status is not fleet.OrderStatus.DONE:
             return result
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -27,6 +27,7 @@
         self.born_ms = born_ms
         self.calls: list[tuple[str, dict]] = []
         self.is_silent = False
+        self.delay_s = 0.0  # of each answer
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -58,6 +59,7 @@
         self.calls.append((path, body))
         if self.is_silent:
             return
+        await asyncio.sleep(self.delay_s)
         data = {"ClockMs": 7}
         if path == "/hold":
             data |= {"born": self.born_ms, "Running": [], "Finished": []}
@@ -194,3 +196,18 @@
         before = len(self.first.calls)
         self.assertIs(await self.start(), fleet.OrderStatus.DONE)
         self.assertEqual(self.first.paths()[before:], ["/run-start"])
+
+    async def test_start_is_not_sent_after_a_long_greeting(self):
+        """Its check of the claim is too old; the next one is sent at once."""
+        self.first.delay_s = 0.6
+        self.assertIs(await self.start(), fleet.OrderStatus.NOT_RUN)
+        self.assertEqual(self.first.paths(), ["/hold"])
+        self.first.delay_s = 0.0
+        self.assertIs(await self.start(), fleet.OrderStatus.DONE)
+        self.assertEqual(self.first.paths(), ["/hold", "/run-start"])
+
+    async def test_stop_is_sent_after_a_long_greeting(self):
+        """It needs no claim that is fresh."""
+        self.first.delay_s = 0.6
+        result = await self.link.stop(self.address, "t", 1, 3, TIMEOUT)
+        self.assertIs(result.status, fleet.OrderStatus.DONE)
