Wake the scheduler at the first inventory of a worker in doubt

Since the bound of the doubt was counted before the inventory was applied, which marked the worker as heard; the round that follows a first inventory was not asked for, so that tasks waited up to 0.1 s (MAX_ROUND_WAIT) longer for a worker that had restarted. Found by reading. The bound is counted afterwards now; the tests of test_doubtful_workers hold as before.

--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -207,7 +207,6 @@
             # Orders for the former incarnation may still be carried out.
             await self._clock.sleep(RETRY_PAUSE)
             return
-        worker.bound_doubt(inventory.clock_ms, worker.heard_at)
         if inventory.is_renewed:
             self._cluster.check_lease(
                 worker, order.deadline_ms, inventory.clock_ms
@@ -216,6 +215,7 @@
                 worker.acknowledged_end, order.acknowledged_end
             )
         self._apply_inventory(worker, inventory, sent_at)
+        worker.bound_doubt(inventory.clock_ms, worker.heard_at)
         if worker.durable_end < worker.received_end:
             await self._wait_until_durable(worker)
         elif (
