Ask workers for what their slowest clock allows; wait no longer for it

Callers saw: since the gangs of an unreachable worker, also of one that has never restarted, waited 0.29 s longer at a takeover of the stand-alone way.

Cause: counted the workers' slow clocks in every wait (hold and lease divided by 0.98), where the orders could grant less.

Change: reservations, starts and renewals ask for 0.98 of hold_s and lease_s (Timing.ordered_hold_s, ordered_lease_s), so that both hold on an instance's clock however slow the worker's is. The waits are the plain sum again. On a worker with an exact clock a run that nobody renews ends after 11.76 s in place of 12 s. An owner of an earlier version asks for the full periods: while versions are mixed, the 0.29 s of before are possible again.

With both factors set to 1, both tests of slow clocks fail, so the orders carry the fix now.

--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -15,7 +15,6 @@
 from cardamomcroft.state import models
 
 STOP_RETRY_DELAY = datetime.timedelta(milliseconds=500)
-MIN_CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
 MAX_CLOCK_RATE = 1.02  # fastest rate
 
 
@@ -120,7 +119,7 @@
             else placement
             for placement, result in zip(self.placements, results, strict=True)
         )
-        hold = self._timing.duration("hold") / MIN_CLOCK_RATE
+        hold = self._timing.duration("hold")
         self._held_until = self._clock.monotonic() + hold
         for member, result in enumerate(results):
             if result.is_error():
@@ -151,7 +150,7 @@
             self._task(member),
             self._token,
             placement.cell,
-            self._timing.hold_s,
+            self._timing.ordered_hold_s,
         )
         return await self._workers.reserve(placement.worker_id, command)
 
@@ -173,7 +172,7 @@
         command = messages.Start(
             self._task(member),
             self._token,
-            self._timing.lease_s,
+            self._timing.ordered_lease_s,
             self.job.spec.payload,
             max(0.0, self.job.spec.run_s - self.job.checkpoint_s),
             placement.incarnation,
@@ -221,8 +220,7 @@
 
     async def _stop_member(self, member: int) -> None:
         # A worker starts held members only; nobody renews before the record.
-        lease = self._timing.duration("lease") / MIN_CLOCK_RATE
-        expires_at = self._held_until + lease
+        expires_at = self._held_until + self._timing.duration("lease")
         await stop_until_confirmed(
             self._workers,
             self._clock,
@@ -263,7 +261,9 @@
 
     An instance that lost contact may act until its self-lease expires,
     reserve for the hold time and renew once more within its self-lease.
-    Workers measure the hold time and the lease, maybe on a slow clock.
     """
-    on_workers = timing.duration("hold") + timing.duration("lease")
-    return timing.duration("self_lease") + on_workers / MIN_CLOCK_RATE
+    return (
+        timing.duration("self_lease")
+        + timing.duration("hold")
+        + timing.duration("lease")
+    )
--- a/cardamomcroft/jobs/takeover.py
+++ b/cardamomcroft/jobs/takeover.py
@@ -104,7 +104,7 @@
                 return
 
     async def _fence(self, worker_id: str) -> None:
-        command = messages.Renew(self.epoch, self._timing.lease_s)
+        command = messages.Renew(self.epoch, self._timing.ordered_lease_s)
         result = await self._workers.renew(worker_id, command)
         if result.is_ok():
             self.reports_by_worker[worker_id] = result.ok.tasks
--- a/cardamomcroft/settings/instance.py
+++ b/cardamomcroft/settings/instance.py
@@ -11,6 +11,8 @@
 from cardamomcroft.settings import documents
 from cardamomcroft.settings import parsing
 
+MIN_CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tls:
@@ -92,6 +94,16 @@
         if self.self_lease_s >= self.lease_s:
             raise ValueError("self_lease_s must be below lease_s")
 
+    @property
+    def ordered_hold_s(self) -> float:
+        """Return the hold, in seconds, to ask of a worker's slow clock."""
+        return self.hold_s * MIN_CLOCK_RATE
+
+    @property
+    def ordered_lease_s(self) -> float:
+        """Return the lease, in seconds, to ask of a worker's slow clock."""
+        return self.lease_s * MIN_CLOCK_RATE
+
     def duration(self, name: str) -> datetime.timedelta:
         """Return the setting ``<name>_s`` as a duration."""
         return datetime.timedelta(seconds=getattr(self, f"{name}_s"))
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -140,7 +140,7 @@
         is_known = self._sent_checksums.get(worker_id) == checksum
         command = messages.Renew(
             claim.epoch if claim else -1,
-            self._timing.lease_s,
+            self._timing.ordered_lease_s,
             None if is_known else tasks,
             checksum,
             self._settled(worker_id),
