Read a given-up worker's ends before their tasks start again

What callers saw: a task ran a second time although it had ended as done on a worker that was back.

Before a start of such a task is sent, its worker is polled at once. The start waits for the answer of a worker that is back, 2 s at most, and for none of one that is out of reach.

The forgotten worker of test_relisted_workers is forgotten once its task is done elsewhere.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -202,12 +202,23 @@
         worker = self.workers_by_id.get(run.worker_id)
         if worker and worker.runs_by_task.get(run.name) is run:
             del worker.runs_by_task[run.name]
-            if index in step.done and was_sent and self._is_held(step.job):
-                worker.unrecorded_by_task[run.name] = run
+            if was_sent:
+                self.keep_unrecorded(worker, (run,))
         if run.checkpoint:
             self._keep_checkpoint(run)
         self.wake()
 
+    def keep_unrecorded(
+        self,
+        worker: runs.Worker,
+        ended: collections.abc.Iterable[runs.Run],
+    ) -> None:
+        """Keep the runs of tasks whose success is not recorded yet."""
+        for run in ended:
+            is_done = run.key.index in run.step.done
+            if is_done and self._is_held(run.step.job):
+                worker.unrecorded_by_task[run.name] = run
+
     def _keep_checkpoint(self, run: runs.Run) -> None:
         step, index = run.step, run.key.index
         if index in step.done or not run.checkpoint:
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -13,6 +13,8 @@
 # It takes a record with them for that of a job that ended in this year.
 _STATE_FOR_OLD_READERS = "completed"
 _ENDED_AT_FOR_OLD_READERS = 253_370_764_800.0  # 9999
+# Names no task, so that versions up to 0.3 ignore the run.
+_GIVEN_UP_PREFIX = "?"
 _MS = datetime.timedelta(milliseconds=1)
 
 
@@ -238,19 +240,29 @@
     host_port: str
     born_ms: int  # 0 while orders for a former incarnation may act
     runs_by_task: dict[str, int]
+    # Given up while the worker did not answer; it may list their ends.
+    given_up_by_task: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def encode_assignment(assignment: Assignment) -> bytes:
     """Encode the record of a worker's runs."""
-    return dump(
-        [assignment.host_port, assignment.born_ms, assignment.runs_by_task]
-    )
+    runs_by_name = assignment.runs_by_task | {
+        _GIVEN_UP_PREFIX + task: run
+        for task, run in assignment.given_up_by_task.items()
+    }
+    return dump([assignment.host_port, assignment.born_ms, runs_by_name])
 
 
 def decode_assignment(value: bytes) -> Assignment:
     """Decode the record of a worker's runs."""
-    host_port, born_ms, runs = json.loads(value)
-    return Assignment(host_port, born_ms, runs)
+    host_port, born_ms, runs_by_name = json.loads(value)
+    runs_by_task, given_up_by_task = {}, {}
+    for name, run in runs_by_name.items():
+        if name.startswith(_GIVEN_UP_PREFIX):
+            given_up_by_task[name.removeprefix(_GIVEN_UP_PREFIX)] = run
+        else:
+            runs_by_task[name] = run
+    return Assignment(host_port, born_ms, runs_by_task, given_up_by_task)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/scheduling/inheriting.py
+++ b/cardamomcroft/scheduling/inheriting.py
@@ -41,6 +41,7 @@
         for name, number in known.runs_by_task.items():
             if latest[name] == (number, worker_id):
                 _inherit_run(cluster, worker, name, number)
+        _inherit_given_up(cluster, worker, known.given_up_by_task)
     cluster.log.emit(
         "scheduler_started",
         epoch=cluster.journal.claim.epoch,
@@ -95,15 +96,41 @@
     step, index = found
     if index not in step.waiting:
         return
-    now = cluster.clock.monotonic()
-    run = runs.Run(
+    run = _make_run(cluster, worker, step, index, number)
+    run.checkpoint = step.checkpoint(index)
+    run.absence_valid_from = run.began_at
+    cluster.attach(run)
+
+
+def _inherit_given_up(
+    cluster: cluster_state.ClusterState,
+    worker: runs.Worker,
+    number_by_task: dict[str, int],
+) -> None:
+    lost = []
+    for name, number in number_by_task.items():
+        found = cluster.find_task(name)
+        if found is not None:
+            run = _make_run(cluster, worker, *found, number)
+            run.phase = runs.Phase.ENDED
+            lost.append(run)
+    worker.given_up.add(lost, cluster.clock.monotonic())
+    worker.given_up.prune()
+    worker.has_unheard_ends = bool(lost)
+
+
+def _make_run(
+    cluster: cluster_state.ClusterState,
+    worker: runs.Worker,
+    step: runs.StepState,
+    index: int,
+    number: int,
+) -> runs.Run:
+    return runs.Run(
         step.key(index),
         number,
         worker.worker_id,
         step,
         runs.Phase.INHERITED,
-        now,
+        cluster.clock.monotonic(),
     )
-    run.checkpoint = step.checkpoint(index)
-    run.absence_valid_from = now
-    cluster.attach(run)
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -10,6 +10,7 @@
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import plans
 from cardamomcroft.scheduling import runs
+from cardamomcroft.scheduling import unread_ends
 
 # A job's objective allows for one advice call per step, on 30 workers.
 MAX_ADVISED_WORKERS = 30  # named in one call
@@ -34,6 +35,7 @@
         self._cluster = cluster
         self._orders = orders
         self._link = link
+        self._unread_ends = unread_ends.UnreadEnds(cluster)
 
     def request_advice(self, step: runs.StepState) -> None:
         """Ask which workers a step may run on, one call at a time.
@@ -228,12 +230,39 @@
         unsent = set(batch)
         try:
             if await self._confirm(batch):
-                for worker, assigned in self._by_worker(batch):
-                    self._cluster.spawn(self._start_all(worker, assigned))
-                    unsent.difference_update(assigned)
+                for awaiting in self._unread_ends.select(batch):
+                    self._cluster.spawn(self._send_after_ends(awaiting))
+                    unsent.difference_update(awaiting)
+                sure = [run for run in batch if run in unsent]
+                unsent.difference_update(self._spawn_starts(sure))
         finally:
             self._release([run for run in batch if run in unsent])
 
+    def _spawn_starts(self, batch: list[runs.Run]) -> set[runs.Run]:
+        """Send starts in the background; return those that will be sent."""
+        sent: set[runs.Run] = set()
+        for worker, assigned in self._by_worker(batch):
+            self._cluster.spawn(self._start_all(worker, assigned))
+            sent.update(assigned)
+        return sent
+
+    async def _send_after_ends(self, batch: list[runs.Run]) -> None:
+        """Send starts of tasks that may prove to have ended before."""
+        unsent = set(batch)
+        for run in batch:
+            run.awaits_end = True
+        try:
+            await self._unread_ends.wait(batch)
+            while not self._cluster.is_claim_confirmed:
+                if not await self._confirm(batch):
+                    return
+                await self._unread_ends.wait(batch)
+            unsent.difference_update(self._spawn_starts(batch))
+        finally:
+            for run in batch:
+                run.awaits_end = False
+            self._release([run for run in batch if run in unsent])
+
     async def _confirm(self, batch: list[runs.Run]) -> bool:
         """Wait until the starts are recorded and confirm the claim."""
         journal = self._cluster.journal
--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -114,6 +114,18 @@
         if worker.has_assignment_record:
             self._cluster.stage_assignment(worker)
 
+    def forget_given_up(self, worker: runs.Worker) -> None:
+        """Note that the ends of the runs that were given up were read."""
+        worker.has_unheard_ends = False
+        if not worker.given_up.runs_by_task:
+            return
+        self._cluster.keep_unrecorded(
+            worker, worker.given_up.runs_by_task.values()
+        )
+        worker.given_up.clear()
+        if worker.has_assignment_record:
+            self._cluster.stage_assignment(worker)
+
     def drop_runs(
         self, worker: runs.Worker, lost: list[runs.Run], reason: str
     ) -> None:
@@ -141,6 +153,7 @@
 def _forget_incarnation(worker: runs.Worker) -> None:
     if worker.poll_call is not None:
         worker.poll_call.cancel()  # its silence is of the former one
+    worker.given_up.clear()
     fresh = runs.Worker(worker.address, worker.born_ms)
     for name in _FIELDS_OF_INCARNATION:
         setattr(worker, name, getattr(fresh, name))
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -8,6 +8,7 @@
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import codec
+from cardamomcroft.scheduling import given_up
 from cardamomcroft.scheduling import index_set
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import ranges
@@ -66,6 +67,7 @@
     gauge: float = 0.0
     pace: int = 100
     stop_reason: str = ""
+    awaits_end: bool = False  # of an earlier run, before its start is sent
 
     @property
     def phase(self) -> Phase:
@@ -315,6 +317,7 @@
         self.ended_job_ids: set[str] = set()  # of ends not yet durable
         # Runs were given up that may have ended before, as done even.
         self.has_unheard_ends = False
+        self.given_up = given_up.GivenUpRuns()  # those of them that matter
         # On its clock: the latest deadline that this scheduler has granted,
         # and the latest that may be in force, also by orders of others.
         self.granted_deadline_ms = 0
@@ -337,6 +340,7 @@
         self.has_assignment_record = False
         self.is_polled = False
         self.poll_call: asyncio.Task | None = None  # to its incarnation
+        self.poll_sent_at = _ZERO
         # After this time the poll under way is late and proves no lease.
         self.poll_due_at: datetime.timedelta | None = None
         self._clock_ms = 0
@@ -372,10 +376,21 @@
         return (
             not self.runs_by_task
             and not self.unrecorded_by_task
+            and not self.given_up.runs_by_task
             and self.has_inventory
             and (is_acknowledged or is_silent)
         )
 
+    def ask_for_ends(self, now: datetime.timedelta) -> None:
+        """Let the worker be polled at once for ends of runs given up.
+
+        A poll that has no connection yet shows nothing of its return.
+        """
+        is_connecting = now - self.poll_sent_at < fleet.CONNECT_TIMEOUT
+        if self.poll_call and is_connecting and not self.given_up.is_asked:
+            self.poll_call.cancel()
+        self.given_up.open_question()
+
     def record_clock(self, clock_ms: int, now: datetime.timedelta) -> None:
         """Record a reading of the worker's clock."""
         if clock_ms >= self.clock_floor(now):
@@ -449,6 +464,17 @@
             return self.lease_expires_at is not None
         return self.clock_floor(now) > self.lease_deadline_ms
 
+    def lease_left(self, now: datetime.timedelta) -> datetime.timedelta | None:
+        """Return when a silent worker's runs are given up, if known."""
+        left = []
+        if self.lease_expires_at is not None:
+            left.append(self.lease_expires_at - now)
+        clock_floor = self.clock_floor(now)
+        if clock_floor:
+            left_ms = self.lease_deadline_ms - clock_floor
+            left.append(left_ms / MIN_CLOCK_RATE * _MS)
+        return max(max(left), _ZERO) if left else None
+
     def used(self) -> models.Demand:
         """Return the runs' demand; filling tasks use only leftover cores."""
         cores = memory = accelerators = 0
@@ -476,4 +502,8 @@
                 )
                 for name, run in runs_by_task.items()
             },
+            {
+                name: run.number
+                for name, run in self.given_up.runs_by_task.items()
+            },
         )
--- a/cardamomcroft/scheduling/standing_reasons.py
+++ b/cardamomcroft/scheduling/standing_reasons.py
@@ -18,6 +18,7 @@
 
     RECORD_AWAITED = "record_awaited"  # of the start, or of the claim
     ORDER_QUEUED = "order_queued"  # another start to the worker comes first
+    END_AWAITED = "end_awaited"  # of an earlier run that was given up
     START_NOT_SENT = "start_not_sent"  # recorded, yet nothing sends it
     START_UNANSWERED = "start_unanswered"
     LEASE_AWAITED = "lease_awaited"  # of a worker that does not answer
@@ -77,20 +78,6 @@
         }
 
 
-def lease_left(
-    worker: runs.Worker, now: datetime.timedelta
-) -> datetime.timedelta | None:
-    """Return when a silent worker's runs are given up; None if unknown."""
-    left = []
-    if worker.lease_expires_at is not None:
-        left.append(worker.lease_expires_at - now)
-    clock_floor = worker.clock_floor(now)
-    if clock_floor:
-        left_ms = worker.lease_deadline_ms - clock_floor
-        left.append(left_ms / runs.MIN_CLOCK_RATE * _MS)
-    return max(max(left), _ZERO) if left else None
-
-
 def cause_of_runs(
     step: runs.StepState,
     workers_by_id: collections.abc.Mapping[str, runs.Worker],
@@ -117,6 +104,7 @@
     Reason.START_NOT_SENT,
     Reason.RECORD_AWAITED,
     Reason.ORDER_QUEUED,
+    Reason.END_AWAITED,
     Reason.LEASE_AWAITED,
     Reason.RUN_STOPPING,
     Reason.INHERITED_UNHEARD,
@@ -124,7 +112,7 @@
     Reason.UNKNOWN,
 )
 # Of runs that are assigned and whose start has not been sent.
-UNSENT = frozenset(_PRECEDENCE[:3])
+UNSENT = frozenset(_PRECEDENCE[:4])
 _REASONS_BY_PHASE = {
     runs.Phase.STARTING: Reason.START_UNANSWERED,
     runs.Phase.UNCERTAIN: Reason.START_UNANSWERED,
@@ -149,7 +137,7 @@
         reason = _reason_of_assigned(run, worker, now, confirmed_at)
     elif silent_since is not None:
         reason = Reason.LEASE_AWAITED
-        left = lease_left(worker, now)
+        left = worker.lease_left(now)
     return Cause(
         reason,
         run.worker_id,
@@ -174,6 +162,8 @@
     max_age = cluster_state.MAX_CONFIRMATION_AGE
     if confirmed_at <= run.began_at or now - confirmed_at >= max_age:
         return Reason.RECORD_AWAITED
+    if run.awaits_end:
+        return Reason.END_AWAITED
     phases = {other.phase for other in worker.runs_by_task.values()}
     if runs.Phase.STARTING in phases:
         return Reason.ORDER_QUEUED
--- /dev/null
+++ b/cardamomcroft/scheduling/unread_ends.py
@@ -0,0 +1,97 @@
+"""Hold starts back while an unread end of their task may be listed."""
+
+import collections
+import datetime
+
+from cardamomcroft.scheduling import cluster_state
+from cardamomcroft.scheduling import runs
+
+# A worker that accepts connections again may list its ends over a slow link;
+# no job may stand for 3 s (protocol).
+MAX_WAIT = datetime.timedelta(seconds=2)
+CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
+
+
+class UnreadEnds:
+    """Find the workers that may list an end of a task and await their answers.
+
+    Those that a poll finds out of reach are not awaited.
+    """
+
+    def __init__(self, cluster: cluster_state.ClusterState) -> None:
+        """Look at the workers of ``cluster``."""
+        self._cluster = cluster
+
+    def select(self, batch: list[runs.Run]) -> list[list[runs.Run]]:
+        """Return the starts of tasks with unread ends, those of a step each.
+
+        The members of a gang start together.
+        """
+        by_step = collections.defaultdict(list)
+        for run in batch:
+            by_step[run.step].append(run)
+        selected = []
+        for step, starts in by_step.items():
+            if not step.model.is_gang:
+                starts = [run for run in starts if self._workers_of([run])]
+            elif _has_begun(step):
+                continue
+            if self._workers_of(starts):
+                selected.append(starts)
+        return selected
+
+    def _workers_of(self, starts: list[runs.Run]) -> list[runs.Worker]:
+        """Return the workers that may list an end of one of the tasks."""
+        names = {run.name for run in starts}
+        for run in starts:
+            if run.step.model.is_gang:
+                # Any member's end is that of all.
+                width = run.step.model.width
+                names.update(str(run.step.key(n)) for n in range(width))
+                break
+        return [
+            worker
+            for worker in self._cluster.workers_by_id.values()
+            if not names.isdisjoint(worker.given_up.runs_by_task)
+        ]
+
+    async def wait(self, starts: list[runs.Run]) -> None:
+        """Wait for answers to the polls of the workers, if they may come."""
+        clock = self._cluster.clock
+        began_at = clock.monotonic()
+        asked = self._workers_of(starts)
+        for worker in asked:
+            worker.ask_for_ends(began_at)
+        try:
+            while self._is_answer_awaited(starts, began_at):
+                if clock.monotonic() - began_at >= MAX_WAIT:
+                    break
+                await clock.sleep(CHECK_INTERVAL)
+        finally:
+            for worker in asked:
+                worker.given_up.close_question()
+        unread = self._workers_of(starts)
+        self._cluster.log.emit(
+            "ends_awaited",
+            task=starts[0].name,
+            tasks=len(starts),
+            waited_s=(clock.monotonic() - began_at).total_seconds(),
+            unread=[worker.worker_id for worker in unread],
+        )
+
+    def _is_answer_awaited(
+        self, starts: list[runs.Run], asked_at: datetime.timedelta
+    ) -> bool:
+        assigned = [run for run in starts if run.phase is runs.Phase.ASSIGNED]
+        return any(
+            not worker.given_up.is_absent(asked_at)
+            for worker in self._workers_of(assigned)
+        )
+
+
+def _has_begun(gang: runs.StepState) -> bool:
+    """Return whether starts of a gang's members have been sent."""
+    return any(
+        run.phase is not runs.Phase.ASSIGNED
+        for run in gang.runs_by_index.values()
+    )
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -17,6 +17,8 @@
 # before a slow or hanging worker has made its caller late.
 URGENT_POLL_WAIT = datetime.timedelta(milliseconds=600)
 POLL_TIMEOUT = datetime.timedelta(milliseconds=700)
+# Its answer may wait for those of others that return over the same link.
+RETURN_TIMEOUT = datetime.timedelta(milliseconds=2800)
 # Over a slow link a first answer waits for those of the other workers.
 MAX_TIMEOUT_DOUBLINGS = 3
 # A worker that is polled and well answers more often.
@@ -24,6 +26,7 @@
 RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 # Between polls of a worker whose runs were given up: only ends are awaited.
 GIVEN_UP_PAUSE = datetime.timedelta(milliseconds=500)
+MIN_PAUSE = datetime.timedelta(milliseconds=20)
 SHORT_POLL_PAUSE = datetime.timedelta(milliseconds=60)
 COMMIT_TIMEOUT = datetime.timedelta(milliseconds=400)
 # Of a worker that a successor has not heard yet, on a connection that has been
@@ -34,6 +37,9 @@
 RENEWAL_MARGIN = datetime.timedelta(seconds=1)
 AVOID_BACKOFF_BASE = datetime.timedelta(seconds=1)
 _ZERO = datetime.timedelta()
+_SILENT = frozenset(
+    {fleet.OrderStatus.MAY_HAVE_RUN, fleet.OrderStatus.UNREACHED}
+)
 
 
 class WorkerPoller:
@@ -97,6 +103,7 @@
             or worker.acknowledged_end < worker.received_end
             or not worker.has_inventory
             or (worker.has_unheard_ends and worker.listing is not None)
+            or bool(worker.given_up.runs_by_task)
         )
 
     def _poll_wait(
@@ -126,8 +133,11 @@
         """Return how long the worker may be silent.
 
         Only a worker without an inventory gets more time after a poll that
-        failed: any other is back sooner by the next poll.
+        failed, and one that was out of reach, once it accepts a connection:
+        any other is back sooner by the next poll.
         """
+        if worker.given_up.was_unreached:
+            return RETURN_TIMEOUT
         if worker.has_inventory:
             return POLL_TIMEOUT
         doublings = min(worker.unanswered_polls, MAX_TIMEOUT_DOUBLINGS)
@@ -176,7 +186,7 @@
         if result is None or worker.born_ms != order.born_ms:
             return  # a listing has shown another incarnation meanwhile
         if isinstance(result, fleet.OrderResult):
-            await self._handle_failed_poll(worker, order, result)
+            await self._handle_failed_poll(worker, order, result, now)
         elif result.born_ms != order.born_ms:
             self._apply_birth(worker, result)
         else:
@@ -202,6 +212,7 @@
         sent_at: datetime.timedelta,
     ) -> None:
         worker.unanswered_polls = 0
+        worker.given_up.record_answer()
         worker.heard_at = self._clock.monotonic()
         if order.token <= worker.former_token:
             # Orders for the former incarnation may still be carried out.
@@ -234,6 +245,7 @@
             self._link.renew_lease(worker.address, order, timeout)
         )
         worker.poll_call = call
+        worker.poll_sent_at = self._clock.monotonic()
         worker.poll_due_at = self._clock.monotonic() + order.wait + timeout
         try:
             await asyncio.wait({call})
@@ -247,8 +259,9 @@
         worker: runs.Worker,
         order: fleet.LeaseRenewal,
         result: fleet.OrderResult,
+        sent_at: datetime.timedelta,
     ) -> None:
-        if result.status is fleet.OrderStatus.MAY_HAVE_RUN:
+        if result.status in _SILENT:
             worker.unanswered_polls += 1
         if result.status is fleet.OrderStatus.STALE_TOKEN:
             if self._cluster.is_superseded(worker, order.token):
@@ -259,8 +272,28 @@
         self._cluster.record_silence(worker, result)
         if result.status is fleet.OrderStatus.OTHER_INCARNATION:
             self._restarts.handle_replacement(worker)
-        is_given_up = worker.has_unheard_ends and not worker.runs_by_task
-        await self._clock.sleep(GIVEN_UP_PAUSE if is_given_up else RETRY_PAUSE)
+        worker.given_up.record_silence(sent_at, result.status)
+        if worker.has_unheard_ends and not worker.runs_by_task:
+            await self._wait_for_question(worker)
+        else:
+            await self._clock.sleep(self._retry_pause(worker))
+
+    def _retry_pause(self, worker: runs.Worker) -> datetime.timedelta:
+        """Return the pause before the next poll of a silent worker.
+
+        The last one ends with the lease, so that the starts that follow need
+        not ask again whether the worker is back.
+        """
+        left = worker.lease_left(self._clock.monotonic())
+        if left is None or left > RETRY_PAUSE + 2 * fleet.CONNECT_TIMEOUT:
+            return RETRY_PAUSE
+        return max(left - fleet.CONNECT_TIMEOUT, MIN_PAUSE)
+
+    async def _wait_for_question(self, worker: runs.Worker) -> None:
+        """Wait until a start depends on the worker's ends, or for a pause."""
+        await self._clock.sleep(MIN_PAUSE)
+        question = worker.given_up.wait_for_question()
+        await clocks.within(self._clock, GIVEN_UP_PAUSE, question)
 
     async def _wait_until_durable(self, worker: runs.Worker) -> None:
         """Wait briefly: a slow store must not delay lease renewal.
@@ -306,13 +339,14 @@
             worker.record_first_inventory(inventory.clock_ms)
             self._cluster.wake()
         self._apply_ends(worker, inventory)
-        worker.has_unheard_ends = False
         # A run whose end could not be applied is not absent.
         listed = {
             (finished.task, finished.run)
             for finished in inventory.finished
             if finished.number > worker.received_end
         }
+        if inventory.is_complete and not listed:
+            self._restarts.forget_given_up(worker)
         for running in inventory.running:
             listed.add((running.task, running.run))
             self._apply_running_task(worker, running, now)
@@ -486,6 +520,7 @@
             if self._needs_polling(worker):
                 self.ensure_polling(worker)
             self._restarts.end_doubt(worker, now)
+            worker.given_up.prune()
             if not _is_unheard(worker, now):
                 continue
             if not worker.has_lease_expired(now):
@@ -494,8 +529,9 @@
             had_runs = bool(worker.runs_by_task)
             if had_runs:
                 lost = list(worker.runs_by_task.values())
-                self._restarts.drop_runs(worker, lost, "lease expired")
+                worker.given_up.add(lost, now)
                 worker.has_unheard_ends = True
+                self._restarts.drop_runs(worker, lost, "lease expired")
             has_ended_polling = not self._needs_polling(worker)
             if worker.avoid_until <= now and (had_runs or has_ended_polling):
                 worker.strikes += 1
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -70,6 +70,7 @@
         self.end_count = 0
         self.is_cut = False
         self.is_starting = False  # silent until its process is up
+        self.transfer = datetime.timedelta()  # of an inventory
         self.stops_at_by_task: dict[str, datetime.timedelta] = {}
         self.lose_start_answers = 0
         self.refuse_starts = 0  # answered as by an unhealthy worker
@@ -472,7 +473,8 @@
         """Extend the lease and return the inventory."""
         worker = await self._reach(address)
         if worker is None:
-            return await self._time_out(timeout)
+            await self.clock.sleep(min(timeout, fleet.CONNECT_TIMEOUT))
+            return fleet.OrderResult(Status.UNREACHED)
         if order.token < worker.token:
             return fleet.OrderResult(Status.STALE_TOKEN, worker.clock_ms())
         worker.token = order.token
@@ -488,6 +490,10 @@
             for end in worker.finished
             if end.number > order.acknowledged_end
         ]
+        if worker.transfer > timeout:
+            self.injected["slow_inventory"] += 1
+            return await self._time_out(timeout)
+        await self.clock.sleep(worker.transfer)
         until = self.clock.monotonic() + order.wait
         while not worker.finished and self.clock.monotonic() < until:
             await self.clock.sleep(POLL_INTERVAL)
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -202,3 +202,20 @@
         self.assertLess(len(value), 20_000 / 4 + 200)
         found = codec.decode_progress(value).steps_by_key[0, 0].done
         self.assertEqual(found, done)
+
+
+class AssignmentTest(unittest.TestCase):
+    """Encode the runs of a worker, with those that were given up."""
+
+    def test_runs_given_up_are_told_from_the_others(self):
+        record = codec.Assignment("h:1", 5, {"j.0.0.0": 2}, {"j.0.0.1": 3})
+        value = codec.encode_assignment(record)
+        self.assertEqual(codec.decode_assignment(value), record)
+
+    def test_earlier_versions_find_no_task_of_a_run_given_up(self):
+        """They take all names for tasks, and split them at the dots."""
+        record = codec.Assignment("h:1", 5, {}, {"j.0.0.1": 3})
+        value = codec.encode_assignment(record)
+        _, _, runs_by_task = json.loads(value)
+        (name,) = runs_by_task
+        self.assertNotEqual(name.rsplit(".", 3)[0], "j")
--- a/tests/scheduling/test_relisted_workers.py
+++ b/tests/scheduling/test_relisted_workers.py
@@ -38,9 +38,10 @@
         late = await self.lose_start()
         self.restart("w1")
         self.fleet.workers_by_id["w1"].is_cut = True
-        await self.forget()
+        self.fleet.duration = harness.seconds(2)
         self.add_workers(1)
-        await self.wait_until(lambda: self.fleet.running())
+        await self.wait_until(lambda: self.fleet.running(), 30)
+        await self.forget()  # once the task is done elsewhere
         self.fleet.workers_by_id["w1"].is_cut = False
         self.store.put(store.Stream.SERVERS, "w1", b"reborn")
         await self.pass_time(2)
