Look up unread ends once a batch of starts

A wide step's starts each looked at all workers: 1,200 starts on 270 workers are 324,000 look-ups in one callback of the event loop. By reading; no figure.

--- a/cardamomcroft/scheduling/unread_ends.py
+++ b/cardamomcroft/scheduling/unread_ends.py
@@ -27,28 +27,27 @@
 
         The members of a gang start together.
         """
+        unread: set[str] = set()
+        for worker in self._cluster.workers_by_id.values():
+            unread.update(worker.given_up.runs_by_task)
+        if not unread:
+            return []
         by_step = collections.defaultdict(list)
         for run in batch:
             by_step[run.step].append(run)
         selected = []
         for step, starts in by_step.items():
             if not step.model.is_gang:
-                starts = [run for run in starts if self._workers_of([run])]
-            elif _has_begun(step):
+                starts = [run for run in starts if run.name in unread]
+            elif _has_begun(step) or unread.isdisjoint(_names_of(starts)):
                 continue
-            if self._workers_of(starts):
+            if starts:
                 selected.append(starts)
         return selected
 
     def _workers_of(self, starts: list[runs.Run]) -> list[runs.Worker]:
         """Return the workers that may list an end of one of the tasks."""
-        names = {run.name for run in starts}
-        for run in starts:
-            if run.step.model.is_gang:
-                # Any member's end is that of all.
-                width = run.step.model.width
-                names.update(str(run.step.key(n)) for n in range(width))
-                break
+        names = _names_of(starts)
         return [
             worker
             for worker in self._cluster.workers_by_id.values()
@@ -89,6 +88,15 @@
         )
 
 
+def _names_of(starts: list[runs.Run]) -> set[str]:
+    """Return the names of a step's tasks; any member's end is its gang's."""
+    names = {run.name for run in starts}
+    if starts and starts[0].step.model.is_gang:
+        step = starts[0].step
+        names.update(str(step.key(n)) for n in range(step.model.width))
+    return names
+
+
 def _has_begun(gang: runs.StepState) -> bool:
     """Return whether starts of a gang's members have been sent."""
     return any(
