Count a failure that is read after a later one

A task could start after as many failed runs as its queue allows: a run fails on a worker that is cut off and is given up, the next one fails and is recorded, and when the first end is read, its number is lower than the recorded one and it counts for nothing (two attempts allowed, both failed, a third started 2 s later).

Numbers below the last one were dropped as read before.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -275,13 +275,20 @@
         self.wake()
 
     def record_failure(
-        self, step: runs.StepState, index: int, number: int
+        self,
+        step: runs.StepState,
+        index: int,
+        number: int,
+        is_late: bool = False,
     ) -> None:
-        """Record a failed attempt; a gang fails as one."""
+        """Record a failed attempt; a gang fails as one.
+
+        One that is late may have an end before the last that was recorded.
+        """
         index = 0 if step.model.is_gang else index
         known = step.failures_by_index.get(index)
-        count, last = known or (0, 0)
-        if number <= last:
+        count, last, *late = known or (0, 0)
+        if number in (last, *late) or (number < last and not is_late):
             return
         job = step.job
         has_failed = (
@@ -289,7 +296,9 @@
             and not step.model.is_lasting
             and not job.final_state
         )
-        step.failures_by_index[index] = (count + 1, number)
+        if number < last:
+            late.append(number)
+        step.failures_by_index[index] = (count + 1, max(number, last), *late)
         previous_state = job.final_state
         job.is_start_recorded = True
         if has_failed:
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -164,9 +164,11 @@
     done: index_set.IndexSet = dataclasses.field(
         default_factory=index_set.IndexSet
     )
-    failures_by_index: dict[int, tuple[int, int]] = dataclasses.field(
+    # By index: the failures, the run number of the last, and those of earlier
+    # runs whose failures were read after it; version 0.3.0 skips the latter.
+    failures_by_index: dict[int, tuple[int, ...]] = dataclasses.field(
         default_factory=dict
-    )  # index: (failures, run number of the last)
+    )
     checkpoints_by_index: dict[int, str] = dataclasses.field(
         default_factory=dict
     )
@@ -222,7 +224,7 @@
         occurrence, _, step = name.partition(".")
         steps[int(occurrence), int(step)] = StepProgress(
             index_set.IndexSet.from_hex(done),
-            {int(k): (v[0], v[1]) for k, v in failures.items()},
+            {int(k): tuple(v) for k, v in failures.items()},
             {int(k): v for k, v in checkpoints.items()},
         )
     state, ended_at = data.get("true", (data["state"], data["at"]))
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -119,7 +119,7 @@
         default_factory=index_set.IndexSet
     )
     runs_by_index: dict[int, Run] = dataclasses.field(default_factory=dict)
-    failures_by_index: dict[int, tuple[int, int]] = dataclasses.field(
+    failures_by_index: dict[int, tuple[int, ...]] = dataclasses.field(
         default_factory=dict
     )
     checkpoints_by_index: dict[int, str] = dataclasses.field(
--- a/cardamomcroft/scheduling/standing.py
+++ b/cardamomcroft/scheduling/standing.py
@@ -261,7 +261,7 @@
 
 def _mark(step: runs.StepState) -> tuple[int, ...]:
     """Return numbers that change when a run begins and ends between looks."""
-    failures = sum(count for count, _ in step.failures_by_index.values())
+    failures = sum(known[0] for known in step.failures_by_index.values())
     return step.occurrence, step.number, len(step.done), failures
 
 
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -472,7 +472,13 @@
         elif finished.end is fleet.End.FAILED:
             self._cluster.record_strike(worker)
             if index not in step.done:
-                self._cluster.record_failure(step, index, finished.run)
+                given_up = worker.given_up.runs_by_task.get(finished.task)
+                is_late = given_up is not None and (
+                    given_up.number == finished.run
+                )
+                self._cluster.record_failure(
+                    step, index, finished.run, is_late
+                )
 
     def _stop_other_runs(
         self, step: runs.StepState, index: int, number: int
--- a/tests/scheduling/test_codec.py
+++ b/tests/scheduling/test_codec.py
@@ -95,7 +95,7 @@
         """Neither an end nor an attempt nor a checkpoint is lost."""
         state = make_state(16_000, ((0, 76), (78, 15_899), (15_990, 15_990)))
         late = open_step(state, 77, set(range(WIDTH)) - {5})
-        late.failures_by_index[5] = (2, 10_007)
+        late.failures_by_index[5] = (3, 10_007, 10_002)
         late.checkpoints_by_index[5] = "c"
         open_step(state, 15_950, {0, 31})
         self.assertIn("done", json.loads(encode(state)).keys())
