Ask for unread ends at the address that the worker had

An entry of an earlier birth made the holder ask at its address, where another worker listened by now; its answer (421) dropped what was known of the worker, also that ends of runs that were given up are unread. Once the worker was back under its own entry, nobody asked it and its task ran again.

A doubtful entry now changes no address while there are such ends, as while there are runs. test_unread_ends: test_entry_of_an_earlier_birth_hides_no_end failed before.

--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -72,10 +72,10 @@
         """Ask which incarnation lives if another one is listed.
 
         Its birth is earlier: the entry is an old one, or the worker's time of
-        day has gone back before a restart. It is asked where its runs are, and
-        at the address listed once it has none.
+        day has gone back before a restart. It is asked where its runs are, or
+        may list ends of them, and at the address listed once it has none.
         """
-        if not worker.runs_by_task:
+        if not (worker.runs_by_task or worker.given_up.runs_by_task):
             worker.former_births.add(listing.born_ms)
             worker.address = listing.address
         elif worker.doubted_birth == listing.born_ms:
