Read ends over slow links, and poll a worker that answers orders

A worker that had been out of reach lost the longer time for its first inventory (2.8 s in place of up to 5.6 s). A start waits 4 s instead of 2 s for a worker that is back over a slow link: until then no job counts as standing still.

--- a/cardamomcroft/scheduling/given_up.py
+++ b/cardamomcroft/scheduling/given_up.py
@@ -28,7 +28,7 @@
     def __init__(self) -> None:
         """Create it without runs, of a worker that has not been absent."""
         self.runs_by_task: dict[str, runs.Run] = {}
-        self.was_unreached = False  # by the last poll that shows it
+        self._was_unreached = False  # by the last poll that shows it
         self._absent_at: datetime.timedelta | None = None
         self._added_at = datetime.timedelta()
         self._questions = 0
@@ -61,7 +61,7 @@
     def record_answer(self) -> None:
         """Note that the worker has answered."""
         self._absent_at = None
-        self.was_unreached = False
+        self._was_unreached = False
 
     def record_silence(
         self, sent_at: datetime.timedelta, status: fleet.OrderStatus
@@ -72,9 +72,9 @@
         """
         is_unreached = status in _NO_CONNECTION
         is_silent = status is fleet.OrderStatus.MAY_HAVE_RUN
-        if is_unreached or (is_silent and not self.was_unreached):
+        if is_unreached or (is_silent and not self._was_unreached):
             self._absent_at = sent_at
-            self.was_unreached = is_unreached
+            self._was_unreached = is_unreached
         else:
             self._absent_at = None
 
@@ -86,6 +86,11 @@
             return self._absent_at >= self._added_at - LAST_POLL_AGE
         return self._absent_at >= asked_at
 
+    @property
+    def is_return_awaited(self) -> bool:
+        """Return whether the worker was out of reach and has unread ends."""
+        return self._was_unreached and bool(self.runs_by_task)
+
     @property
     def is_asked(self) -> bool:
         """Return whether a start waits for the ends."""
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -341,6 +341,7 @@
         self.is_polled = False
         self.poll_call: asyncio.Task | None = None  # to its incarnation
         self.poll_sent_at = _ZERO
+        self.has_extended_poll = False  # with more time than usual
         # After this time the poll under way is late and proves no lease.
         self.poll_due_at: datetime.timedelta | None = None
         self._clock_ms = 0
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -76,7 +76,7 @@
         self._poller = worker_polling.WorkerPoller(
             self.cluster, self._orders, link
         )
-        self._orders.on_contact = self._poller.ensure_polling
+        self._orders.on_contact = self._poller.handle_contact
         self._launcher = launching.Launcher(self.cluster, self._orders, link)
         self._headroom = headrooms.Headroom()
         self._holds = holding.Holds()
--- a/cardamomcroft/scheduling/unread_ends.py
+++ b/cardamomcroft/scheduling/unread_ends.py
@@ -7,8 +7,8 @@
 from cardamomcroft.scheduling import runs
 
 # A worker that accepts connections again may list its ends over a slow link;
-# no job may stand for 3 s (protocol).
-MAX_WAIT = datetime.timedelta(seconds=2)
+# for so long after its return no job counts as standing still (protocol).
+MAX_WAIT = datetime.timedelta(seconds=4)
 CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 
 
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -67,6 +67,16 @@
             worker.is_polled = True
             self._cluster.spawn(self._poll(worker))
 
+    def handle_contact(self, worker: runs.Worker) -> None:
+        """Poll a worker that has answered an order.
+
+        A poll that was given more time may have been sent before it could
+        answer, and would keep its lease from being renewed.
+        """
+        if worker.poll_call and worker.has_extended_poll:
+            worker.poll_call.cancel()
+        self.ensure_polling(worker)
+
     def apply_listing(
         self,
         worker: runs.Worker,
@@ -133,15 +143,16 @@
         """Return how long the worker may be silent.
 
         Only a worker without an inventory gets more time after a poll that
-        failed, and one that was out of reach, once it accepts a connection:
-        any other is back sooner by the next poll.
+        failed, and one with unread ends that was out of reach: any other is
+        back sooner by the next poll.
         """
-        if worker.given_up.was_unreached:
-            return RETURN_TIMEOUT
-        if worker.has_inventory:
-            return POLL_TIMEOUT
-        doublings = min(worker.unanswered_polls, MAX_TIMEOUT_DOUBLINGS)
-        return POLL_TIMEOUT * 2**doublings
+        timeout = POLL_TIMEOUT
+        if not worker.has_inventory:
+            doublings = min(worker.unanswered_polls, MAX_TIMEOUT_DOUBLINGS)
+            timeout *= 2**doublings
+        if worker.given_up.is_return_awaited:
+            timeout = max(timeout, RETURN_TIMEOUT)
+        return timeout
 
     def _lease_to_grant(
         self, worker: runs.Worker, now: datetime.timedelta
@@ -246,6 +257,7 @@
         )
         worker.poll_call = call
         worker.poll_sent_at = self._clock.monotonic()
+        worker.has_extended_poll = timeout > POLL_TIMEOUT
         worker.poll_due_at = self._clock.monotonic() + order.wait + timeout
         try:
             await asyncio.wait({call})
