Send no order on an open connection after a silence

After a call without an answer the open connections to that worker are not used any more. What is sent on a new one that is not established does not arrive later; one that is back costs a connection and a greeting.

test_no_order_follows_a_silence_on_an_open_connection failed before (may_have_run).

--- a/cardamomcroft/platform/connections.py
+++ b/cardamomcroft/platform/connections.py
@@ -70,9 +70,20 @@
         self._born_ms_by_worker: weakref.WeakKeyDictionary[
             client_proto.ResponseHandler, dict[str, int]
         ] = weakref.WeakKeyDictionary()
+        # What is sent on them may arrive seconds after it was given up.
+        self._silent: weakref.WeakSet[client_proto.ResponseHandler] = (
+            weakref.WeakSet()
+        )
+
+    def note_silence(self, worker_id: str) -> None:
+        """Use no open connection to a worker that left a call unanswered."""
+        for protocol, born_ms in self._born_ms_by_worker.items():
+            if worker_id in born_ms:
+                self._silent.add(protocol)
 
     def note_answer(self, call: Call, born_ms: int) -> None:
         """Record which incarnation answered on a call's connection."""
+        self._silent.discard(call.protocol)
         born_ms_by_worker = self._born_ms_by_worker.setdefault(
             call.protocol, {}
         )
@@ -94,6 +105,9 @@
             if connection is None:
                 connection = await super().connect(req, traces, timeout)
             call.protocol = connection.protocol
+            if connection.protocol in self._silent and not call.greets:
+                connection.close()
+                continue
             if call.is_greeting:
                 return connection
             known = self._born_ms_by_worker.get(connection.protocol, {})
--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -96,6 +96,8 @@
             )
         if call.is_ungreeted:
             return result, data  # nothing was sent
+        if result.status is fleet.OrderStatus.MAY_HAVE_RUN:
+            self._connector.note_silence(address.worker_id)
         if "Running" in data:  # an inventory, which names its incarnation
             self._connector.note_answer(call, data.get("born", 0))
         took = self._clock.monotonic() - began_at
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -175,6 +175,17 @@
         self.assertIs(await self.start(), fleet.OrderStatus.UNREACHED)
         self.assertEqual(self.first.paths(), ["/hold"])
 
+    async def test_no_order_follows_a_silence_on_an_open_connection(self):
+        """It could arrive seconds after it was given up."""
+        await asyncio.gather(*(self.start() for _ in range(3)))
+        self.first.is_silent = True
+        self.assertIs(await self.start(), fleet.OrderStatus.MAY_HAVE_RUN)
+        self.first.calls.clear()
+        self.assertIs(await self.start(), fleet.OrderStatus.UNREACHED)
+        self.assertEqual(self.first.paths(), ["/hold"])  # the greeting
+        self.first.is_silent = False
+        self.assertIs(await self.start(), fleet.OrderStatus.DONE)
+
     async def test_concurrent_starts_have_connections_of_their_own(self):
         """Each is greeted for itself."""
         results = await asyncio.gather(*(self.start() for _ in range(12)))
