Soak returns of workers that were given up, with unread ends

No fault of the soak cut workers off beyond their leases while their tasks ended, and run_twice excuses ends that nobody had read when the lease expired, for good.

The stand-in of the workers now records each start of a task of which a reachable worker lists an end, since when the worker is reachable from the holder that sent the start, and when that holder first had an answer. The check restarted_beside_listed_end allows a second from the return, the takeover or the end of a freeze, and 100 ms from an answer of the worker.

Six kinds of faults: a worker or a rack is cut off beyond its lease while its tasks end, and is back, also over a slow link, and with the holder killed, frozen or stopped between the give-up and the return.

--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -8,6 +8,7 @@
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import models
+from cardamomcroft.standin import listed_ends
 
 POLL_INTERVAL = datetime.timedelta(milliseconds=20)
 ROUND_TRIP = datetime.timedelta(milliseconds=2)
@@ -68,7 +69,10 @@
         self.token = 0
         self.lease_deadline_ms = 0
         self.end_count = 0
-        self.is_cut = False
+        self._is_cut = False
+        self.reachable_since = fake_fleet.clock.monotonic()
+        # Of the first answers since then.
+        self.answered_at_by_claim: dict[str, datetime.timedelta] = {}
         self.is_starting = False  # silent until its process is up
         self.stops_at_by_task: dict[str, datetime.timedelta] = {}
         self.lose_start_answers = 0
@@ -84,6 +88,18 @@
         self.first_clock_ms = 0
         self.clock_rate = 1.0
 
+    @property
+    def is_cut(self) -> bool:
+        """Return whether the worker is cut off."""
+        return self._is_cut
+
+    @is_cut.setter
+    def is_cut(self, is_cut: bool) -> None:
+        if self._is_cut and not is_cut:
+            self.reachable_since = self._fleet.clock.monotonic()
+            self.answered_at_by_claim.clear()
+        self._is_cut = is_cut
+
     @property
     def is_reachable(self) -> bool:
         """Return whether the worker takes and answers calls."""
@@ -113,9 +129,11 @@
             return  # ended already, with another member of its gang
         self.highest_run_by_task[task] = run.number
         self.end_count += 1
-        self.finished.append(
-            fleet.FinishedTask(self.end_count, task, run.number, end, "")
+        finished = fleet.FinishedTask(
+            self.end_count, task, run.number, end, ""
         )
+        self.finished.append(finished)
+        self._fleet.listed_ends.record_end(self, finished)
         if ended_at is None:
             ended_at = self._fleet.clock.monotonic()
         self._fleet.intervals.append(
@@ -237,6 +255,7 @@
         # Those that no answer had listed when their worker's lease expired, or
         # that were unacknowledged then on a worker that was cut off.
         self.unread_completions: set[tuple[str, int]] = set()
+        self.listed_ends = listed_ends.ListedEnds(clock)
         # Draws the clock of each incarnation; without it all begin at 0.
         self.clock_rng: random.Random | None = None
         self.injected: collections.Counter[str] = collections.Counter()
@@ -367,7 +386,9 @@
             for task in worker.runs_by_task
         ]
 
-    async def _reach(self, address: fleet.Address) -> FakeWorker | None:
+    async def _reach(
+        self, address: fleet.Address, token: int
+    ) -> FakeWorker | None:
         # A call on its way ends with the process that it is meant for.
         worker = self.workers_by_id.get(address.worker_id)
         await self.clock.sleep(ROUND_TRIP)
@@ -375,8 +396,12 @@
             self.injected["unreachable"] += 1
             return None
         worker.advance()
+        self.listed_ends.record_contact(token)
         return worker
 
+    def _record_answer(self, worker: FakeWorker, token: int) -> None:
+        self.listed_ends.record_answer(worker, token)
+
     async def _time_out(
         self, timeout: datetime.timedelta
     ) -> fleet.OrderResult:
@@ -385,7 +410,8 @@
 
     async def start(self, address, order, timeout) -> fleet.OrderResult:
         """Start a task."""
-        worker = await self._reach(address)
+        sent_at = self.clock.monotonic()
+        worker = await self._reach(address, order.token)
         if worker is None:
             return await self._time_out(timeout)
         if order.born_ms not in (0, worker.listing.born_ms):
@@ -400,11 +426,15 @@
             self.injected["start_late"] += 1
             self.late_starts.append((self.clock.monotonic(), worker, order))
             return await self._time_out(timeout)
+        before = worker.runs_by_task.get(order.task)
         result = self._start(worker, order)
+        if worker.runs_by_task.get(order.task) is not before:
+            self.listed_ends.record_start(order, worker, sent_at)
         if worker.lose_start_answers:
             worker.lose_start_answers -= 1
             self.injected["start_answer_lost"] += 1
             return await self._time_out(timeout)
+        self._record_answer(worker, order.token)
         return result
 
     def _start(
@@ -440,7 +470,7 @@
         self, address, task, run, token, timeout
     ) -> fleet.OrderResult:
         """Stop a run."""
-        worker = await self._reach(address)
+        worker = await self._reach(address, token)
         if worker is None:
             return await self._time_out(timeout)
         if token < worker.token:
@@ -455,22 +485,24 @@
                 task, self.clock.monotonic() + min(delay, STOP_BOUND)
             )
             worker.advance()
+        self._record_answer(worker, token)
         return fleet.OrderResult(Status.DONE, worker.clock_ms())
 
     async def pace(
         self, address, task, run, percent, token, timeout
     ) -> fleet.OrderResult:
         """Accept any pace without effect."""
-        worker = await self._reach(address)
+        worker = await self._reach(address, token)
         if worker is None:
             return await self._time_out(timeout)
+        self._record_answer(worker, token)
         return fleet.OrderResult(Status.DONE, worker.clock_ms())
 
     async def renew_lease(
         self, address, order, timeout
     ) -> fleet.Inventory | fleet.OrderResult:
         """Extend the lease and return the inventory."""
-        worker = await self._reach(address)
+        worker = await self._reach(address, order.token)
         if worker is None:
             return await self._time_out(timeout)
         if order.token < worker.token:
@@ -498,6 +530,7 @@
         listed = tuple(worker.finished[: self.ends_per_answer])
         if listed:
             worker.listed_end = listed[-1].number
+        self._record_answer(worker, order.token)
         return fleet.Inventory(
             worker.clock_ms(),
             worker.listing.born_ms,
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import collections.abc
 import contextlib
 import dataclasses
 import datetime
@@ -23,6 +24,7 @@
 from cardamomcroft.scheduling import models
 from cardamomcroft.standin import fleet
 from cardamomcroft.standin import links
+from cardamomcroft.standin import listed_ends
 from cardamomcroft.standin import store
 
 _STREAMS = {f"keyed.{stream.value}": stream for stream in stores.Stream}
@@ -57,6 +59,12 @@
     """A fleet that reads jobs' steps from their stored submissions."""
 
     service: store.StoreService
+    # Workers whose answers are on their way for long.
+    distant_workers: collections.abc.Container[str] = ()
+
+    def _record_answer(self, worker: fleet.FakeWorker, token: int) -> None:
+        if worker.listing.address.worker_id not in self.distant_workers:
+            super()._record_answer(worker, token)
 
     def steps_of(self, job_id: str) -> tuple[models.Step, ...]:
         """Return a job's steps."""
@@ -106,6 +114,9 @@
         self.store = store.StoreService(clock)
         self.fleet = _StoreBackedFleet(clock, duration)
         self.fleet.service = self.store
+        self.fleet.listed_ends.claim_of = listed_ends.Claims(
+            self.store.records_by_stream[stores.Stream.JOBS]
+        ).name_of
         self.address = ""
         self._clients_by_port: dict[int, str] = {}
         self._addresses_by_worker: dict[str, str] = {}
@@ -120,6 +131,9 @@
         self.shared_links_by_client: dict[
             str, links.FairLink | links.QueueLink
         ] = {}
+        # Of the answers of a worker, to all clients.
+        self.links_by_worker: dict[str, links.FairLink | links.QueueLink] = {}
+        self.fleet.distant_workers = self.links_by_worker
         self._runner: web.ServerRunner | None = None
         self._handlers = {
             "/log-append": self._append,
@@ -276,6 +290,7 @@
         rate = self.link_rates_by_client.get(client)
         link = self.shared_links_by_client.get(client)
         worker_id = request.headers.get("X-Expected-Instance", "")
+        link = self.links_by_worker.get(worker_id, link)
         if worker_id in self._transports_by_worker:
             response = await self._call_worker(worker_id, request, handler)
         else:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,9 @@
 )
 # EarlyMs, by which an occurrence may begin before it is due.
 EARLY_BOUND = datetime.timedelta(milliseconds=250)
+# An end counts as taken note of so long after a worker has listed it.
+NOTED_AFTER = datetime.timedelta(milliseconds=100)
+_ZERO = datetime.timedelta()
 _EVENT = re.compile(r'"event":"(\w+)"')
 
 
@@ -147,6 +150,31 @@
     ]
 
 
+def restarted_beside_listed_end(
+    fake_fleet: standin_fleet.FakeFleet,
+    thaws: collections.abc.Sequence[tuple[str, datetime.timedelta]] = (),
+) -> list[str]:
+    """Return the starts of tasks that a reachable worker lists as done.
+
+    Its holder had an answer of that worker, or over a second to ask for one.
+    An instance is given this time anew at the end of each freeze.
+    """
+    found = []
+    for start in fake_fleet.listed_ends.starts:
+        name = start.claim.partition(" ")[0]
+        resumed = [
+            at for other, at in thaws if other == name and at <= start.sent_at
+        ]
+        resumed_at = max(resumed, default=_ZERO)
+        if start.completions(NOTED_AFTER, resumed_at):
+            found.append(
+                f"{start.task} run {start.run} on {start.worker_id}"
+                f" by {start.claim} at {start.sent_at}:"
+                f" {start.heard_completions} heard, listed {start.ends}"
+            )
+    return found
+
+
 def _overlapping(fake_fleet: standin_fleet.FakeFleet) -> list[str]:
     by_task = collections.defaultdict(list)
     for interval in fake_fleet.intervals:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -204,6 +204,13 @@
     return {"Spec": "long", "Phases": [phase]}
 
 
+def make_bound(count: int, rack: str) -> dict:
+    """Return a submission that only the workers of a rack may run."""
+    phase = {"Count": count, "Cpu": 200, "MemMb": 100}
+    phase |= {"EstimateMs": TASK_TIME_MS, "Requirements": rack}
+    return {"Spec": "bound", "Phases": [phase]}
+
+
 def make_wide(count: int) -> dict:
     """Return a submission of one step that a rack runs a part at a time."""
     phase = {"Count": count, "Cpu": 500, "MemMb": 100, "Gpu": 4}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,7 @@
 from soak import instances as processes
 from soak import proxy
 from soak import rebirths
+from soak import returns
 from soak import worker_faults
 
 MAX_LATE_S = 6.0
@@ -60,6 +61,8 @@
         self.history: list[str] = []
         self._disrupted: set[str] = set()  # instances with a fault under way
         self._kept: set[str] = set()  # of these, spared for a later fault
+        # The instances that were frozen, each with the end of that.
+        self.thaws: list[tuple[str, datetime.timedelta]] = []
         self.slow_stops: list[float] = []
         self.served_revoked_keys: list[str] = []
         self.kinds: dict[str, worker_faults.Action] = self._workers.kinds | {
@@ -82,6 +85,18 @@
             "rack_reborn_at_takeover": self._reborn(is_of_rack=True),
             "worker_reborn_twice": self._reborn(restarts=2),
             "worker_reborn_unlisted": self._reborn(is_unlisted=True),
+            "worker_returns": self._returning(),
+            "rack_returns": self._returning(is_of_rack=True),
+            "rack_returns_slowly": self._returning(
+                is_of_rack=True, is_slow=True
+            ),
+            "worker_returns_at_takeover": self._returning(has_takeover=True),
+            "rack_returns_at_takeover": self._returning(
+                is_of_rack=True, has_takeover=True
+            ),
+            "rack_returns_slowly_at_takeover": self._returning(
+                is_of_rack=True, is_slow=True, has_takeover=True
+            ),
             "configuration": self._configuration,
             "revoke_key": self._revoke_key,
         }
@@ -153,12 +168,17 @@
         await self._restart(instance)
 
     async def _freeze_one(self, instance: processes.Instance) -> None:
-        await instance.freeze(
-            self._rng.uniform(0.5, worker_faults.MAX_FAULT_S)
-        )
+        await self._freeze_for(instance, 0.5, worker_faults.MAX_FAULT_S)
 
     async def _freeze_long(self, instance: processes.Instance) -> None:
-        await instance.freeze(self._rng.uniform(*TAKEOVER_FREEZE_S))
+        await self._freeze_for(instance, *TAKEOVER_FREEZE_S)
+
+    async def _freeze_for(
+        self, instance: processes.Instance, least_s: float, most_s: float
+    ) -> None:
+        await instance.freeze(self._rng.uniform(least_s, most_s))
+        now = self._platform.fleet.clock.monotonic()
+        self.thaws.append((instance.name, now))
 
     async def _stop_one(self, instance: processes.Instance) -> None:
         took_s = await instance.stop()
@@ -263,14 +283,21 @@
     def _reborn(self, **fields) -> worker_faults.Action:
         """Return a fault of workers that restart beside a takeover."""
         return functools.partial(
-            self._restart_workers, rebirths.Kind(**fields)
+            self._beside_takeover, "restart_and_cut", rebirths.Kind(**fields)
+        )
+
+    def _returning(self, **fields) -> worker_faults.Action:
+        """Return a fault of workers that are back with unread ends."""
+        return functools.partial(
+            self._beside_takeover, "cut_and_return", returns.Kind(**fields)
         )
 
-    async def _restart_workers(self, kind: rebirths.Kind) -> None:
+    async def _beside_takeover(
+        self, fault: str, kind: rebirths.Kind | returns.Kind
+    ) -> None:
+        inject = getattr(self._workers, fault)
         try:
-            await self._workers.restart_and_cut(
-                kind, self._keep_processes, self._disrupt_holder
-            )
+            await inject(kind, self._keep_processes, self._disrupt_holder)
         finally:
             self._disrupted -= self._kept
             self._kept = set()
--- a/soak/main.py
+++ b/soak/main.py
@@ -274,6 +274,11 @@
         jobs = list(callers.jobs_by_id.values())
         violations = checks.check(jobs, self._platform.fleet)
         violations |= watched
+        violations["restarted_beside_listed_end"] = (
+            checks.restarted_beside_listed_end(
+                self._platform.fleet, faults.thaws
+            )
+        )
         violations["unexpected_error"] = checks.unexpected_errors(
             instance.log for instance in self._instances
         )
--- a/soak/rebirths.py
+++ b/soak/rebirths.py
@@ -1,19 +1,14 @@
 """Restart workers under their ids and cut them off beside a takeover."""
 
 import asyncio
-import collections
-import collections.abc
 import dataclasses
 import datetime
 import random
 
-from cardamomcroft.standin import fleet as standin_fleet
-from cardamomcroft.standin import platform
 from soak import checks
 from soak import clients
+from soak import rack_faults
 
-MAX_START_WAIT_S = 8.0  # of the first long task
-LOOK_INTERVAL_S = 0.1
 # Of a host that restarts: until its process is up, and then until its entry.
 SILENT_S = (0.3, 0.6)
 MAX_UNLISTED_S = 0.5
@@ -26,8 +21,6 @@
 LONG_TASK_TIMES_MS = (15_000, 30_000)
 TASKS_OF_LONG_JOB = 4
 LONG_JOB_EVERY_S = 0.15
-MANY = 10_000  # more starts than a worker gets in a trial
-Action = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 TASK_TIME = datetime.timedelta(milliseconds=clients.TASK_TIME_MS)
 
 
@@ -45,27 +38,14 @@
     return rng.uniform(0, MAX_UNLISTED_S)
 
 
-class Rebirth:
+class Rebirth(rack_faults.RackFault):
     """One fault: workers restart, start long tasks and are cut off."""
 
-    def __init__(
-        self,
-        target: platform.PlatformServer,
-        callers: clients.Callers,
-        rng: random.Random,
-        note: collections.abc.Callable[[str], None],
-        counts: collections.Counter[str],
-        kind: Kind,
-    ) -> None:
-        """Create a fault of a kind; draw the rest by ``rng``."""
-        self._platform = target
-        self._callers = callers
-        self._rng = rng
-        self._note = note
-        self._counts = counts
+    def __init__(self, kind: Kind, *trial) -> None:
+        """Create a fault of a kind; draw the rest from the trial's seed."""
+        super().__init__(*trial, kind.is_of_rack)
+        rng = self._rng
         self._kind = kind
-        racks = {w.listing.rack for w in target.fleet.workers_by_id.values()}
-        self._rack = rng.choice(sorted(racks))
         self._silent_s = rng.uniform(*SILENT_S)
         if kind.is_unlisted:
             self._cut_after_s = rng.uniform(0, MAX_UNLISTED_S)
@@ -76,10 +56,12 @@
         self._disrupt_after_s = self._cut_after_s * rng.uniform(
             EARLIEST_DISRUPTION, 1
         )
-        self._job_ids: list[str] = []
-        self._worker_ids: list[str] = []
 
-    async def inject(self, prepare: Action, disrupt_holder: Action) -> None:
+    async def inject(
+        self,
+        prepare: rack_faults.Action,
+        disrupt_holder: rack_faults.Action,
+    ) -> None:
         """Inject the fault once it is prepared and a long task is at work.
 
         The holder is disrupted between the last restart and the cut.
@@ -95,37 +77,10 @@
         for job_id in self._job_ids:  # so that the trial ends soon
             self._platform.fleet.durations_by_job[job_id] = TASK_TIME
 
-    async def _choose_workers(self) -> list[str]:
-        """Wait for a worker with a long task; add its rack if needed."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + MAX_START_WAIT_S
-        while loop.time() < until:
-            for worker in self._platform.fleet.workers_by_id.values():
-                if self._long_tasks(worker):
-                    return self._ids_beside(worker)
-            await asyncio.sleep(LOOK_INTERVAL_S)
-        return []
-
-    def _long_tasks(self, worker: standin_fleet.FakeWorker) -> list[str]:
-        return [
-            task
-            for task in worker.runs_by_task
-            if checks.job_of(task) in self._job_ids
-        ]
-
-    def _ids_beside(self, worker: standin_fleet.FakeWorker) -> list[str]:
-        return [
-            worker_id
-            for worker_id, other in self._platform.fleet.workers_by_id.items()
-            if other is worker
-            or (
-                self._kind.is_of_rack
-                and other.listing.rack == worker.listing.rack
-            )
-        ]
-
-    async def _restart_and_cut(self, disrupt_holder: Action) -> None:
-        self._set_refusals(MANY)
+    async def _restart_and_cut(
+        self, disrupt_holder: rack_faults.Action
+    ) -> None:
+        self._set_refusals(rack_faults.MANY)
         load = asyncio.ensure_future(self._submit_until_cut())
         await asyncio.sleep(self._rng.uniform(0, LONG_JOB_EVERY_S))
         restart = asyncio.ensure_future(self._restart())
@@ -136,16 +91,6 @@
         await self._cut()
         await asyncio.gather(restart, disruption, load)
 
-    def _set_refusals(self, count: int) -> None:
-        """Let the rack's other workers refuse starts as unhealthy.
-
-        The long tasks then start on those that restart.
-        """
-        for worker_id, worker in self._platform.fleet.workers_by_id.items():
-            is_beside = worker.listing.rack == self._rack
-            if is_beside and worker_id not in self._worker_ids:
-                worker.refuse_starts = count
-
     async def _restart(self) -> None:
         """Restart those of the hosts that are there, all at once."""
         present = self._platform.fleet.workers_by_id
@@ -160,17 +105,11 @@
         )
 
     async def _cut(self) -> None:
-        present = self._platform.fleet.workers_by_id
-        workers = [
-            present[name] for name in self._worker_ids if name in present
-        ]
-        self._note(f"{', '.join(self._worker_ids)} cut off")
-        for worker in workers:
-            worker.is_cut = True
+        workers = self._cut_off()
         at_work = {
             checks.job_of(task)
             for worker in workers
-            for task in self._long_tasks(worker)
+            for task in self._own_tasks(worker)
         }
         self._counts["reborn_cut_at_work"] += bool(at_work)
         for job_id in set(self._job_ids) - at_work:
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -11,6 +11,7 @@
 from soak import checks
 from soak import clients
 from soak import rebirths
+from soak import returns
 
 MAX_FAULT_S = 4.0
 MAX_START_WAIT_S = 8.0  # of the tasks that a fault is about
@@ -109,20 +110,30 @@
             rebirths.draw_unlisted(self._rng),
         )
 
-    async def restart_and_cut(
-        self, kind: rebirths.Kind, prepare: Action, disrupt_holder: Action
-    ) -> None:
-        """Restart workers and cut them off beside a takeover."""
-        rebirth = rebirths.Rebirth(
+    def _trial(self) -> tuple:
+        """Return what a fault of its own class needs of the trial."""
+        return (
             self._platform,
             self._callers,
             self._rng,
             self._note,
             self._counts,
-            kind,
         )
+
+    async def restart_and_cut(
+        self, kind: rebirths.Kind, prepare: Action, disrupt_holder: Action
+    ) -> None:
+        """Restart workers and cut them off beside a takeover."""
+        rebirth = rebirths.Rebirth(kind, *self._trial())
         await rebirth.inject(prepare, disrupt_holder)
 
+    async def cut_and_return(
+        self, kind: returns.Kind, prepare: Action, disrupt_holder: Action
+    ) -> None:
+        """Cut workers off beyond their leases while their tasks end."""
+        fault = returns.Return(kind, *self._trial())
+        await fault.inject(prepare, disrupt_holder)
+
     async def _lose_start_answers(self) -> None:
         worker = self._random_worker()
         worker.lose_start_answers += 2
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -22,6 +22,7 @@
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import node as nodes
 from cardamomcroft.standin import fleet as standin_fleet
+from cardamomcroft.standin import listed_ends
 from cardamomcroft.standin import store as standin_store
 
 STEP = datetime.timedelta(milliseconds=50)
@@ -67,6 +68,7 @@
         self.clock = clocks.FakeClock()
         self.store = standin_store.StoreService(self.clock)
         self.fleet = standin_fleet.FakeFleet(self.clock, self.duration)
+        self.follow_claims()
         self.sink = os.open(
             os.environ.get("EVENTS", os.devnull), os.O_WRONLY | os.O_CREAT
         )
@@ -75,6 +77,12 @@
         self.numbers = itertools.count(1)
         self.listings: dict[str, fleet.Listing] = {}
 
+    def follow_claims(self) -> None:
+        """Let the fleet know which claim a token belongs to."""
+        self.fleet.listed_ends.claim_of = listed_ends.Claims(
+            self.store.records_by_stream[store.Stream.JOBS]
+        ).name_of
+
     async def asyncTearDown(self):
         """Stop every node."""
         for name in list(self.nodes_by_name):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,5 +1,6 @@
 """The soak's checks find each violation, and nothing else."""
 
+import asyncio
 import dataclasses
 import datetime
 import pathlib
@@ -200,3 +201,119 @@
         """Other events may mention one."""
         line = '{"event":"note","text":"round_crashed","error":"E()"}'
         self.assertEqual(self.errors(line, line[:20]), [])
+
+
+class ListedEndTest(unittest.IsolatedAsyncioTestCase):
+    """A worker is back with an end of the task, which starts again."""
+
+    async def asyncSetUp(self):
+        """Let a task end on a worker that is cut off, and its lease expire."""
+        self.clock = clocks.FakeClock()
+        self.fake = standin_fleet.FakeFleet(self.clock, seconds(1))
+        self.fake.listed_ends.claim_of = lambda token: f"entry-{token} x 7"
+        self.fake.steps_by_job[JOB] = (STEP,)
+        for worker_id in ("w1", "w2"):
+            self.fake.add(worker_id)
+        await self.start("w1", 1)
+        self.away = self.fake.workers_by_id["w1"]
+        self.away.is_cut = True
+        await self.pass_time(1.1)
+        await self.pass_time(7)
+        (end,) = self.away.finished
+        self.assertIs(end.end, fleet.End.DONE)
+
+    async def pass_time(self, number: float) -> None:
+        """Advance the clock and the workers."""
+        await self.clock.advance(seconds(number))
+        self.fake.advance()
+
+    async def call(self, coroutine):
+        """Return the result of a call, which takes a round trip."""
+        call = asyncio.ensure_future(coroutine)
+        await self.pass_time(0.01)
+        return await call
+
+    async def start(self, worker_id: str, run: int, token: int = 0) -> None:
+        """Start the task."""
+        address = fleet.Address(worker_id, "")
+        deadline_ms = round(self.clock.monotonic().total_seconds() * 1000)
+        order = fleet.StartOrder(
+            f"{JOB}.0.0.0", run, "", deadline_ms + 6000, token, ""
+        )
+        result = await self.call(self.fake.start(address, order, seconds(1)))
+        self.assertIs(result.status, fleet.OrderStatus.DONE)
+
+    async def poll(self, token: int = 0) -> None:
+        """Let the holder of a token read the worker's inventory."""
+        order = fleet.LeaseRenewal(token, 0, None, seconds(0))
+        address = fleet.Address("w1", "")
+        await self.call(self.fake.renew_lease(address, order, seconds(1)))
+
+    def found(self, *thaws) -> int:
+        """Return how many starts violate the guarantee."""
+        return len(checks.restarted_beside_listed_end(self.fake, thaws))
+
+    async def test_start_while_the_worker_is_away_is_allowed(self):
+        """Nobody waits for an end that may never be heard."""
+        await self.start("w2", 2)
+        self.assertEqual(self.found(), 0)
+
+    async def test_start_is_allowed_for_a_second(self):
+        """It is found on any worker after that, without any answer."""
+        self.away.is_cut = False
+        await self.pass_time(0.95)
+        await self.start("w2", 2)
+        self.assertEqual(self.found(), 0)
+        await self.pass_time(1.1)
+        await self.start("w1", 3)
+        self.assertEqual(self.found(), 1)
+
+    async def test_start_after_an_answer_is_found(self):
+        """One on its way as the answer came is not."""
+        self.away.is_cut = False
+        await self.poll()
+        await self.start("w2", 2)
+        self.assertEqual(self.found(), 0)
+        await self.pass_time(0.1)
+        await self.start("w1", 3)
+        self.assertEqual(self.found(), 1)
+
+    async def test_answer_to_a_former_holder_is_none_to_the_next_one(self):
+        """Which has its own second."""
+        self.away.is_cut = False
+        await self.poll(token=1)
+        await self.pass_time(5)
+        await self.start("w2", 2, token=2)
+        self.assertEqual(self.found(), 0)
+        await self.pass_time(1.1)
+        await self.start("w1", 3, token=2)
+        self.assertEqual(self.found(), 1)
+
+    async def test_answer_before_the_cut_does_not_count(self):
+        """The end was not listed then."""
+        await self.start("w2", 2)
+        self.away.is_cut = False
+        await self.pass_time(0.2)
+        await self.start("w1", 3)
+        self.assertEqual(self.found(), 0)
+
+    async def test_frozen_holder_reads_nothing(self):
+        """It has its second from the end of the freeze; others do not."""
+        self.away.is_cut = False
+        await self.poll(token=1)
+        await self.pass_time(5)
+        thawed_at = self.clock.monotonic()
+        await self.start("w2", 2, token=1)
+        self.assertEqual(self.found(("entry-1", thawed_at)), 0)
+        self.assertEqual(self.found(("entry-2", thawed_at)), 1)
+        self.assertEqual(self.found(("entry-1", thawed_at - seconds(1))), 1)
+
+    async def test_start_after_an_acknowledged_end_is_found(self):
+        """Its worker lists it no more."""
+        self.away.is_cut = False
+        order = fleet.LeaseRenewal(0, 1, None, seconds(0))
+        address = fleet.Address("w1", "")
+        await self.call(self.fake.renew_lease(address, order, seconds(1)))
+        self.assertEqual(self.away.finished, [])
+        await self.start("w2", 2)
+        self.assertEqual(self.found(), 1)
