--- a/cardamomcroft/standin/links.py
+++ b/cardamomcroft/standin/links.py
@@ -15,6 +15,11 @@
         """Carry so many bytes a second in all."""
         self._bytes_per_s = bytes_per_s
         self._sending = 0
+        self._is_drained = False
+
+    def drain(self) -> None:
+        """Carry the rest of what waits, and all that follows, at once."""
+        self._is_drained = True
 
     async def send(
         self, request: web.BaseRequest, response: web.Response
@@ -30,6 +35,8 @@
                 while sent < len(body):
                     size = self._bytes_per_s * PERIOD_S / self._sending
                     end = sent + max(1, round(size))
+                    if self._is_drained:
+                        end = len(body)
                     await slow.write(body[sent:end])
                     sent = end
                     await asyncio.sleep(PERIOD_S)
--- a/soak/returns.py
+++ b/soak/returns.py
@@ -97,7 +97,7 @@
         ]
         self._counts["returned_with_ends"] += bool(unread)
         self._note(f"{', '.join(self._worker_ids)} back: {len(unread)} ends")
-        slow = links.QueueLink(self._bytes_per_s)
+        slow = links.FairLink(self._bytes_per_s)
         if self._kind.is_slow:
             for worker_id in self._worker_ids:
                 self._platform.links_by_worker[worker_id] = slow
@@ -107,7 +107,7 @@
             await asyncio.sleep(self._slow_s)
             for worker_id in self._worker_ids:
                 self._platform.links_by_worker.pop(worker_id, None)
-            await slow.drain()
+            slow.drain()
 
     async def _end_refusals(self) -> None:
         await asyncio.sleep(self._held_s)
