--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -420,6 +420,7 @@
         if worker.refuse_starts:
             worker.refuse_starts -= 1
             self.injected["start_unhealthy"] += 1
+            self._record_answer(worker, order.token)
             return fleet.OrderResult(Status.UNHEALTHY)
         if worker.delay_starts:
             worker.delay_starts -= 1
