Let three tests of unread ends notice the faults that they are about

Cause: all parts were read before a stop was certain to have been carried out; the first holder of the takeover had recorded nothing; the job had ended with its only task.

Change: the parts come later; the first holder's record is durable and its acknowledgement is not sent; the job has a second step.

--- a/tests/scheduling/test_unread_ends.py
+++ b/tests/scheduling/test_unread_ends.py
@@ -266,7 +266,7 @@
         job_id = await self.start_with_job(harness.make_step(8))
         self.add_workers(1)
         self.fleet.ends_per_answer = 2
-        self.answer_slowly()
+        self.answer_slowly(0.6)
         self.stop_all(job_id)
         for task, worker_id in self.fleet.running():
             self.worker(worker_id).end(task, DONE)
@@ -362,27 +362,38 @@
         await self.wait_for_state(job_id, "failed", 3)
 
     async def test_failure_of_a_task_that_is_done_does_not_count(self):
-        """The second run is done when it is read."""
-        job_id = await self.fail_second_run(attempts=1)
+        """The next step is at work when it is read."""
+        job_id = await self.start_with_job(
+            harness.make_step(),
+            harness.make_step(after=(0,)),
+            queue=harness.make_queue(attempts=1),
+        )
+        await self.give_up(FAILED, "w1")
+        self.add_workers(1)
+        await self.wait_until(lambda: self.fleet.running())
         ((task, _),) = self.fleet.running()
         self.worker("w2").end(task, DONE)
-        await self.wait_for_state(job_id, "completed", 2)
+        await self.wait_until(lambda: self.fleet.running())
         self.bring_back("w1")
         await self.wait_until(lambda: not self.worker().finished, 2)
-        self.assertEqual(self.state(job_id), "completed")
+        self.assertEqual(self.fleet.running(), [(f"{job_id}.0.1.0", "w2")])
+        self.assertEqual(self.state(job_id), "running")
 
     async def test_failure_counts_once_over_a_takeover(self):
-        """Both holders read it, as the first has recorded no effect."""
+        """The first holder has recorded it and not acknowledged it."""
         job_id = await self.start_with_job(
             harness.make_step(), queue=harness.make_queue(attempts=2)
         )
-        self.store.faults.refused_clients.add("a")
+        self.answer_slowly()
+        tracked = self.tracked("w1")
         ((task, _),) = self.fleet.running()
         self.worker().end(task, FAILED)
-        tracked = self.tracked("w1")
-        await self.wait_until(lambda: tracked.received_end, 1)
-        self.assertEqual(tracked.durable_end, 0)
+        await self.wait_until(lambda: tracked.received_end)
+        self.worker().is_cut = True
+        await self.wait_until(lambda: tracked.durable_end)
+        self.assertTrue(self.worker().finished)
         self.kill("a")
+        self.bring_back("w1")
         self.start_node("b")
         await self.wait_until(lambda: not self.worker().finished)
         await self.wait_until(lambda: self.fleet.running())
