Let a successor ask each worker with a record until it is heard

Where the record names the runs given up, the successor knows them; one that an earlier version wrote does not. So a worker that was not heard before its leases ended is polled as long as it is listed. UnnamedRunTest failed before (started again).

A failure of a run that was given up is recorded with its number also if it is the last one, so that a successor that reads it again does not count it twice.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -283,7 +283,7 @@
     ) -> None:
         """Record a failed attempt; a gang fails as one.
 
-        One that is late may have an end before the last that was recorded.
+        One of a run that was given up may be read after a later one.
         """
         index = 0 if step.model.is_gang else index
         known = step.failures_by_index.get(index)
@@ -296,8 +296,8 @@
             and not step.model.is_lasting
             and not job.final_state
         )
-        if number < last:
-            late.append(number)
+        if is_late:
+            late.append(number)  # or a successor might count it again
         step.failures_by_index[index] = (count + 1, max(number, last), *late)
         previous_state = job.final_state
         job.is_start_recorded = True
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -164,8 +164,8 @@
     done: index_set.IndexSet = dataclasses.field(
         default_factory=index_set.IndexSet
     )
-    # By index: the failures, the run number of the last, and those of earlier
-    # runs whose failures were read after it; version 0.3.0 skips the latter.
+    # By index: the failures, the run number of the last, and the numbers of
+    # runs that had been given up, which version 0.3.0 skips.
     failures_by_index: dict[int, tuple[int, ...]] = dataclasses.field(
         default_factory=dict
     )
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -543,12 +543,13 @@
                 continue
             if not worker.has_lease_expired(now):
                 continue
-            worker.has_inventory = True
             had_runs = bool(worker.runs_by_task)
+            if had_runs or not worker.has_inventory:
+                worker.has_unheard_ends = True
+            worker.has_inventory = True
             if had_runs:
                 lost = list(worker.runs_by_task.values())
                 worker.given_up.add(lost, now)
-                worker.has_unheard_ends = True
                 self._restarts.drop_runs(worker, lost, "lease expired")
             has_ended_polling = not self._needs_polling(worker)
             if worker.avoid_until <= now and (had_runs or has_ended_polling):
--- a/tests/scheduling/test_given_up_runs.py
+++ b/tests/scheduling/test_given_up_runs.py
@@ -1,6 +1,7 @@
 """Runs are given up on workers that come back with their ends."""
 
 import collections.abc
+import dataclasses
 
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
@@ -211,3 +212,22 @@
             if start.completions()
         ]
         self.assertEqual(again, [])
+
+
+class UnnamedRunTest(GivenUpRunCase):
+    """The record of a worker does not name the run that was given up."""
+
+    async def test_successor_asks_until_the_worker_is_heard(self):
+        """An earlier version wrote the record."""
+        job_id = await self.give_up()
+        await self.pass_time(0.5)
+        self.kill("a")
+        key = ledgers.Kind.ASSIGNMENT.key("w1")
+        record = dataclasses.replace(self.record_of("w1"), given_up_by_task={})
+        self.store.put(store.Stream.JOBS, key, codec.encode_assignment(record))
+        self.start_node("b")
+        await self.wait_until(self.holder)
+        await self.pass_time(10)
+        self.bring_back([1])
+        await self.wait_until(lambda: self.state(job_id) == "completed")
+        self.check_started_once(job_id)
