Count results that arrive after their attempt was settled

What callers saw, stand-alone way: a gang ended as finished on workers that were cut off beyond their leases; its attempt was settled and the job queued again. The workers were back before the next attempt began and listed the results, but the job ran a second time (finished_twice; S5 in docs/design/12).

Cause: once an attempt is settled the fold takes no end of it, and nobody asks the workers of a settled attempt before the next one starts.

The owner asks these workers by a stop: every 2 s, when a launch begins and once more before its starts are sent. If all members had finished, it records a start (`results_of`) and the ends of its members, which earlier versions fold alike, so nothing has to be activated. Workers keep a result until the next attempt starts. Such a job gives no estimate of run times, as nobody saw when it ended.

Cost: a launch waits up to 1.25 s for a former worker that stays away.

--- a/cardamomcroft/jobs/dependencies.py
+++ b/cardamomcroft/jobs/dependencies.py
@@ -75,7 +75,7 @@
         worker_id: str,
         command: messages.Stop,
         since: datetime.timedelta | None = None,
-    ) -> messages.Done:
+    ) -> messages.Done | None:
         """Stop a task, or wait until its lease must have expired.
 
         The log shows ``since`` when its lease is not to be renewed, by
--- a/cardamomcroft/jobs/history.py
+++ b/cardamomcroft/jobs/history.py
@@ -23,7 +23,9 @@
             return
         for job_id in {end.task.job_id for end in body.ends}:
             job = self._replica.state.jobs.get(job_id)
-            if job is not None and job.phase is models.Phase.COMPLETED:
+            if job is None or job.results_of:
+                continue  # nobody saw when the attempt ended
+            if job.phase is models.Phase.COMPLETED:
                 ran = record.at - job.started_at
                 self.estimates = self.estimates.observe(
                     job.account,
--- a/cardamomcroft/jobs/launch.py
+++ b/cardamomcroft/jobs/launch.py
@@ -21,6 +21,7 @@
 Confirm = collections.abc.Callable[
     [datetime.timedelta], collections.abc.Awaitable[bool]
 ]
+Prepare = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 
 
 class LaunchOutcome(enum.Enum):
@@ -58,12 +59,14 @@
         may_act: collections.abc.Callable[[], bool],
         report_missed: collections.abc.Callable[[str], None],
         confirm: Confirm | None = None,
+        before_start: Prepare | None = None,
     ) -> None:
         """Launch as planned; ``may_act`` gates the reserves and the start.
 
         ``report_missed`` gets the worker that failed, before the release.
         ``confirm`` returns whether the state, and so the claim, is complete
-        as of the latest birth of a worker's process.
+        as of the latest birth of a worker's process. ``before_start`` runs
+        while the cells are held, so it has to be short.
         """
         self.job = job
         self.attempt = attempt
@@ -76,6 +79,7 @@
         self._may_act = may_act
         self._report_missed = report_missed
         self._confirm = confirm
+        self._before_start = before_start
         self._failure = LaunchResult(LaunchOutcome.RELEASED)
         self._reserved: list[int] = []
         self._held_until = clock.monotonic()
@@ -97,6 +101,8 @@
         if not await self._reserve_all():
             return await self._release_all()
         await self.hold()
+        if self._before_start is not None:
+            await self._before_start()
         await self.start()
         if not await self._start_all():
             return await self._release_all()
@@ -244,15 +250,18 @@
     worker_id: str,
     command: messages.Stop,
     expires_at: datetime.timedelta,
-) -> messages.Done:
-    """Retry a stop until confirmed, or until the lease must have expired."""
+) -> messages.Done | None:
+    """Retry a stop until confirmed, or until the lease must have expired.
+
+    Without a confirmation, return None.
+    """
     while True:
         result = await workers.stop(worker_id, command)
         if result.is_ok():
             return result.ok
         stale = result.error.reason is verdict.Reason.STALE
         if stale or clock.monotonic() >= expires_at:
-            return messages.Done()
+            return None
         await clock.sleep(STOP_RETRY_DELAY)
 
 
--- a/cardamomcroft/jobs/launcher.py
+++ b/cardamomcroft/jobs/launcher.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cardamomcroft.jobs import dependencies as bundles
+from cardamomcroft.jobs import former as formers
 from cardamomcroft.jobs import launch as launches
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
@@ -20,9 +21,14 @@
 class Launcher:
     """Run launches concurrently and delay the retries of failed ones."""
 
-    def __init__(self, dependencies: bundles.Dependencies) -> None:
-        """Launch through the ports of the given dependencies."""
+    def __init__(
+        self,
+        dependencies: bundles.Dependencies,
+        former: formers.FormerAttempts,
+    ) -> None:
+        """Launch jobs of whose ``former`` attempts no results arrive."""
         self._dependencies = dependencies
+        self._former = former
         self._by_job: dict[str, launches.Launch] = {}
         self._attempts: dict[str, int] = {}
         self._retry_at: dict[str, datetime.timedelta] = {}
@@ -66,31 +72,42 @@
         self, job: models.Job, token: int, start: policies.GangStart
     ) -> None:
         """Launch a job in the background."""
-        attempt = 1 + max(
-            job.attempt,
-            self._attempts.get(job.job_id, 0),
-            launches.attempt_base(token),
-        )
-        self._attempts[job.job_id] = attempt
         launch = launches.Launch(
             job,
-            attempt,
+            self._next_attempt(job, token),
             token,
             start.placements,
             self._dependencies.workers,
             self._dependencies.clock,
             self._dependencies.timing,
-            self._dependencies.may_act,
+            lambda: self._may_start(job),
             self._dependencies.health.record_unreachable,
             self._dependencies.confirm,
+            lambda: self._former.ask_again(job, token),
         )
         self._by_job[job.job_id] = launch
         self._dependencies.background.spawn(self._run(launch, token))
 
+    def _next_attempt(self, job: models.Job, token: int) -> int:
+        attempt = 1 + max(
+            job.attempt,
+            self._attempts.get(job.job_id, 0),
+            launches.attempt_base(token),
+        )
+        self._attempts[job.job_id] = attempt
+        return attempt
+
+    def _may_start(self, job: models.Job) -> bool:
+        has_results = self._former.has_finished(job)
+        return self._dependencies.may_act() and not has_results
+
     async def _run(self, launch: launches.Launch, token: int) -> None:
         job_id = launch.job.job_id
         try:
-            result = await launch.run()
+            silent = await self._former.ask(launch.job, token)
+            if self._record_own_results(job_id, token):
+                return
+            result = _avoid(launch, silent) or await launch.run()
             self._logger.info(
                 "gang_launch",
                 job_id=job_id,
@@ -102,9 +119,52 @@
                 self._record_start(launch, token)
             else:
                 self._record_failure(launch, token, result)
+                self._record_own_results(job_id, token)
         finally:
             del self._by_job[job_id]
 
+    def record_results(
+        self, job_ids: collections.abc.Iterable[str], token: int
+    ) -> None:
+        """Record the results of queued jobs' former attempts, if complete.
+
+        A launch that has begun records them itself or starts the job.
+        """
+        jobs = self._dependencies.overlay.state().jobs
+        for job_id in job_ids:
+            if job_id not in self._by_job:
+                self._record_results(jobs.get(job_id), token)
+
+    def _record_own_results(self, job_id: str, token: int) -> bool:
+        """Return whether the results for a launch were complete."""
+        # Nothing pending starts or ends a job that is being launched.
+        job = self._dependencies.replica.state.jobs.get(job_id)
+        return self._record_results(job, token)
+
+    def _record_results(self, job: models.Job | None, token: int) -> bool:
+        """Return whether the results were complete and are recorded.
+
+        All versions fold them as an attempt that began and ended: an end of
+        a settled attempt would change nothing.
+        """
+        if job is None or job.phase is not models.Phase.QUEUED:
+            return False
+        if not self._former.has_finished(job):
+            return False
+        if not self._dependencies.may_act():
+            return False
+        attempt = self._next_attempt(job, token)
+        del self._attempts[job.job_id]
+        self._logger.info(
+            "results_recovered",
+            job_id=job.job_id,
+            attempt=job.former.attempt,
+        )
+        for body in formers.result_records(job, attempt, token):
+            self._dependencies.appender.submit(body, appenders.Priority.START)
+        self._dependencies.metrics.increment("scheduler.recovered")
+        return True
+
     def _record_start(self, launch: launches.Launch, token: int) -> None:
         self._attempts.pop(launch.job.job_id, None)
         for placement in launch.placements:
@@ -180,3 +240,17 @@
                 f"start failed on {result.worker_id}: {result.detail}",
             )
             self._dependencies.appender.submit(body, appenders.Priority.START)
+
+
+def _avoid(
+    launch: launches.Launch, silent: frozenset[str]
+) -> launches.LaunchResult | None:
+    """Return the failure of a launch on a worker that is silent now."""
+    for placement in launch.placements:
+        if placement.worker_id in silent:
+            return launches.LaunchResult(
+                launches.LaunchOutcome.RELEASED,
+                placement.worker_id,
+                "no answer about the former attempt",
+            )
+    return None
--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -9,6 +9,7 @@
 from cardamomcroft.jobs import claim as claims
 from cardamomcroft.jobs import declared
 from cardamomcroft.jobs import dependencies as bundles
+from cardamomcroft.jobs import former as formers
 from cardamomcroft.jobs import launch as launches
 from cardamomcroft.jobs import launcher as launchers
 from cardamomcroft.jobs import planning
@@ -35,8 +36,9 @@
         self.takeover: takeovers.Takeover | None = None
         self.is_draining = False
         self._claimant = claims.Claimant(dependencies)
-        self._launcher = launchers.Launcher(dependencies)
-        self._settler = settlers.Settler(dependencies)
+        self._former = formers.FormerAttempts(dependencies)
+        self._launcher = launchers.Launcher(dependencies, self._former)
+        self._settler = settlers.Settler(dependencies, self._former)
         self._declared = declared.DeclaredJobs(dependencies)
         self._planner = planning.Planner(
             dependencies.policy, dependencies.clock
@@ -96,6 +98,10 @@
             await self._fence_workers()
         if self.takeover.is_settled and not self.takeover.is_reconciled:
             self._reconcile()  # before any start; an error leaves it due
+        if self.takeover.is_settled:
+            self._former.poll(
+                self._launcher.job_ids, epoch, self._launcher.record_results
+            )
         if self._has_changed():
             self.decide()
 
--- a/cardamomcroft/jobs/settler.py
+++ b/cardamomcroft/jobs/settler.py
@@ -5,6 +5,7 @@
 import datetime
 
 from cardamomcroft.jobs import dependencies as bundles
+from cardamomcroft.jobs import former as formers
 from cardamomcroft.log import appender as appenders
 from cardamomcroft.log import records
 from cardamomcroft.ports import messages
@@ -42,9 +43,14 @@
 class Settler:
     """Settle an attempt only after every member has certainly stopped."""
 
-    def __init__(self, dependencies: bundles.Dependencies) -> None:
-        """Settle through the ports of the given dependencies."""
+    def __init__(
+        self,
+        dependencies: bundles.Dependencies,
+        former: formers.FormerAttempts,
+    ) -> None:
+        """Settle through the given ports; ``former`` notes the answers."""
         self._dependencies = dependencies
+        self._former = former
         self._job_ids: set[str] = set()
         self._lost = LostMembers(dependencies)
 
@@ -90,22 +96,28 @@
     async def _stop_all(
         self, job: models.Job, token: int, checkpoint: bool
     ) -> list[messages.Done]:
+        members = range(len(job.placements))
         return await asyncio.gather(
             *(
-                self._dependencies.stop_until_confirmed(
-                    placement.worker_id,
-                    messages.Stop(
-                        job.task(member),
-                        token,
-                        checkpoint,
-                        placement.incarnation,
-                    ),
-                    self._lost.since(job.task(member)),
-                )
-                for member, placement in enumerate(job.placements)
+                self._stop_member(job, member, token, checkpoint)
+                for member in members
             )
         )
 
+    async def _stop_member(
+        self, job: models.Job, member: int, token: int, checkpoint: bool
+    ) -> messages.Done:
+        task, placement = job.task(member), job.placements[member]
+        done = await self._dependencies.stop_until_confirmed(
+            placement.worker_id,
+            messages.Stop(task, token, checkpoint, placement.incarnation),
+            self._lost.since(task),
+        )
+        if done is None:
+            return messages.Done()
+        self._former.note(task, done)
+        return done
+
     def _record_finished(
         self, job: models.Job, stopped: list[messages.Done]
     ) -> None:
--- a/cardamomcroft/log/records.py
+++ b/cardamomcroft/log/records.py
@@ -78,12 +78,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GangStarted:
-    """Record that all members of an attempt were started."""
+    """Record that all members of an attempt were started.
+
+    With ``results_of`` none was: the record gives the results of that settled
+    attempt, which all instances fold as this attempt's.
+    """
 
     job_id: str
     attempt: int
     token: int
     placements: tuple[Placement, ...]
+    results_of: int = 0
 
 
 class EndKind(enum.Enum):
--- a/cardamomcroft/state/jobs.py
+++ b/cardamomcroft/state/jobs.py
@@ -147,6 +147,8 @@
         finished=frozenset(),
         ended=frozenset(),
         started_at=record.at,
+        former=job.former if body.results_of else None,
+        results_of=body.results_of,
     )
     if updated is None:
         return _rejected(state, offset, f"job is {job.phase.value}")
@@ -241,7 +243,7 @@
     job = dataclasses.replace(job, ended=ended, finished=finished)
     if len(finished) < len(job.placements):
         return job
-    return _transition(job, "finish", detail="")
+    return _transition(job, "finish", detail="", former=None)
 
 
 def settle(state: models.State, offset: int, record: records.Record):
@@ -278,4 +280,13 @@
         ended=frozenset(),
         detail=body.reason,
         checkpoint_s=max(job.checkpoint_s, body.checkpoint_s),
+        former=_former_attempt(job) if trigger == "requeue" else None,
+        results_of=0,
     )
+
+
+def _former_attempt(job: models.Job) -> models.FormerAttempt | None:
+    """Return the latest attempt that ran; a failed launch is none."""
+    if not job.placements or job.results_of:
+        return job.former
+    return models.FormerAttempt(job.attempt, job.placements, job.finished)
--- a/cardamomcroft/state/models.py
+++ b/cardamomcroft/state/models.py
@@ -56,9 +56,22 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormerAttempt:
+    """Describe a settled attempt whose results may still arrive."""
+
+    attempt: int
+    placements: tuple[records.Placement, ...]
+    finished: frozenset[int] = frozenset()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
-    """Describe a job as of the applied offset of the log."""
+    """Describe a job as of the applied offset of the log.
+
+    No transition depends on ``former`` and ``results_of``, which instances
+    of earlier versions lack.
+    """
 
     job_id: str
     account: str
@@ -81,11 +94,17 @@
     checkpoint_s: float = 0.0
     detail: str = ""
     started_at: datetime.datetime | None = None
+    former: FormerAttempt | None = None
+    results_of: int = 0
 
     def task(self, member: int) -> messages.TaskId:
         """Return the id of a member in the current attempt."""
         return messages.TaskId(self.job_id, self.attempt, member)
 
+    def former_task(self, member: int) -> messages.TaskId:
+        """Return the id of a member in the former attempt."""
+        return messages.TaskId(self.job_id, self.former.attempt, member)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
--- a/cardamomcroft/workers/renewer.py
+++ b/cardamomcroft/workers/renewer.py
@@ -310,6 +310,8 @@
     if job.phase.is_final:
         return True
     task = ended.report.task
+    if job.former is not None and job.former.attempt == task.attempt:
+        return ended.report.phase is not messages.TaskPhase.FINISHED
     if job.attempt != task.attempt:
         return job.attempt > task.attempt
     if ended.report.phase is messages.TaskPhase.FINISHED:
