Mend what the review of the reading of unread ends found

The numbers of all failed runs are recorded now; where an earlier version recorded none, a late failure does not count. - A start that waited for ends was sent to a worker that was draining for 3.8 s. It is planned again if one of its workers gets no new tasks any more. - A worker that refuses connections was polled every 20 ms after its lease's end (182 polls in 4 s). Only the last pause before the end is shortened. - An inventory from before a run was given up, received after it, hid its end. It counts only if the poll was sent after that.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -287,8 +287,10 @@
         """
         index = 0 if step.model.is_gang else index
         known = step.failures_by_index.get(index)
-        count, last, *late = known or (0, 0)
-        if number in (last, *late) or (number < last and not is_late):
+        count, last, *counted = known or (0, 0)
+        # Earlier versions recorded no numbers but the last.
+        is_known = number in counted or len(counted) < count
+        if number == last or (number < last and (is_known or not is_late)):
             return
         job = step.job
         has_failed = (
@@ -296,9 +298,10 @@
             and not step.model.is_lasting
             and not job.final_state
         )
-        if is_late:
-            late.append(number)  # or a successor might count it again
-        step.failures_by_index[index] = (count + 1, max(number, last), *late)
+        if not step.model.is_lasting:  # which may fail without a limit
+            counted.append(number)
+        last = max(number, last)
+        step.failures_by_index[index] = (count + 1, last, *counted)
         previous_state = job.final_state
         job.is_start_recorded = True
         if has_failed:
--- a/cardamomcroft/scheduling/codec.py
+++ b/cardamomcroft/scheduling/codec.py
@@ -165,7 +165,7 @@
         default_factory=index_set.IndexSet
     )
     # By index: the failures, the run number of the last, and the numbers of
-    # runs that had been given up, which version 0.3.0 skips.
+    # all, which version 0.3.0 skips.
     failures_by_index: dict[int, tuple[int, ...]] = dataclasses.field(
         default_factory=dict
     )
--- a/cardamomcroft/scheduling/given_up.py
+++ b/cardamomcroft/scheduling/given_up.py
@@ -45,6 +45,10 @@
             if not run.step.model.is_lasting:
                 self.runs_by_task[run.name] = run
 
+    def is_current(self, sent_at: datetime.timedelta) -> bool:
+        """Return whether an answer to a poll knows how the runs ended."""
+        return sent_at >= self._added_at
+
     def clear(self) -> None:
         """Forget the runs: their ends were read, or can't be any more."""
         self.runs_by_task.clear()
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -257,12 +257,22 @@
                 if not await self._confirm(batch):
                     return
                 await self._unread_ends.wait(batch)
-            unsent.difference_update(self._spawn_starts(batch))
+            if self._are_usable(batch):
+                unsent.difference_update(self._spawn_starts(batch))
         finally:
             for run in batch:
                 run.awaits_end = False
             self._release([run for run in batch if run in unsent])
 
+    def _are_usable(self, batch: list[runs.Run]) -> bool:
+        """Return whether all of a step's workers still get new tasks."""
+        now = self._cluster.clock.monotonic()
+        workers_by_id = self._cluster.workers_by_id
+        return all(
+            capacities.is_usable(workers_by_id[run.worker_id], now)
+            for run in _still_assigned(batch)
+        )
+
     async def _confirm(self, batch: list[runs.Run]) -> bool:
         """Wait until the starts are recorded and confirm the claim."""
         journal = self._cluster.journal
--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -75,7 +75,7 @@
         day has gone back before a restart. It is asked where its runs are, or
         may list ends of them, and at the address listed once it has none.
         """
-        if not (worker.runs_by_task or worker.given_up.runs_by_task):
+        if not self._may_list_ends(worker, listing):
             worker.former_births.add(listing.born_ms)
             worker.address = listing.address
         elif worker.doubted_birth == listing.born_ms:
@@ -85,6 +85,21 @@
         if worker.has_assignment_record:
             self._cluster.stage_assignment(worker)
 
+    def _may_list_ends(
+        self, worker: runs.Worker, listing: fleet.Listing
+    ) -> bool:
+        """Return whether to go on asking at the address known before.
+
+        For unread ends alone, only as long as a lease may be in force there.
+        """
+        if worker.runs_by_task:
+            return True
+        now = self._cluster.clock.monotonic()
+        has_asked = worker.doubted_birth == listing.born_ms
+        return bool(worker.given_up.runs_by_task) and not (
+            has_asked and worker.has_lease_expired(now)
+        )
+
     def _expect_first_inventory(self, worker: runs.Worker) -> None:
         now = self._cluster.clock.monotonic()
         for run in worker.runs_by_task.values():
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -297,9 +297,10 @@
         not ask again whether the worker is back.
         """
         left = worker.lease_left(self._clock.monotonic())
-        if left is None or left > RETRY_PAUSE + 2 * fleet.CONNECT_TIMEOUT:
+        next_but_one = RETRY_PAUSE + 2 * fleet.CONNECT_TIMEOUT
+        if left is None or not fleet.CONNECT_TIMEOUT < left <= next_but_one:
             return RETRY_PAUSE
-        return max(left - fleet.CONNECT_TIMEOUT, MIN_PAUSE)
+        return left - fleet.CONNECT_TIMEOUT
 
     async def _wait_for_question(self, worker: runs.Worker) -> None:
         """Wait until a start depends on the worker's ends, or for a pause."""
@@ -357,7 +358,8 @@
             for finished in inventory.finished
             if finished.number > worker.received_end
         }
-        if inventory.is_complete and not listed:
+        is_whole = inventory.is_complete and not listed
+        if is_whole and worker.given_up.is_current(sent_at):
             self._restarts.forget_given_up(worker)
         for running in inventory.running:
             listed.add((running.task, running.run))
