--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.standin import fleet as standin_fleet
+from cardamomcroft.standin import listed_ends
 from soak import clients
 
 # cancel_ms, and the 4 s for which a fault may last.
@@ -154,12 +155,12 @@
     fake_fleet: standin_fleet.FakeFleet,
     thaws: collections.abc.Sequence[tuple[str, datetime.timedelta]] = (),
 ) -> list[str]:
-    """Return the starts of tasks that a reachable worker lists as done.
+    """Return the first start by a holder of a task that a worker has done.
 
-    Its holder had an answer of that worker, or over a second to ask for one.
-    An instance is given this time anew at the end of each freeze.
+    The worker lists the end; the holder had an answer of it, or over a second
+    to ask for one. A frozen instance is given this time anew at the thaw.
     """
-    found = []
+    found: dict[tuple[str, ...], list[listed_ends.StartBesideEnds]] = {}
     for start in fake_fleet.listed_ends.starts:
         name = start.claim.partition(" ")[0]
         resumed = [
@@ -167,12 +168,30 @@
         ]
         resumed_at = max(resumed, default=_ZERO)
         if start.completions(NOTED_AFTER, resumed_at):
-            found.append(
-                f"{start.task} run {start.run} on {start.worker_id}"
-                f" by {start.claim} at {start.sent_at}:"
-                f" {start.heard_completions} heard, listed {start.ends}"
-            )
-    return found
+            workers = {listed.worker_id for listed in start.ends}
+            key = (start.claim, *sorted(workers))
+            found.setdefault(key, []).append(start)
+    return [_describe_starts(starts) for starts in found.values()]
+
+
+def _age(at: datetime.timedelta | None, now: datetime.timedelta) -> str:
+    return "never" if at is None else f"{now - at} ago"
+
+
+def _describe_starts(starts: list[listed_ends.StartBesideEnds]) -> str:
+    first = starts[0]
+    listed = [
+        f"run {end.run} {end.end.value} on {end.worker_id}, reachable for"
+        f" {first.sent_at - end.reachable_at}, answered "
+        f"{_age(end.answered_at, first.sent_at)}"
+        for end in first.ends
+    ]
+    return (
+        f"{len(starts)} starts, first {first.task} run {first.run} on"
+        f" {first.worker_id} by {first.claim} at {first.sent_at};"
+        f" acknowledged {first.heard_completions};"
+        f" {'; '.join(listed) or 'not listed any more'}"
+    )
 
 
 def _overlapping(fake_fleet: standin_fleet.FakeFleet) -> list[str]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -308,6 +308,19 @@
         self.assertEqual(self.found(("entry-2", thawed_at)), 1)
         self.assertEqual(self.found(("entry-1", thawed_at - seconds(1))), 1)
 
+    async def test_starts_beside_ends_of_one_worker_are_counted_together(self):
+        """One line names the first; another holder's are another line."""
+        self.away.is_cut = False
+        await self.poll(token=1)
+        await self.poll(token=2)
+        await self.pass_time(1.1)
+        for run, token in ((2, 1), (3, 1), (4, 2)):
+            await self.start("w2", run, token)
+        lines = checks.restarted_beside_listed_end(self.fake)
+        self.assertEqual(len(lines), 2)
+        self.assertIn("2 starts, first", lines[0])
+        self.assertIn("1 starts, first", lines[1])
+
     async def test_start_after_an_acknowledged_end_is_found(self):
         """Its worker lists it no more."""
         self.away.is_cut = False
