--- a/cardamomcroft/daemon/node.py
+++ b/cardamomcroft/daemon/node.py
@@ -170,6 +170,7 @@
         )
         self.health = healths.Health(ports.clock)
         self.replica.observe(self.health.observe)
+        self.replica.observe_loads(self.health.restore)
         self.scheduler = schedulers.Scheduler(
             dependencies.Dependencies(
                 settings.region,
--- a/cardamomcroft/log/replica.py
+++ b/cardamomcroft/log/replica.py
@@ -19,6 +19,7 @@
 NO_WAIT = datetime.timedelta()
 RETRY_DELAY = datetime.timedelta(milliseconds=250)
 
+LoadObserver = collections.abc.Callable[[models.State], None]
 Observer = collections.abc.Callable[[records.Record, models.Applied], None]
 
 
@@ -43,6 +44,7 @@
         self._metrics = metrics
         self._search = snapshots.LogSearch(MAX_PAGE_RECORDS)
         self._observers: list[Observer] = []
+        self._load_observers: list[LoadObserver] = []
         self._changed = asyncio.Event()
         self._logger = structlog.get_logger()
 
@@ -50,6 +52,10 @@
         """Call the observer after each applied record."""
         self._observers.append(observer)
 
+    def observe_loads(self, observer: LoadObserver) -> None:
+        """Call the observer after each snapshot that was adopted."""
+        self._load_observers.append(observer)
+
     async def changed(self) -> None:
         """Wait until the state changes."""
         await self._changed.wait()
@@ -62,6 +68,8 @@
         if state.applied <= self.state.applied:
             return False
         self.state = state
+        for observer in self._load_observers:
+            observer(state)
         self._notify()
         return True
 
--- a/cardamomcroft/state/jobs.py
+++ b/cardamomcroft/state/jobs.py
@@ -47,7 +47,7 @@
 
 def _evict(state: models.State) -> models.State:
     jobs, keys = state.jobs, state.job_keys
-    final_jobs = state.final_jobs
+    final_jobs, failed_jobs = state.final_jobs, state.failed_jobs
     # Without its key, the next owner would submit a declared job again.
     oldest = [
         offset
@@ -61,7 +61,13 @@
         jobs = jobs.delete(job.job_id)
         keys = keys.delete(_key(job))
         final_jobs = final_jobs.delete(offset)
-    return state.evolve(jobs=jobs, job_keys=keys, final_jobs=final_jobs)
+        failed_jobs = _forget_failures(failed_jobs, job)
+    return state.evolve(
+        jobs=jobs,
+        job_keys=keys,
+        final_jobs=final_jobs,
+        failed_jobs=failed_jobs,
+    )
 
 
 def _key(job: models.Job | records.JobSubmitted) -> models.CallerKey:
@@ -207,10 +213,37 @@
         updated = _finish_member(job, member, ended)
     else:
         updated = _lose_member(job, end, ended)
+    state = _note_end(state, job, end)
     state = _unindex_tasks(state, job, (member,))
     return _store_job(state, offset, updated), True
 
 
+def _note_end(
+    state: models.State, job: models.Job, end: records.TaskEnd
+) -> models.State:
+    """Note a failure on a worker; a finished task there ends the others."""
+    worker_id = job.placements[end.task.member].worker_id
+    failed = state.failed_jobs
+    if end.kind is records.EndKind.FAILED:
+        known = failed.get(worker_id, frozenset())
+        failed = failed.set(worker_id, known | {job.job_id})
+    elif end.kind is records.EndKind.FINISHED and worker_id in failed:
+        failed = failed.delete(worker_id)
+    return state.evolve(failed_jobs=failed)
+
+
+def _forget_failures(
+    failed: immutables.Map[str, frozenset[str]], job: models.Job
+) -> immutables.Map[str, frozenset[str]]:
+    for worker_id in job.failed_workers:
+        others = failed.get(worker_id, frozenset()) - {job.job_id}
+        if others:
+            failed = failed.set(worker_id, others)
+        elif worker_id in failed:
+            failed = failed.delete(worker_id)
+    return failed
+
+
 def _is_new_end(job: models.Job, end: records.TaskEnd) -> bool:
     """Return whether an end is new; a member seen lost may have finished."""
     if end.task.member not in job.ended:
@@ -222,16 +255,18 @@
 def _lose_member(
     job: models.Job, end: records.TaskEnd, ended: frozenset[int]
 ) -> models.Job:
-    failed_on = job.failed_on
+    failed_on, failed_workers = job.failed_on, job.failed_workers
     if end.kind is records.EndKind.FAILED:
         worker_id = job.placements[end.task.member].worker_id
         failed_on = failed_on | {worker_id}
+        failed_workers = failed_workers | {worker_id}
     return _transition(
         job,
         "lose_member",
         ended=ended,
         detail=end.detail,
         failed_on=failed_on,
+        failed_workers=failed_workers,
         checkpoint_s=max(job.checkpoint_s, end.checkpoint_s),
     )
 
--- a/cardamomcroft/state/models.py
+++ b/cardamomcroft/state/models.py
@@ -69,8 +69,8 @@
 class Job:
     """Describe a job as of the applied offset of the log.
 
-    No transition depends on ``former`` and ``results_of``, which instances
-    of earlier versions lack.
+    No transition depends on ``former``, ``results_of`` and
+    ``failed_workers``, which instances of earlier versions lack.
     """
 
     job_id: str
@@ -96,6 +96,7 @@
     started_at: datetime.datetime | None = None
     former: FormerAttempt | None = None
     results_of: int = 0
+    failed_workers: frozenset[str] = frozenset()
 
     def task(self, member: int) -> messages.TaskId:
         """Return the id of a member in the current attempt."""
@@ -176,6 +177,10 @@
     tasks_by_worker: immutables.Map[
         str, immutables.Map[messages.TaskId, int]
     ] = dataclasses.field(default_factory=_empty)
+    # Jobs that failed on a worker since a task finished there.
+    failed_jobs: immutables.Map[str, frozenset[str]] = dataclasses.field(
+        default_factory=_empty
+    )
     snapshot_as_of: int = -1
     chunks: tuple[str, int] = ("", 0)
 
--- a/cardamomcroft/state/snapshots.py
+++ b/cardamomcroft/state/snapshots.py
@@ -52,6 +52,10 @@
         ],
         "oldest_key": state.oldest_key,
         "seen": list(state.seen_at.items()),
+        "failed_jobs": {
+            worker_id: sorted(job_ids)
+            for worker_id, job_ids in state.failed_jobs.items()
+        },
         "snapshot_as_of": state.snapshot_as_of,
         "chunks": list(state.chunks),
     }
@@ -105,6 +109,12 @@
         ),
         seen_at=immutables.Map(data["seen"]),
         tasks_by_worker=_index_tasks(jobs),
+        failed_jobs=immutables.Map(
+            {
+                worker_id: frozenset(job_ids)
+                for worker_id, job_ids in data.get("failed_jobs", {}).items()
+            }
+        ),
         snapshot_as_of=data["snapshot_as_of"],
         chunks=tuple(data["chunks"]),
     )
--- a/cardamomcroft/workers/health.py
+++ b/cardamomcroft/workers/health.py
@@ -28,9 +28,10 @@
 class Health:
     """Quarantine workers by the task failures that the log records.
 
-    Every instance observes the same records, so a new owner starts with the
-    failure history of the former one. A worker is usable again when its
-    quarantine ends; one more failure quarantines it for twice as long.
+    Every instance observes the same records or loads what they left in the
+    state, so a new owner starts with the failure history of the former one.
+    A worker is usable again when its quarantine ends; one more failure
+    quarantines it for twice as long.
     """
 
     def __init__(self, clock: base.Clock) -> None:
@@ -57,6 +58,24 @@
             elif end.kind is records.EndKind.FAILED:
                 self._record_failure(body.worker_id, end.task.job_id)
 
+    def restore(self, state: models.State) -> None:
+        """Adopt the failures that a loaded state records.
+
+        They quarantine no worker by themselves: the next one does.
+        """
+        for worker_id in self._by_worker.keys() | state.failed_jobs.keys():
+            failed_jobs = state.failed_jobs.get(worker_id, ())
+            self._by_worker[worker_id].failed_jobs = set(failed_jobs)
+        for job in state.jobs.values():
+            for worker_id in job.failed_workers:
+                self._note_failure(worker_id, job.job_id)
+
+    def _note_failure(self, worker_id: str, job_id: str) -> None:
+        workers = self._workers_by_job.setdefault(job_id, set())
+        workers.add(worker_id)
+        if len(self._workers_by_job) > MAX_TRACKED_JOBS:
+            self._workers_by_job.popitem(last=False)
+
     def _record_success(self, worker_id: str) -> None:
         history = self._by_worker[worker_id]
         history.failed_jobs.clear()
@@ -64,10 +83,7 @@
         history.quarantined_until = datetime.timedelta()
 
     def _record_failure(self, worker_id: str, job_id: str) -> None:
-        workers = self._workers_by_job.setdefault(job_id, set())
-        workers.add(worker_id)
-        if len(self._workers_by_job) > MAX_TRACKED_JOBS:
-            self._workers_by_job.popitem(last=False)
+        self._note_failure(worker_id, job_id)
         history = self._by_worker[worker_id]
         history.failed_jobs.add(job_id)
         if not self.is_suspect(worker_id):
