--- a/cardamomcroft/standin/listed_ends.py
+++ b/cardamomcroft/standin/listed_ends.py
@@ -87,6 +87,9 @@
     def __init__(self, clock: base.Clock) -> None:
         """Record nothing yet."""
         self._clock = clock
+        # Workers whose answers are on their way for long: nobody is expected
+        # to know what they list.
+        self.distant_workers: collections.abc.Container[str] = ()
         # Names the claim that a token belongs to.
         self.claim_of: collections.abc.Callable[[int], str] = str
         self.starts: list[StartBesideEnds] = []
@@ -123,12 +126,16 @@
             if finished not in other.finished:
                 heard[finished.end] += 1
             elif other.is_reachable:
+                worker_id = other.listing.address.worker_id
+                reachable_at = max(other.reachable_since, claimed_at)
+                if worker_id in self.distant_workers:
+                    reachable_at = sent_at
                 ends.append(
                     ListedEnd(
-                        other.listing.address.worker_id,
+                        worker_id,
                         finished.run,
                         finished.end,
-                        max(other.reachable_since, claimed_at),
+                        reachable_at,
                         other.answered_at_by_claim.get(claim),
                     )
                 )
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -134,6 +134,7 @@
         # Of the answers of a worker, to all clients.
         self.links_by_worker: dict[str, links.FairLink | links.QueueLink] = {}
         self.fleet.distant_workers = self.links_by_worker
+        self.fleet.listed_ends.distant_workers = self.links_by_worker
         self._runner: web.ServerRunner | None = None
         self._handlers = {
             "/log-append": self._append,
--- a/soak/returns.py
+++ b/soak/returns.py
@@ -108,6 +108,9 @@
             for worker_id in self._worker_ids:
                 self._platform.links_by_worker.pop(worker_id, None)
             slow.drain()
+            now = self._platform.fleet.clock.monotonic()
+            for worker in self._present():
+                worker.reachable_since = now
 
     async def _end_refusals(self) -> None:
         await asyncio.sleep(self._held_s)
