--- a/cardamomcroft/scheduling/unread_ends.py
+++ b/cardamomcroft/scheduling/unread_ends.py
@@ -9,7 +9,9 @@
 # A worker that accepts connections again may list its ends over a slow link;
 # for so long after its return no job counts as standing still (protocol).
 MAX_WAIT = datetime.timedelta(seconds=4)
-CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
+# Hundreds of starts may wait at the same time.
+MIN_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
+MAX_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 
 
 class UnreadEnds:
@@ -45,47 +47,56 @@
                 selected.append(starts)
         return selected
 
-    def _workers_of(self, starts: list[runs.Run]) -> list[runs.Worker]:
-        """Return the workers that may list an end of one of the tasks."""
-        names = _names_of(starts)
-        return [
-            worker
-            for worker in self._cluster.workers_by_id.values()
-            if not names.isdisjoint(worker.given_up.runs_by_task)
-        ]
-
     async def wait(self, starts: list[runs.Run]) -> None:
         """Wait for answers to the polls of the workers, if they may come."""
         clock = self._cluster.clock
         began_at = clock.monotonic()
-        asked = self._workers_of(starts)
+        names = _names_of(starts)
+        asked = [
+            worker
+            for worker in self._cluster.workers_by_id.values()
+            if _may_list(worker, names)
+        ]
+        interval = MIN_CHECK_INTERVAL
         for worker in asked:
             worker.ask_for_ends(began_at)
         try:
-            while self._is_answer_awaited(starts, began_at):
+            while _is_answer_awaited(starts, asked, names, began_at):
                 if clock.monotonic() - began_at >= MAX_WAIT:
                     break
-                await clock.sleep(CHECK_INTERVAL)
+                await clock.sleep(interval)
+                interval = min(interval * 2, MAX_CHECK_INTERVAL)
         finally:
             for worker in asked:
                 worker.given_up.close_question()
-        unread = self._workers_of(starts)
         self._cluster.log.emit(
             "ends_awaited",
             task=starts[0].name,
             tasks=len(starts),
             waited_s=(clock.monotonic() - began_at).total_seconds(),
-            unread=[worker.worker_id for worker in unread],
+            unread=[
+                worker.worker_id
+                for worker in asked
+                if _may_list(worker, names)
+            ],
         )
 
-    def _is_answer_awaited(
-        self, starts: list[runs.Run], asked_at: datetime.timedelta
-    ) -> bool:
-        assigned = [run for run in starts if run.phase is runs.Phase.ASSIGNED]
-        return any(
-            not worker.given_up.is_absent(asked_at)
-            for worker in self._workers_of(assigned)
-        )
+
+def _is_answer_awaited(
+    starts: list[runs.Run],
+    asked: list[runs.Worker],
+    names: set[str],
+    asked_at: datetime.timedelta,
+) -> bool:
+    """Return whether one of the workers may be back and list an end."""
+    return any(run.phase is runs.Phase.ASSIGNED for run in starts) and any(
+        _may_list(worker, names) and not worker.given_up.is_absent(asked_at)
+        for worker in asked
+    )
+
+
+def _may_list(worker: runs.Worker, names: set[str]) -> bool:
+    return not worker.given_up.runs_by_task.keys().isdisjoint(names)
 
 
 def _names_of(starts: list[runs.Run]) -> set[str]:
--- a/tests/scheduling/test_given_up_runs.py
+++ b/tests/scheduling/test_given_up_runs.py
@@ -2,10 +2,12 @@
 
 import collections.abc
 import dataclasses
+from unittest import mock
 
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import ledger as ledgers
+from cardamomcroft.scheduling import unread_ends
 from tests.scheduling import harness
 
 
@@ -118,6 +120,20 @@
         await self.wait_until(lambda: self.state(job_id) == "completed")
         self.check_started_once(job_id)
 
+    async def test_starts_that_wait_for_long_look_a_few_times_only(self):
+        """Hundreds of them may wait for workers that are back and slow."""
+        await self.give_up(workers=4)
+        await self.pass_time(0.5)
+        for worker in self.fleet.workers_by_id.values():
+            worker.transfer = harness.seconds(30)
+        self.bring_back(range(1, 5))
+        may_list = mock.Mock(side_effect=unread_ends._may_list)
+        with mock.patch.object(unread_ends, "_may_list", may_list):
+            self.add_workers(4)
+            await self.pass_time(5)
+        self.assertGreater(may_list.call_count, 4)
+        self.assertLess(may_list.call_count, 100)
+
     async def test_gang_that_has_ended_does_not_start_again(self):
         """One of its members is back in time."""
         job_id = await self.give_up(workers=3, is_gang=True)
