--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -526,7 +526,9 @@
         if worker.transfer > timeout:
             self.injected["slow_inventory"] += 1
             return await self._time_out(timeout)
-        await self.clock.sleep(worker.transfer)
+        if worker.transfer:
+            await self.clock.sleep(worker.transfer)
+            worker.advance()
         until = self.clock.monotonic() + order.wait
         while not worker.finished and self.clock.monotonic() < until:
             await self.clock.sleep(POLL_INTERVAL)
