Count the wait for a returned worker's ends from its return

Found by the review: each start waited 4 s for a worker that accepts connections and never answers, also long after its return, when a job may stand for 3 s (LOST). Starts rely on its answer for 4 s after its return now. SilentReturnTest failed before.

--- a/cardamomcroft/scheduling/given_up.py
+++ b/cardamomcroft/scheduling/given_up.py
@@ -14,6 +14,9 @@
 # before it, as no job may stand for 3 s after 4 s of calm (protocol).
 PROMPT_START = datetime.timedelta(milliseconds=300)
 LAST_POLL_AGE = datetime.timedelta(milliseconds=600)
+# A worker that accepts connections again may list its ends over a slow link;
+# for so long after its return no job counts as standing still (protocol).
+MAX_RETURN = datetime.timedelta(seconds=4)
 _NO_CONNECTION = frozenset(
     {fleet.OrderStatus.UNREACHED, fleet.OrderStatus.NOT_RUN}
 )
@@ -30,6 +33,7 @@
         self.runs_by_task: dict[str, runs.Run] = {}
         self._was_unreached = False  # by the last poll that shows it
         self._absent_at: datetime.timedelta | None = None
+        self._back_since: datetime.timedelta | None = None
         self._added_at = datetime.timedelta()
         self._questions = 0
         self._asked = asyncio.Event()
@@ -65,6 +69,7 @@
     def record_answer(self) -> None:
         """Note that the worker has answered."""
         self._absent_at = None
+        self._back_since = None
         self._was_unreached = False
 
     def record_silence(
@@ -78,12 +83,21 @@
         is_silent = status is fleet.OrderStatus.MAY_HAVE_RUN
         if is_unreached or (is_silent and not self._was_unreached):
             self._absent_at = sent_at
+            self._back_since = None
             self._was_unreached = is_unreached
         else:
             self._absent_at = None
+            self._back_since = self._back_since or sent_at
 
-    def is_absent(self, asked_at: datetime.timedelta) -> bool:
-        """Return whether a poll found the worker absent for a start."""
+    def is_absent(
+        self, asked_at: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Return whether a start need not wait for the worker's ends.
+
+        A poll has found it absent, or it is back and silent for long.
+        """
+        if self._back_since is not None:
+            return now - self._back_since >= MAX_RETURN
         if self._absent_at is None:
             return False
         if asked_at - self._added_at <= PROMPT_START:
--- a/cardamomcroft/scheduling/unread_ends.py
+++ b/cardamomcroft/scheduling/unread_ends.py
@@ -4,11 +4,9 @@
 import datetime
 
 from cardamomcroft.scheduling import cluster_state
+from cardamomcroft.scheduling import given_up
 from cardamomcroft.scheduling import runs
 
-# A worker that accepts connections again may list its ends over a slow link;
-# for so long after its return no job counts as standing still (protocol).
-MAX_WAIT = datetime.timedelta(seconds=4)
 # Hundreds of starts may wait at the same time.
 MIN_CHECK_INTERVAL = datetime.timedelta(milliseconds=20)
 MAX_CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -61,8 +59,10 @@
         for worker in asked:
             worker.ask_for_ends(began_at)
         try:
-            while _is_answer_awaited(starts, asked, names, began_at):
-                if clock.monotonic() - began_at >= MAX_WAIT:
+            while _is_answer_awaited(
+                starts, asked, names, began_at, clock.monotonic()
+            ):
+                if clock.monotonic() - began_at >= given_up.MAX_RETURN:
                     break
                 await clock.sleep(interval)
                 interval = min(interval * 2, MAX_CHECK_INTERVAL)
@@ -87,10 +87,12 @@
     asked: list[runs.Worker],
     names: set[str],
     asked_at: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> bool:
     """Return whether one of the workers may be back and list an end."""
     return any(run.phase is runs.Phase.ASSIGNED for run in starts) and any(
-        _may_list(worker, names) and not worker.given_up.is_absent(asked_at)
+        _may_list(worker, names)
+        and not worker.given_up.is_absent(asked_at, now)
         for worker in asked
     )
 
--- a/tests/scheduling/test_reviewed_unread_ends.py
+++ b/tests/scheduling/test_reviewed_unread_ends.py
@@ -103,16 +103,32 @@
         self.check_started_once(job_id)
 
 
-class DrainingTest(test_unread_ends.UnreadEndTestCase):
-    """A start waits for an end while its own worker begins to drain."""
+class SilentReturnCase(test_unread_ends.UnreadEndTestCase):
+    """A worker with an unread end accepts connections and answers nothing."""
 
-    async def test_no_start_is_sent_to_a_worker_that_drains(self):
-        """The worker with the end accepts calls and is slow."""
+    async def return_silent(self) -> None:
+        """Give a run up on such a worker."""
         await self.start_with_job(harness.make_step())
         await self.give_up(fleet.End.LAPSED, "w1")
         await self.pass_time(1)
-        self.worker().transfer = harness.seconds(30)
+        renew = self.fleet.renew_lease
+
+        async def leave_unanswered(address, order, timeout):
+            if address.worker_id != "w1":
+                return await renew(address, order, timeout)
+            await self.clock.sleep(timeout)
+            return fleet.OrderResult(fleet.OrderStatus.MAY_HAVE_RUN)
+
+        self.fleet.renew_lease = leave_unanswered
         self.bring_back("w1")
+
+
+class DrainingTest(SilentReturnCase):
+    """A start waits for an end while its own worker begins to drain."""
+
+    async def test_no_start_is_sent_to_a_worker_that_drains(self):
+        """Its task was at work on the silent worker."""
+        await self.return_silent()
         await self.pass_time(0.6)
         sent = []
         start = self.fleet.start
@@ -167,3 +183,14 @@
         await self.pass_time(4)
         most = harness.seconds(4) / worker_polling.RETRY_PAUSE + 1
         self.assertLessEqual(len(polls), most)
+
+
+class SilentReturnTest(SilentReturnCase):
+    """Its task has room elsewhere later."""
+
+    async def test_starts_long_after_its_return_do_not_wait_for_it(self):
+        """No job may stand for 3 s."""
+        await self.return_silent()
+        await self.pass_time(10)
+        self.add_workers(1)
+        await self.wait_until(lambda: self.fleet.running(), 3)
