Plan capacity ahead where workers stop runs slowly: the switch and the plan

Urgent work that has to preempt is late where a stop takes 0.9 s. Run-time predictions get an abstract base class, and are asked for a job instead of a queue.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import datetime
+import os
 import random
 import signal
 import sys
@@ -68,6 +69,9 @@
             self._clock, settings.instance, self._metrics, log_descriptor
         )
         self._leaving = asyncio.Event()
+        self._plans_ahead = settings.plans_ahead(
+            os.environ.get(platform_settings.PLANNING_VARIABLE, "")
+        )
         self._peers: peer_view.PeerView | None = None
 
     async def run(self) -> None:
@@ -79,6 +83,7 @@
             version=VERSION,
             ingress=settings.ingress_address,
             metrics=settings.metrics_address,
+            plans_ahead=self._plans_ahead,
         )
         connector = aiohttp.TCPConnector(
             limit=0, keepalive_timeout=KEEP_ALIVE_S
@@ -142,6 +147,7 @@
             settings.stop_bound,
             0,
             settings.retention + RETENTION_MARGIN,
+            self._plans_ahead,
         )
         node = nodes.Node(
             f"{settings.instance} {uuid.uuid4().hex[:8]}",
@@ -326,7 +332,11 @@
 
 
 async def _run(settings: platform_settings.Settings) -> None:
-    process = Process(settings)
+    try:
+        process = Process(settings)
+    except platform_settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(WRONG_USE)
     process.trap_signals()
     await process.run()
 
--- a/cardamomcroft/platform/settings.py
+++ b/cardamomcroft/platform/settings.py
@@ -9,6 +9,10 @@
 
 METRICS_PORT = 9464  # as in the deploy file; usual for exporters
 PATH_VARIABLE = "CARDAMOMCROFT_CONFIG"
+PLANNING_VARIABLE = "CARDAMOMCROFT_PLANNING"
+# With the report of its end and the start that follows (0.3 s), a stop that
+# takes this long exceeds the 0.9 s for which urgent work can wait.
+MIN_SLOW_STOP = datetime.timedelta(milliseconds=600)
 _MS = datetime.timedelta(milliseconds=1)
 _S = datetime.timedelta(seconds=1)
 
@@ -43,6 +47,22 @@
     reclaim: datetime.timedelta  # for guaranteed work to have started
     gang_timeout: datetime.timedelta
     retention: datetime.timedelta  # how long states of ended jobs are kept
+    # For an evacuation to be in force; None where there are none.
+    evacuation_bound: datetime.timedelta | None = None
+
+    def plans_ahead(self, planning: str = "") -> bool:
+        """Return whether scheduling anticipates load, by the mode given.
+
+        ``auto``, the default, decides by how long workers take to stop runs.
+        """
+        if planning in ("", "auto"):
+            return self.stop_bound >= MIN_SLOW_STOP
+        if planning in ("ahead", "reactive"):
+            return planning == "ahead"
+        raise SettingsError(
+            f"{PLANNING_VARIABLE} must be auto, ahead or reactive,"
+            f" not {planning!r}"
+        )
 
 
 def decode(data: dict, path: str) -> Settings:
@@ -73,6 +93,7 @@
             bounds.get("ReclaimMs", 2700) * _MS,
             bounds["GangTimeoutMs"] * _MS,
             bounds["status_s"] * _S,
+            _optional_ms(bounds, "EvacuateMs"),
         )
     except KeyError as error:
         raise SettingsError(f"{path}: {error.args[0]} is missing") from None
@@ -80,6 +101,11 @@
         raise SettingsError(f"{path}: {error}") from None
 
 
+def _optional_ms(bounds: dict, name: str) -> datetime.timedelta | None:
+    value = bounds.get(name)
+    return None if value is None else value * _MS
+
+
 def _cores(limits: dict) -> float:
     """Return the processor that a process may use; a core if not limited."""
     # CpuShare is the share of one core, CpuCores how fast that core is.
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -20,6 +20,9 @@
 # candidate.HOLDER_TIMEOUT; a start that is begun within this shorter time of a
 # record, and sent after a greeting at most, precedes any such claim.
 MAX_CONFIRMATION_AGE = datetime.timedelta(seconds=1.0)
+# The report of a stop's end and the start that follows: two calls to workers
+# and an append to the store.
+STOP_REPORT_TIME = datetime.timedelta(milliseconds=300)
 STRIKE_LIMIT = 2  # consecutive failures before a worker is avoided
 STRIKE_AVOID_DURATION = datetime.timedelta(seconds=3)
 MAX_DROPPED_WORKERS = 1_000  # a few megabytes
@@ -38,6 +41,14 @@
     stop_bound: datetime.timedelta
     run_base: int  # run numbers of this term are above it
     retention: datetime.timedelta  # of ended jobs' records
+    # Decide by what is expected to come: urgent work that begins only after
+    # others have been stopped is late, where stops take long.
+    plans_ahead: bool = False
+
+    @property
+    def preemption_lead(self) -> datetime.timedelta:
+        """Return the time from a stop order to the start in its place."""
+        return self.stop_bound + STOP_REPORT_TIME
 
     @property
     def predecessor_lease(self) -> datetime.timedelta:
@@ -77,7 +88,7 @@
         self.parameters = parameters
         self.jobs_by_id: dict[str, runs.JobState] = {}
         self.workers_by_id: dict[str, runs.Worker] = {}
-        self.durations = estimates.Durations()
+        self.durations: estimates.RunTimes = estimates.Durations()
         self.open_gangs: set[runs.StepState] = set()  # lack refused members
         self._raised_tokens_by_worker: dict[str, int] = {}
         # No longer tracked; orders for them may still be carried out.
--- a/cardamomcroft/scheduling/estimates.py
+++ b/cardamomcroft/scheduling/estimates.py
@@ -4,6 +4,7 @@
 its learned mean, and the one with the smaller error predicts.
 """
 
+import abc
 import dataclasses
 import datetime
 import math
@@ -27,16 +28,73 @@
     count: int = 1
 
 
-class Durations:
+class RunTimes(abc.ABC):
+    """Predict run times from those of the runs that have ended."""
+
+    @abc.abstractmethod
+    def observe(
+        self, job: models.Job, step: models.Step, actual: datetime.timedelta
+    ) -> None:
+        """Record the run time of an uninterrupted run that is done."""
+
+    @abc.abstractmethod
+    def expected(
+        self, job: models.Job, step: models.Step
+    ) -> datetime.timedelta:
+        """Return the run time to plan with."""
+
+    @abc.abstractmethod
+    def upper_estimate(
+        self, job: models.Job, step: models.Step
+    ) -> datetime.timedelta | None:
+        """Return a cautious estimate; None before enough runs have ended."""
+
+    @abc.abstractmethod
+    def remaining(
+        self, run: runs.Run, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return how long a run still takes."""
+
+    @abc.abstractmethod
+    def observe_stopped(self, run: runs.Run, ran: datetime.timedelta) -> None:
+        """Record that a run takes longer than it ran before its stop."""
+
+    def remaining_quantile(
+        self, run: runs.Run, now: datetime.timedelta, quantile: float
+    ) -> datetime.timedelta:
+        """Return how long a run takes at most, with this probability."""
+        return self.remaining(run, now)
+
+    def worker_speed(self, worker_id: str) -> float:
+        """Return a worker's speed relative to others of its kind."""
+        return 1.0
+
+    def critical_path(self, job: models.Job) -> datetime.timedelta:
+        """Return the expected length of the longest chain of steps."""
+        end_times: list[datetime.timedelta] = []
+        for step in job.steps:
+            dependency_ends = [end_times[number] for number in step.after]
+            start = max(dependency_ends, default=_ZERO)
+            end_times.append(start + self.expected(job, step))
+        return max(end_times)
+
+    def objective(self, job: models.Job) -> datetime.timedelta:
+        """Return the time within which a job's value is highest."""
+        scaled_path = self.critical_path(job) * job.queue.slack_factor
+        return scaled_path + job.queue.target_latency
+
+
+class Durations(RunTimes):
     """Run-time predictions by queue; declared times until runs have ended."""
 
     def __init__(self) -> None:
         self._statistics_by_queue: dict[str, _QueueStatistics] = {}
 
     def observe(
-        self, queue: str, step: models.Step, actual: datetime.timedelta
+        self, job: models.Job, step: models.Step, actual: datetime.timedelta
     ) -> None:
         """Record the run time of an uninterrupted run."""
+        queue = job.queue.name
         actual_s = max(actual, _MIN_DURATION).total_seconds()
         statistics = self._statistics_by_queue.get(queue)
         if statistics is None:
@@ -53,9 +111,14 @@
         statistics.mean_s = _moving_average(statistics.mean_s, actual_s)
         statistics.count += 1
 
-    def expected(self, queue: str, step: models.Step) -> datetime.timedelta:
+    def observe_stopped(self, run: runs.Run, ran: datetime.timedelta) -> None:
+        """Ignore a stopped run: a mean cannot use a lower bound."""
+
+    def expected(
+        self, job: models.Job, step: models.Step
+    ) -> datetime.timedelta:
         """Return the run time to plan with."""
-        statistics = self._statistics_by_queue.get(queue)
+        statistics = self._statistics_by_queue.get(job.queue.name)
         if statistics is None or (
             step.estimate > _ZERO
             and statistics.declared_error <= statistics.learned_error
@@ -64,29 +127,15 @@
         return datetime.timedelta(seconds=statistics.mean_s)
 
     def upper_estimate(
-        self, queue: str, step: models.Step
+        self, job: models.Job, step: models.Step
     ) -> datetime.timedelta | None:
         """Return a cautious estimate; None before enough runs have ended."""
-        statistics = self._statistics_by_queue.get(queue)
+        statistics = self._statistics_by_queue.get(job.queue.name)
         if statistics is None or statistics.count < MIN_RUNS:
             return None
         mean = datetime.timedelta(seconds=statistics.mean_s)
         return max(mean, step.estimate)
 
-    def critical_path(self, job: models.Job) -> datetime.timedelta:
-        """Return the expected length of the longest chain of steps."""
-        end_times: list[datetime.timedelta] = []
-        for step in job.steps:
-            dependency_ends = [end_times[number] for number in step.after]
-            start = max(dependency_ends, default=_ZERO)
-            end_times.append(start + self.expected(job.queue.name, step))
-        return max(end_times)
-
-    def objective(self, job: models.Job) -> datetime.timedelta:
-        """Return the time within which a job's value is highest."""
-        scaled_path = self.critical_path(job) * job.queue.slack_factor
-        return scaled_path + job.queue.target_latency
-
     def remaining(
         self, run: runs.Run, now: datetime.timedelta
     ) -> datetime.timedelta:
@@ -95,7 +144,7 @@
         if rate is not None:
             percent_now = run.percent + rate * _seconds(now - run.reported_at)
             return datetime.timedelta(seconds=max(100 - percent_now, 0) / rate)
-        expected = self.expected(run.step.job.job.queue.name, run.step.model)
+        expected = self.expected(run.step.job.job, run.step.model)
         return max(expected - (now - run.began_at), _ZERO)
 
 
--- a/cardamomcroft/scheduling/holding.py
+++ b/cardamomcroft/scheduling/holding.py
@@ -92,7 +92,7 @@
 
 def expected_completions(
     worker: runs.Worker,
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
     now: datetime.timedelta,
 ) -> Completions:
     """Return when each run is expected to end and what it frees."""
--- a/cardamomcroft/scheduling/ordering.py
+++ b/cardamomcroft/scheduling/ordering.py
@@ -54,7 +54,7 @@
 def refresh_objective(
     state: runs.JobState,
     now: datetime.timedelta,
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
 ) -> None:
     """Recompute the objective and slack of a job, at most once a second."""
     if now >= state.objective_valid_until:
@@ -76,7 +76,7 @@
     state: runs.JobState,
     now: datetime.timedelta,
     guaranteed: frozenset[str],
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
 ) -> tuple:
     """Return a key that sorts the most urgent job first."""
     queue = state.job.queue
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -52,10 +52,13 @@
     wall: datetime.datetime
     accelerators_by_account: dict[str, int]
     reservations: reservations.Reservations
-    durations: estimates.Durations
+    durations: estimates.RunTimes
     headroom: headroom.Headroom
     holds: holding.Holds
     open_gangs: tuple[runs.StepState, ...] = ()
+    plans_ahead: bool = False
+    # From a stop order to the start in its place.
+    preemption_lead: datetime.timedelta = datetime.timedelta()
 
 
 class Planner:
@@ -350,9 +353,7 @@
     def _accepts_remote_placement(self, step: runs.StepState) -> bool:
         """Return whether waiting has cost more than a remote placement."""
         waited = self._inputs.now - step.job.accepted_at
-        expected = self._inputs.durations.expected(
-            step.job.job.queue.name, step.model
-        )
+        expected = self._inputs.durations.expected(step.job.job, step.model)
         return waited > expected * (REMOTE_FACTOR - 1)
 
     def _place(
@@ -573,9 +574,7 @@
         has_waited = is_urgent and waited >= PREEMPTION_WAIT
         if has_waited and self._is_guaranteed(step.job):
             return float("inf")
-        expected = self._inputs.durations.expected(
-            step.job.job.queue.name, step.model
-        )
+        expected = self._inputs.durations.expected(step.job.job, step.model)
         own = preempting.core_equivalent(step.model.demand) * step.model.width
         factor = MAX_COST_RATIO_AFTER_WAIT if has_waited else MAX_COST_RATIO
         return own * expected.total_seconds() * factor
--- a/cardamomcroft/scheduling/queue_waits.py
+++ b/cardamomcroft/scheduling/queue_waits.py
@@ -34,7 +34,7 @@
         self,
         jobs: collections.abc.Collection[runs.JobState],
         workers: collections.abc.Iterable[runs.Worker],
-        durations: estimates.Durations,
+        durations: estimates.RunTimes,
         now: datetime.timedelta,
         wall: datetime.datetime,
     ) -> None:
@@ -50,7 +50,7 @@
 def expected_waits(
     jobs: collections.abc.Collection[runs.JobState],
     workers: collections.abc.Iterable[runs.Worker],
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
     now: datetime.timedelta,
     wall: datetime.datetime,
 ) -> dict[str, int]:
@@ -103,7 +103,7 @@
 def _queued_work_s(
     job: runs.JobState,
     total: models.Demand,
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
     wall: datetime.datetime,
 ) -> float:
     """Return for how long a job's waiting tasks would fill all workers.
@@ -118,7 +118,7 @@
     for model, waiting in zip(job.job.steps, waiting_by_step, strict=True):
         if waiting and not model.is_lasting:
             share = dominant_share(placing.demand_of(model), total)
-            expected = durations.expected(job.job.queue.name, model)
+            expected = durations.expected(job.job, model)
             work_s += waiting * share * expected.total_seconds()
     return work_s
 
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -250,6 +250,8 @@
             self._headroom,
             self._holds,
             tuple(self.cluster.open_gangs),
+            self.cluster.parameters.plans_ahead,
+            self.cluster.parameters.preemption_lead,
         )
         return planning.Planner(inputs).plan()
 
--- a/cardamomcroft/scheduling/standing.py
+++ b/cardamomcroft/scheduling/standing.py
@@ -40,7 +40,7 @@
     reservations: reservations.Reservations
     holds: holding.Holds
     headroom: headrooms.Headroom
-    durations: estimates.Durations
+    durations: estimates.RunTimes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -33,7 +33,7 @@
     now: datetime.timedelta
     reservations: reservations.Reservations
     headroom: headrooms.Headroom
-    durations: estimates.Durations
+    durations: estimates.RunTimes
     # Called only if a search needs them.
     holders: collections.abc.Callable[[], list[Holder]]
 
@@ -211,9 +211,7 @@
 
     def _accepts_remote(self, step: runs.StepState) -> bool:
         """Return whether the planner no longer waits for the step's rack."""
-        expected = self._inputs.durations.expected(
-            step.job.job.queue.name, step.model
-        )
+        expected = self._inputs.durations.expected(step.job.job, step.model)
         waited = self._inputs.now - step.job.accepted_at
         return waited > expected * (planning.REMOTE_FACTOR - 1)
 
--- a/cardamomcroft/scheduling/stragglers.py
+++ b/cardamomcroft/scheduling/stragglers.py
@@ -56,7 +56,7 @@
 
 def is_slow(
     run: runs.Run,
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
     now: datetime.timedelta,
 ) -> bool:
     """Return whether a run would end sooner if restarted elsewhere."""
@@ -64,8 +64,7 @@
         return False
     if run.step.moves_by_index[run.key.index] >= MAX_SLOW_MOVES:
         return False
-    queue = run.step.job.job.queue.name
-    expected = durations.upper_estimate(queue, run.step.model)
+    expected = durations.upper_estimate(run.step.job.job, run.step.model)
     if expected is None:
         return False
     limit = max(expected * SLOW_FACTOR, MIN_SLOW_REMAINING)
@@ -76,7 +75,7 @@
     run: runs.Run,
     listing: fleet.Listing,
     listed_at: datetime.timedelta,
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
     now: datetime.timedelta,
 ) -> bool:
     """Return whether a run would outlast its draining worker."""
@@ -94,7 +93,7 @@
 
 def runs_to_move(
     workers: collections.abc.Iterable[runs.Worker],
-    durations: estimates.Durations,
+    durations: estimates.RunTimes,
     now: datetime.timedelta,
 ) -> list[tuple[runs.Run, str]]:
     """Return the runs to move, each with the reason."""
@@ -113,7 +112,7 @@
 
 
 def _straggles(
-    run: runs.Run, durations: estimates.Durations, now: datetime.timedelta
+    run: runs.Run, durations: estimates.RunTimes, now: datetime.timedelta
 ) -> str:
     """Return why a run should move; empty if it should not.
 
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -530,8 +530,8 @@
             and not run.is_inherited
         ):
             actual = self._clock.monotonic() - run.began_at
-            queue = step.job.job.queue.name
-            self._cluster.durations.observe(queue, step.model, actual)
+            durations = self._cluster.durations
+            durations.observe(step.job.job, step.model, actual)
 
     def expire_leases(self) -> None:
         """Drop the runs of workers with expired leases that aren't heard."""
--- a/tests/scheduling/test_stragglers.py
+++ b/tests/scheduling/test_stragglers.py
@@ -7,6 +7,7 @@
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import estimates
+from cardamomcroft.scheduling import models
 from tests.scheduling import harness
 
 
@@ -131,10 +132,19 @@
         step = dataclasses.replace(
             harness.make_step(), estimate=harness.seconds(declared_s)
         )
+        job = models.Job(
+            "0" * 16,
+            harness.make_queue(),
+            "account",
+            "",
+            (step,),
+            None,
+            datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC),
+        )
         durations = estimates.Durations()
         for number in actual_s:
-            durations.observe("q", step, harness.seconds(number))
-        return durations.expected("q", step) / datetime.timedelta(seconds=1)
+            durations.observe(job, step, harness.seconds(number))
+        return durations.expected(job, step) / datetime.timedelta(seconds=1)
 
     def test_learns_when_declared_times_are_off(self):
         """The learned mean replaces a declared time that is far off."""
