Use late checkpoints of given-up runs, and acknowledge relisted ends

A checkpoint that only the unread end of a given-up run carried was dropped: the end belongs to no current run, and the next start had taken its checkpoint before it waited for that end. The end of a worker whose entry expired after its effect was recorded stayed unacknowledged under a successor, which asks only workers that a record names.

Starts held back for unread ends now take the checkpoint as of their sending. Workers older than the scheduler that are listed after its first look are polled once; that poll entitles them to no lease.

--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -216,7 +216,7 @@
             if was_sent:
                 self.keep_unrecorded(worker, (run,))
         if run.checkpoint:
-            self._keep_checkpoint(run)
+            self.keep_checkpoint(run)
         self.wake()
 
     def keep_unrecorded(
@@ -230,7 +230,8 @@
             if is_done and self._is_held(run.step.job):
                 worker.unrecorded_by_task[run.name] = run
 
-    def _keep_checkpoint(self, run: runs.Run) -> None:
+    def keep_checkpoint(self, run: runs.Run) -> None:
+        """Let the task's next run resume from a run's checkpoint."""
         step, index = run.step, run.key.index
         if index in step.done or not run.checkpoint:
             return
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -257,6 +257,7 @@
                 if not await self._confirm(batch):
                     return
                 await self._unread_ends.wait(batch)
+            _renew_checkpoints(batch)
             if self._are_usable(batch):
                 unsent.difference_update(self._spawn_starts(batch))
         finally:
@@ -319,6 +320,13 @@
     return [run for run in batch if run.phase is runs.Phase.ASSIGNED]
 
 
+def _renew_checkpoints(batch: list[runs.Run]) -> None:
+    """Let starts resume from checkpoints that were read after their plan."""
+    for run in _still_assigned(batch):
+        run.checkpoint = run.step.checkpoint(run.key.index)
+        run.is_resumed = bool(run.checkpoint)
+
+
 def _interleave(assigned: list[runs.Run]) -> list[runs.Run]:
     """Return the starts so that those of no job precede all of another's."""
     counts: collections.Counter[str] = collections.Counter()
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -78,6 +78,8 @@
         )
         self._orders.on_contact = self._poller.handle_contact
         self._launcher = launching.Launcher(self.cluster, self._orders, link)
+        self._began_at = clock.now()
+        self._has_synced_workers = False
         self._headroom = headrooms.Headroom()
         self._holds = holding.Holds()
         self._reservations = reservations.Reservations()
@@ -305,6 +307,9 @@
             worker = self.cluster.workers_by_id.get(worker_id)
             if worker is None:
                 worker = self.cluster.track(listing)
+                # It may list ends whose effect a predecessor has recorded.
+                if self._has_synced_workers and self._predates(listing):
+                    worker.has_unheard_ends = True
             if worker.listing is not listing:
                 self._poller.apply_listing(worker, listing, now)
         for worker_id, worker in list(self.cluster.workers_by_id.items()):
@@ -312,3 +317,8 @@
                 worker.withdraw_listing()
                 if worker.is_settled:
                     self.cluster.drop(worker)
+        self._has_synced_workers |= self._directory.is_loaded
+
+    def _predates(self, listing: fleet.Listing) -> bool:
+        """Return whether a worker began before this scheduler."""
+        return listing.born_ms < self._began_at.timestamp() * 1000
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -224,7 +224,11 @@
     ) -> None:
         worker.unanswered_polls = 0
         worker.given_up.record_answer()
-        worker.heard_at = self._clock.monotonic()
+        now = self._clock.monotonic()
+        is_relisted = worker.has_unheard_ends and worker.heard_at is None
+        if _has_orders(worker) or not is_relisted:
+            # Having listed old ends does not entitle a worker to a lease.
+            worker.heard_at = now
         if order.token <= worker.former_token:
             # Orders for the former incarnation may still be carried out.
             await self._clock.sleep(RETRY_PAUSE)
@@ -237,7 +241,7 @@
                 worker.acknowledged_end, order.acknowledged_end
             )
         self._apply_inventory(worker, inventory, sent_at)
-        worker.bound_doubt(inventory.clock_ms, worker.heard_at)
+        worker.bound_doubt(inventory.clock_ms, now)
         if worker.durable_end < worker.received_end:
             await self._wait_until_durable(worker)
         elif (
@@ -462,6 +466,8 @@
         is_current = run is not None and run.number == finished.run
         if is_current and finished.checkpoint:
             run.checkpoint = finished.checkpoint
+        elif finished.end is not fleet.End.DONE:
+            self._keep_late_checkpoint(worker, finished)
         if found is not None:
             worker.ended_job_ids.add(found[0].job.job.job_id)
             self._record_completion(worker, finished, *found)
@@ -470,6 +476,23 @@
             if finished.end is not fleet.End.DONE:
                 self._restarts.stop_gang_of(run, finished.end.value)
 
+    def _keep_late_checkpoint(
+        self, worker: runs.Worker, finished: fleet.FinishedTask
+    ) -> None:
+        """Keep the checkpoint of a run given up, unless a later run began."""
+        run = worker.given_up.runs_by_task.get(finished.task)
+        if run is None or run.number != finished.run:
+            return
+        members = run.step.runs_by_index
+        if not run.step.model.is_gang:
+            later = members.get(run.key.index)
+            members = {} if later is None else {run.key.index: later}
+        if finished.checkpoint and all(
+            member.phase is runs.Phase.ASSIGNED for member in members.values()
+        ):
+            run.checkpoint = finished.checkpoint
+            self._cluster.keep_checkpoint(run)
+
     def _record_completion(
         self,
         worker: runs.Worker,
