Order jobs by their accounts' fair shares where the scheduler plans ahead

Cause: jobs of equal urgency are ordered by deadline, so the jobs of an account that submits now and then wait behind the flood of another one.

Change: an account's dominant share of a service, in use or over about the last 30 s, is compared with its fair share among the accounts that have work there. Jobs of an account above 1.5 times its fair share come after the others of their class. A job that has waited for its objective takes its turn as if it were submitted then, if its account uses less than its fair share now. The order among one account's jobs, and the classes (guaranteed, lasting, past the final deadline, priority), are unchanged.

An account without a guarantee weighs as much as the smallest guarantee: with weight 1 beside guarantees of many accelerators, its jobs would always come last. Where the scheduler does not plan ahead there are no shares.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -278,11 +278,17 @@
                 gauge.set(age.total_seconds())
         self._metrics.jobs.clear()
         self._metrics.standing.clear()
+        self._metrics.share_ratios.clear()
         if node.scheduler is not None:
             for labels, count in node.scheduler.count_jobs().items():
                 self._metrics.jobs.labels(*labels).set(count)
             for reason, count in node.scheduler.count_standing().items():
                 self._metrics.standing.labels(reason).set(count)
+            for (
+                account,
+                ratio,
+            ) in node.scheduler.largest_share_ratios().items():
+                self._metrics.share_ratios.labels(account).set(ratio)
         self._metrics.unmatched.set(len(node.replica.ledger.unmatched))
         self._metrics.is_scheduler.set(node.scheduler is not None)
         return web.Response(body=self._metrics.render())
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -94,6 +94,12 @@
             "Cancelled job ids without a stored submission",
             registry=registry,
         )
+        self.share_ratios = prometheus_client.Gauge(
+            "cardamomcroft_account_share_ratio",
+            "An account's dominant share over its fair share, of the largest",
+            ("account",),
+            registry=registry,
+        )
         self.rounds = prometheus_client.Histogram(
             "cardamomcroft_round_seconds",
             "Scheduling rounds",
--- a/cardamomcroft/scheduling/ordering.py
+++ b/cardamomcroft/scheduling/ordering.py
@@ -12,6 +12,8 @@
 
 # A job that ends after three times its objective has no value (brief).
 FINAL_DEADLINE_FACTOR = 3
+# Fields of a key that state a class of urgency; the others order within it.
+_CLASS_FIELDS = 4
 # Learned run times change slowly, so an objective may be this old.
 MAX_OBJECTIVE_AGE = datetime.timedelta(seconds=1)
 # Under overload the first job in order is close to its deadline; the rest of
@@ -91,3 +93,14 @@
         is_slack_exhausted(state, now, ORDERING_SLACK_SHARE),
         state.accepted_at + objective,
     )
+
+
+def urgency_class(key: tuple) -> tuple:
+    """Return what a key has in common with those of equally urgent jobs."""
+    return key[:_CLASS_FIELDS]
+
+
+def as_submitted_later(key: tuple, delay: datetime.timedelta) -> tuple:
+    """Return a job's key as if it were submitted later, with slack left."""
+    *urgency, _, deadline = key
+    return (*urgency, False, deadline + delay)
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -18,6 +18,7 @@
 from cardamomcroft.scheduling import preempting
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
+from cardamomcroft.sharing import fair_shares
 
 # Runs end continually: within this wait most urgent jobs get capacity without
 # preemption, and a third of the start bound for guaranteed work remains.
@@ -59,6 +60,7 @@
     plans_ahead: bool = False
     # From a stop order to the start in its place.
     preemption_lead: datetime.timedelta = datetime.timedelta()
+    shares: fair_shares.FairShares | None = None  # if it plans ahead
 
 
 class Planner:
@@ -133,7 +135,12 @@
         for number, job in enumerate(self._inputs.jobs):
             if not job.final_state and not job.is_cancelled:
                 self._isolation.decide(job, self._add_key, job, number, keyed)
-        return [self._inputs.jobs[number] for _, number in sorted(keyed)]
+        ranked = [
+            (key, self._inputs.jobs[number]) for key, number in sorted(keyed)
+        ]
+        if self._inputs.shares is None:
+            return [job for _, job in ranked]
+        return self._inputs.shares.order(ranked, self._inputs.now)
 
     def _add_key(
         self,
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 from cardamomcroft.scheduling import standing_watch
 from cardamomcroft.scheduling import stragglers
 from cardamomcroft.scheduling import worker_polling
+from cardamomcroft.sharing import fair_shares
 
 # Combines events that arrive together into one round. After a long round the
 # pause is three times its duration, which leaves three quarters of the
@@ -84,6 +85,9 @@
         self._standing = standing_watch.StandingWatch(
             self.cluster, self._reservations, self._holds, self._headroom
         )
+        self._shares = (
+            fair_shares.FairShares() if parameters.plans_ahead else None
+        )
         self._forecast = queue_waits.Forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._ending = ending.Ending(self.cluster, self._orders, replica)
@@ -148,6 +152,10 @@
         """Count the jobs of which nothing runs for 3 s, by reason."""
         return self._standing.count_by_reason()
 
+    def largest_share_ratios(self) -> dict[str, float]:
+        """Return accounts' dominant shares over their fair shares."""
+        return self._shares.largest_ratios() if self._shares else {}
+
     def apply_updates(self, updates: list[tuple[ledgers.Kind, str]]) -> None:
         """Apply new submissions and cancellations."""
         for kind, job_id in updates:
@@ -199,6 +207,7 @@
         self._try_phase("submissions", self._restore_submissions)
         self._try_phase("expiry", self._ending.delete_expired_records)
         self._try_phase("moves", self._move_runs)
+        self._try_phase("shares", self._refresh_shares)
         self._try_phase("forecast", self._refresh_forecast)
         plan = self._try_phase("plan", self._plan)
         if plan is None:
@@ -229,6 +238,15 @@
             )
             return None
 
+    def _refresh_shares(self) -> None:
+        if self._shares is not None:
+            self._shares.refresh(
+                self.cluster.jobs_by_id.values(),
+                self.cluster.workers_by_id.values(),
+                self._guarantees(),
+                self._clock.monotonic(),
+            )
+
     def _refresh_forecast(self) -> None:
         self._forecast.refresh(
             list(self.cluster.jobs_by_id.values()),
@@ -252,6 +270,7 @@
             tuple(self.cluster.open_gangs),
             self.cluster.parameters.plans_ahead,
             self.cluster.parameters.preemption_lead,
+            self._shares,
         )
         return planning.Planner(inputs).plan()
 
--- /dev/null
+++ b/cardamomcroft/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Share scarce capacity among accounts and between urgent and other work."""
--- /dev/null
+++ b/tests/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Test how scarce capacity is shared."""
