Forecast waits by account and refuse the flooding account first

Cause: the forecast of waits was kept by queue, so a flood of one account refused the jobs of all. It ignored running work, and it refused work while workers had room: after an outage of the store it divided the backlog by the few workers whose entries had returned, and it counted jobs whose starts were held up as work to be done one after the other.

Change, only where the scheduler plans ahead: the claim's waits get entries by account (QUEUE, a newline, ACCOUNT), which earlier versions ignore. An account within its share waits for others' work within theirs; one above it also for its own backlog. Running work counts until its expected end, and work that fits the free room is no wait. Nothing is forecast while entries of workers may still be missing. A job is refused only if the replica has been read since the call, so that an accepted job never is. Where the scheduler does not plan ahead, the earlier code decides.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -24,6 +24,7 @@
 from cardamomcroft.scheduling import node as nodes
 from cardamomcroft.scheduling import outage_waits
 from cardamomcroft.scheduling import queue_waits
+from cardamomcroft.sharing import refusals
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
 APPEND_TIMEOUT = datetime.timedelta(milliseconds=900)
@@ -80,11 +81,13 @@
         forwarder: relaying.Forwarder,
         rng: random.Random,
         memory_for_jobs: collections.abc.Callable[[], int | None],
+        plans_ahead: bool = False,
     ) -> None:
         """Serve from the node's replica; forward calls without the store.
 
         ``memory_for_jobs`` returns the bytes that all jobs together may need
-        on the smallest instance, None if no limit is known.
+        on the smallest instance, None if no limit is known. If the scheduler
+        plans ahead, its forecasts are by account.
         """
         self._node = node
         self._store = target
@@ -94,6 +97,7 @@
         self._forwarder = _VersionedForwarder(forwarder, config)
         self._rng = rng
         self._memory_for_jobs = memory_for_jobs
+        self._plans_ahead = plans_ahead
         self._started_at = clock.monotonic()
         self.is_leaving = False
         self.in_flight = 0
@@ -223,6 +227,7 @@
         status: int,
         reason: str,
         retry_after_s: int = 0,
+        **causes: object,
     ) -> relaying.Reply:
         lacks_store = status == 503 and not retry_after_s
         if lacks_store:
@@ -237,6 +242,7 @@
             reason=reason,
             config_version=self._config.version,
             retry_after_s=retry_after_s,
+            **causes,
         )
         return _make_reply(
             status, {"error": reason}, retry_after_s, lacks_store
@@ -345,7 +351,7 @@
         refusal = (
             self._refuse_oversized(call, entry)
             or await self._refuse_beyond_memory(call, job, entry)
-            or await self._refuse_late(call, job)
+            or await self._refuse_by_forecast(call, job)
         )
         if refusal is not None:
             return refusal
@@ -407,6 +413,45 @@
         )
         return self._refuse(call, 503, reason, MEMORY_RETRY_S)
 
+    async def _refuse_by_forecast(
+        self, call: relaying.Call, job: models.Job
+    ) -> relaying.Reply | None:
+        if self._plans_ahead:
+            return await self._refuse_unserved(call, job)
+        return await self._refuse_late(call, job)
+
+    async def _refuse_unserved(
+        self, call: relaying.Call, job: models.Job
+    ) -> relaying.Reply | None:
+        """Refuse a job by its account's forecast, unless already accepted.
+
+        Without a current replica a job may have been accepted before.
+        """
+        replica, queue = self._node.replica, job.queue.name
+        if job.job_id in replica.ledger.cancelled_ids:
+            return None  # it never begins, whenever its client comes back
+        expected = replica.expectation(queue, job.account)
+        if expected is None:
+            return None
+        retry_after_s = refusals.retry_after_s(job, expected.wait, self._rng)
+        if retry_after_s is None:
+            return None
+        if not await replica.refresh(REFRESH_TIMEOUT):
+            return None
+        if replica.ledger.state(job.job_id) is not None:
+            return _make_reply(200, {})
+        self._log.metrics.refusals.labels(queue).inc()
+        wait_s = expected.wait.total_seconds()
+        return self._refuse(
+            call,
+            503,
+            f"expected wait of {wait_s:.0f} s is too long",
+            retry_after_s,
+            account=job.account,
+            forecast_s=wait_s,
+            forecast_age_s=expected.age.total_seconds(),
+        )
+
     async def _refuse_late(
         self, call: relaying.Call, job: models.Job
     ) -> relaying.Reply | None:
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -188,6 +188,7 @@
             forwarder,
             random.Random(),
             self.memory_for_jobs,
+            self._plans_ahead,
         )
         peers = relay_rpc.make_server(
             settings.peer_address,
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -100,6 +100,12 @@
             ("account",),
             registry=registry,
         )
+        self.refusals = prometheus_client.Counter(
+            "cardamomcroft_late_refusals",
+            "Submissions refused as they could not be served in time",
+            ("queue",),
+            registry=registry,
+        )
         self.rounds = prometheus_client.Histogram(
             "cardamomcroft_round_seconds",
             "Scheduling rounds",
--- a/cardamomcroft/scheduling/queue_waits.py
+++ b/cardamomcroft/scheduling/queue_waits.py
@@ -106,16 +106,10 @@
     durations: estimates.RunTimes,
     wall: datetime.datetime,
 ) -> float:
-    """Return for how long a job's waiting tasks would fill all workers.
-
-    What is not due yet does not wait.
-    """
-    unopened = occurrences.count_unopened(job, wall)
-    waiting_by_step = [step.width * unopened for step in job.job.steps]
-    for step in job.steps_by_key.values():
-        waiting_by_step[step.number] += len(step.waiting)
+    """Return for how long a job's waiting tasks would fill all workers."""
     work_s = 0.0
-    for model, waiting in zip(job.job.steps, waiting_by_step, strict=True):
+    counts = count_waiting(job, wall)
+    for model, waiting in zip(job.job.steps, counts, strict=True):
         if waiting and not model.is_lasting:
             share = dominant_share(placing.demand_of(model), total)
             expected = durations.expected(job.job, model)
@@ -123,6 +117,18 @@
     return work_s
 
 
+def count_waiting(job: runs.JobState, wall: datetime.datetime) -> list[int]:
+    """Count a job's waiting tasks by step.
+
+    What is not due yet does not wait.
+    """
+    unopened = occurrences.count_unopened(job, wall)
+    counts = [step.width * unopened for step in job.job.steps]
+    for step in job.steps_by_key.values():
+        counts[step.number] += len(step.waiting)
+    return counts
+
+
 def dominant_share(demand: models.Demand, total: models.Demand) -> float:
     """Return the largest share that a demand takes of any resource."""
     pairs = (
--- a/cardamomcroft/scheduling/replica.py
+++ b/cardamomcroft/scheduling/replica.py
@@ -10,6 +10,7 @@
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import ledger
 from cardamomcroft.scheduling import loading
+from cardamomcroft.sharing import refusals
 
 READ_TIMEOUT = datetime.timedelta(seconds=1)  # a slow store takes 240 ms
 # A scheduler renews every 0.4 s; an older forecast refuses no jobs.
@@ -61,6 +62,20 @@
             return _ZERO
         return claim.wait_ms_by_queue.get(queue, 0) * _MS
 
+    def expectation(
+        self, queue: str, account: str
+    ) -> refusals.Expectation | None:
+        """Return an account's forecast wait; None if the forecast is old."""
+        claim, seen_at = self.ledger.claim, self.ledger.holder_seen_at
+        if claim is None or seen_at is None:
+            return None
+        age = self._clock.monotonic() - seen_at
+        if age > MAX_FORECAST_AGE:
+            return None
+        waits = claim.wait_ms_by_queue
+        wait = refusals.wait_ms(waits, queue, account) * _MS
+        return refusals.Expectation(wait, age)
+
     async def refresh(self, timeout: datetime.timedelta) -> bool:
         """Update the copy to the present; return whether that succeeded."""
         if not self.is_reachable:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -32,6 +32,7 @@
 from cardamomcroft.scheduling import stragglers
 from cardamomcroft.scheduling import worker_polling
 from cardamomcroft.sharing import fair_shares
+from cardamomcroft.sharing import refusals
 
 # Combines events that arrive together into one round. After a long round the
 # pause is three times its duration, which leaves three quarters of the
@@ -85,13 +86,28 @@
         self._standing = standing_watch.StandingWatch(
             self.cluster, self._reservations, self._holds, self._headroom
         )
-        self._shares = (
-            fair_shares.FairShares() if parameters.plans_ahead else None
-        )
+        self._shares: fair_shares.FairShares | None = None
         self._forecast = queue_waits.Forecast()
+        if parameters.plans_ahead:
+            self._shares = fair_shares.FairShares()
+            self._forecast = self._make_account_forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._ending = ending.Ending(self.cluster, self._orders, replica)
 
+    def _make_account_forecast(self) -> refusals.AccountForecast:
+        """Return a forecast that begins once the listings are complete.
+
+        Entries that have expired in an outage of the store return after it,
+        and a successor does not know of one that has just ended.
+        """
+        earliest = self._clock.monotonic() + directories.RELISTING_GRACE
+        return refusals.AccountForecast(
+            self._shares,
+            self._guarantees,
+            self.cluster.parameters.preemption_lead,
+            lambda: max(earliest, self._directory.absence_valid_from),
+        )
+
     async def run(self) -> None:
         """Run scheduling rounds until the claim is lost."""
         cluster = self.cluster
--- a/tests/sharing/test_shared_load.py
+++ b/tests/sharing/test_shared_load.py
@@ -56,6 +56,14 @@
 class FloodTest(FloodTestCase):
     """One account floods, others come now and then."""
 
+    async def test_flooding_account_is_shown(self):
+        """Operators must see who is above its share, and by how much."""
+        await self.flood(3, {"b": (FLOOD_STEP, 1), "c": (FLOOD_STEP, 1)})
+        ratios = self.scheduler.largest_share_ratios()
+        self.assertEqual(next(iter(ratios)), "a")
+        self.assertGreater(ratios["a"], 1)
+        self.assertLess(ratios["b"], 1)
+
     async def test_occasional_jobs_do_not_wait_behind_a_flood(self):
         """They waited for half of their objective though nearly idle."""
         guests = {"b": (FLOOD_STEP, 3), "c": (FLOOD_STEP, 4)}
