--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -94,6 +94,18 @@
             "Cancelled job ids without a stored submission",
             registry=registry,
         )
+        self.share_ratios = prometheus_client.Gauge(
+            "cardamomcroft_account_share_ratio",
+            "An account's dominant share over its fair share, of the largest",
+            ("account",),
+            registry=registry,
+        )
+        self.refusals = prometheus_client.Counter(
+            "cardamomcroft_late_refusals",
+            "Submissions refused as they could not be served in time",
+            ("queue",),
+            registry=registry,
+        )
         self.rounds = prometheus_client.Histogram(
             "cardamomcroft_round_seconds",
             "Scheduling rounds",
