Learn run times by kind in decaying logarithmic histograms

A queue's run times vary by a factor of 50, so its mean says little. The core keeps quantiles by kind, counts stopped runs as lower bounds, and takes declared times as evidence with their measured error. One account's evidence counts for at most half of another's estimate. Not used yet.

--- /dev/null
+++ b/cardamomcroft/runtimes/__init__.py
@@ -0,0 +1,1 @@
+"""Learn run times and workers' speeds from finished runs."""
--- /dev/null
+++ b/cardamomcroft/runtimes/kinds.py
@@ -0,0 +1,268 @@
+"""Order the evidence by kind of run, from the narrowest to the widest.
+
+A kind with few runs of its own leans on the next wider one, and the widest on
+the declared time.
+"""
+
+import dataclasses
+import math
+
+import immutables
+
+from cardamomcroft.runtimes import histogram
+from cardamomcroft.scheduling import models
+
+MAX_KINDS = 256
+# A client that invents images or demands replaces its own kinds, not those of
+# others.
+MAX_KINDS_PER_ACCOUNT = 64
+MAX_ACCOUNTS_PER_KIND = 40  # over the 36 teams of the two-year size
+# Runs that the next wider kind counts for; as many own ones count for half.
+PARENT_WEIGHT = 4.0
+# Standard deviation of log(actual / declared) before any is measured: a time
+# declared wrong by half is common.
+DECLARED_SPREAD = 0.7
+MIN_DECLARED_SPREAD = 0.1  # finer than a bucket shows
+_DECLARED_WEIGHT = 3.0  # runs that this assumption counts for
+# Share of the runs about which a declared time says nothing, as those that
+# take seven times as long; spread over six units of the logarithm.
+_MISLEADING_SHARE = 0.05
+_MISLEADING_DENSITY = _MISLEADING_SHARE / 6
+
+Key = tuple[str, ...]
+LEAF, IMAGE, SHAPE, QUEUE, DECLARED = "leaf", "image", "shape", "queue", "decl"
+LEVELS = frozenset({LEAF, IMAGE, SHAPE, QUEUE, DECLARED})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Subject:
+    """What is known of a run before it begins."""
+
+    account: str
+    queue: str
+    shape: str
+    image: str
+    declared_s: float
+
+    def keys(self) -> tuple[Key, ...]:
+        """Return the kinds of the run, the narrowest first."""
+        return (
+            (LEAF, self.account, self.queue, self.shape, self.image),
+            (IMAGE, self.queue, self.image),
+            (SHAPE, self.queue, self.shape),
+            (QUEUE, self.queue),
+        )
+
+    @property
+    def declared_key(self) -> Key:
+        """Return the kind of the account's errors in declared times."""
+        return (DECLARED, self.account)
+
+
+def subject_of(job: models.Job, step: models.Step) -> Subject:
+    """Return the subject of a step's runs."""
+    demand = step.demand
+    shape = (
+        f"{demand.milli_cores}/{demand.memory_mb}/{demand.accelerators}"
+        f"{'/gang' if step.is_gang else ''}"
+    )
+    return Subject(
+        job.account,
+        job.queue.name,
+        shape,
+        step.image,
+        step.estimate.total_seconds(),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """Evidence about one kind of run, by account."""
+
+    owner: str  # the account that it counts for
+    by_account: immutables.Map[str, histogram.Histogram] = dataclasses.field(
+        default_factory=immutables.Map
+    )
+    touched: int = 0  # number of the newest observation
+
+    @property
+    def weight(self) -> float:
+        """Return how many recent runs the evidence stands for."""
+        return sum(known.weight for known in self.by_account.values())
+
+    def update(
+        self, account: str, known: histogram.Histogram, touched: int
+    ) -> "Kind":
+        """Return the kind with an account's evidence replaced."""
+        by_account = self.by_account
+        if account not in by_account and (
+            len(by_account) >= MAX_ACCOUNTS_PER_KIND
+        ):
+            lightest = min(by_account, key=lambda a: by_account[a].weight)
+            by_account = by_account.delete(lightest)
+        return Kind(self.owner, by_account.set(account, known), touched)
+
+    def evidence(
+        self, reader: str
+    ) -> tuple[histogram.Weights, histogram.Weights]:
+        """Return the evidence for an account's estimate.
+
+        That of any other account counts for at most half.
+        """
+        total = self.weight
+        done: histogram.Weights = ()
+        bounds: histogram.Weights = ()
+        for account, known in self.by_account.items():
+            weight = known.weight
+            limit = PARENT_WEIGHT + total - weight
+            factor = 1.0
+            if account != reader and weight > limit:
+                factor = limit / weight
+            done = histogram.add_weights(
+                done, histogram.scale(known.done, factor)
+            )
+            bounds = histogram.add_weights(
+                bounds, histogram.scale(known.bounds, factor)
+            )
+        return done, bounds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kinds:
+    """All kinds; a value that each observation replaces."""
+
+    by_key: immutables.Map[Key, Kind] = dataclasses.field(
+        default_factory=immutables.Map
+    )
+    count: int = 0  # observations so far
+
+    def observe(
+        self, subject: Subject, actual_s: float, weight: float
+    ) -> "Kinds":
+        """Return the kinds with a finished run."""
+        found = self
+        for key in subject.keys():
+            known = found._evidence(key, subject.account)
+            found = found._put(
+                key, subject.account, known.add(actual_s, weight)
+            )
+        if subject.declared_s <= 0:
+            return found
+        known = found._evidence(subject.declared_key, subject.account)
+        ratio = actual_s / subject.declared_s
+        return found._put(
+            subject.declared_key, subject.account, known.add(ratio, weight)
+        )
+
+    def observe_stopped(
+        self, subject: Subject, ran_s: float, weight: float
+    ) -> "Kinds":
+        """Return the kinds with a run that was stopped at work."""
+        found = self
+        for key in subject.keys():
+            known = found._evidence(key, subject.account)
+            found = found._put(
+                key, subject.account, known.add_bound(ran_s, weight)
+            )
+        return found
+
+    def estimate(self, subject: Subject) -> histogram.Distribution | None:
+        """Return the run time's distribution; None if nothing is known."""
+        bias, spread = self._declared_error(subject)
+        known: histogram.Distribution | None = None
+        if subject.declared_s > 0:
+            centre_s = subject.declared_s * bias
+            known = histogram.Distribution(
+                histogram.log_normal(centre_s, spread)
+            )
+        has_evidence = False
+        for key in reversed(subject.keys()):
+            kind = self.by_key.get(key)
+            if kind is None:
+                continue
+            done, bounds = kind.evidence(subject.account)
+            has_evidence = has_evidence or bool(done or bounds)
+            if known is not None:
+                prior = tuple((b, s * PARENT_WEIGHT) for b, s in known.shares)
+                done = histogram.add_weights(done, prior)
+            known = histogram.distribution(done, bounds) or known
+        if known is None or not has_evidence or subject.declared_s <= 0:
+            return known
+        return _given_declared(known, subject.declared_s * bias, spread)
+
+    def _declared_error(self, subject: Subject) -> tuple[float, float]:
+        """Return the median and spread of actual to declared times."""
+        known = self._evidence(subject.declared_key, subject.account)
+        prior = histogram.log_normal(1.0, DECLARED_SPREAD)
+        scaled = tuple((b, s * _DECLARED_WEIGHT) for b, s in prior)
+        found = histogram.distribution(
+            histogram.add_weights(known.done, scaled), known.bounds
+        )
+        low, middle, high = map(found.quantile_s, (0.16, 0.5, 0.84))
+        spread = math.log(high / low) / 2
+        return middle, max(spread, MIN_DECLARED_SPREAD)
+
+    def _evidence(self, key: Key, account: str) -> histogram.Histogram:
+        kind = self.by_key.get(key)
+        if kind is None:
+            return histogram.Histogram()
+        return kind.by_account.get(account, histogram.Histogram())
+
+    def _put(
+        self, key: Key, account: str, known: histogram.Histogram
+    ) -> "Kinds":
+        kind = self.by_key.get(key)
+        count = self.count + 1
+        renewed = (kind or Kind(account)).update(account, known, count)
+        found = Kinds(self.by_key.set(key, renewed), count)
+        return found if kind else _evicted(found, account)
+
+    def merge(self, key: Key, other: Kind) -> "Kinds":
+        """Return the kinds with a stored one added to what is known."""
+        kind = self.by_key.get(key)
+        if kind is None:
+            merged = dataclasses.replace(other, touched=self.count)
+        else:
+            merged = kind
+            for account, known in other.by_account.items():
+                own = kind.by_account.get(account, histogram.Histogram())
+                merged = merged.update(account, own.merge(known), kind.touched)
+        by_key = self.by_key.set(key, merged)
+        return _evicted(Kinds(by_key, self.count + 1), merged.owner)
+
+    def replace(self, key: Key, other: Kind | None) -> "Kinds":
+        """Return the kinds with one replaced, or removed if None."""
+        if other is None:
+            if key not in self.by_key:
+                return self
+            return Kinds(self.by_key.delete(key), self.count + 1)
+        renewed = dataclasses.replace(other, touched=self.count)
+        by_key = self.by_key.set(key, renewed)
+        return _evicted(Kinds(by_key, self.count + 1), other.owner)
+
+
+def _evicted(kinds: Kinds, owner: str) -> Kinds:
+    """Return the kinds without the oldest ones over the limits."""
+    by_key = kinds.by_key
+    own = [key for key, kind in by_key.items() if kind.owner == owner]
+    for limit, keys in ((MAX_KINDS_PER_ACCOUNT, own), (MAX_KINDS, by_key)):
+        if len(keys) > limit:
+            oldest = min(keys, key=lambda key: by_key[key].touched)
+            by_key = by_key.delete(oldest)
+            break  # one kind was added
+    return Kinds(by_key, kinds.count)
+
+
+def _given_declared(
+    known: histogram.Distribution, centre_s: float, spread: float
+) -> histogram.Distribution:
+    """Return what is known given the declared time, unless it misleads."""
+    centre = histogram.position_of(centre_s)
+    unit = math.log(2) / histogram.BUCKETS_PER_OCTAVE
+    peak = (1 - _MISLEADING_SHARE) / (spread * math.sqrt(2 * math.pi))
+
+    def likelihood(position: float) -> float:
+        deviations = (position - centre) * unit / spread
+        return peak * math.exp(-(deviations**2) / 2) + _MISLEADING_DENSITY
+
+    return histogram.reweighed(known, likelihood)
--- /dev/null
+++ b/tests/runtimes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of learned run times."""
