Decide by learned run times where the parameters say so

Stragglers, holds, draining workers, the order of jobs, forecasts and refusals read estimates.RunTimes. Only with SchedulingParameters.learns_run_times, which nothing sets yet; otherwise Durations decides as before.

--- a/cardamomcroft/runtimes/histogram.py
+++ b/cardamomcroft/runtimes/histogram.py
@@ -78,10 +78,14 @@
         return Histogram(done, bounds, series, side)
 
     def add_bound(self, ran_s: float, weight: float = 1.0) -> "Histogram":
-        """Return the histogram with a run stopped after this time."""
-        done, bounds = self._decayed(weight)
+        """Return the histogram with a run stopped after this time.
+
+        Finished runs don't decay: a job that is stopped again and again would
+        displace them.
+        """
+        _, bounds = self._decayed(weight)
         bounds = _insert(bounds, bucket_of(ran_s), weight)
-        return Histogram(done, bounds, self.series, self.side)
+        return Histogram(self.done, bounds, self.series, self.side)
 
     def merge(self, other: "Histogram") -> "Histogram":
         """Return the evidence of both, at most what one can hold."""
--- a/cardamomcroft/runtimes/kinds.py
+++ b/cardamomcroft/runtimes/kinds.py
@@ -22,6 +22,9 @@
 # Standard deviation of log(actual / declared) before any is measured: a time
 # declared wrong by half is common.
 DECLARED_SPREAD = 0.7
+# A single wrong unit or an end at once must not make all of an account's
+# declared times look useless.
+MAX_DECLARED_RATIO = 30.0
 MIN_DECLARED_SPREAD = 0.1  # finer than a bucket shows
 _DECLARED_WEIGHT = 3.0  # runs that this assumption counts for
 # Share of the runs about which a declared time says nothing, as those that
@@ -150,6 +153,7 @@
             return found
         known = found._evidence(subject.declared_key, subject.account)
         ratio = actual_s / subject.declared_s
+        ratio = min(max(ratio, 1 / MAX_DECLARED_RATIO), MAX_DECLARED_RATIO)
         return found._put(
             subject.declared_key, subject.account, known.add(ratio, weight)
         )
@@ -175,20 +179,26 @@
             known = histogram.Distribution(
                 histogram.log_normal(centre_s, spread)
             )
-        has_evidence = False
+        finished = 0.0
+        wider = None
         for key in reversed(subject.keys()):
             kind = self.by_key.get(key)
             if kind is None:
                 continue
-            done, bounds = kind.evidence(subject.account)
-            has_evidence = has_evidence or bool(done or bounds)
+            done, bounds = evidence = kind.evidence(subject.account)
+            if evidence == wider:
+                continue  # the same runs must not count twice
+            wider = evidence
+            finished = max(finished, sum(weight for _, weight in done))
             if known is not None:
                 prior = tuple((b, s * PARENT_WEIGHT) for b, s in known.shares)
                 done = histogram.add_weights(done, prior)
             known = histogram.distribution(done, bounds) or known
-        if known is None or not has_evidence or subject.declared_s <= 0:
+        if known is None or not finished or subject.declared_s <= 0:
             return known
-        return _given_declared(known, subject.declared_s * bias, spread)
+        # Before runs have finished, what is known is the declared time.
+        trust = finished / (finished + PARENT_WEIGHT)
+        return _given_declared(known, subject.declared_s * bias, spread, trust)
 
     def _declared_error(self, subject: Subject) -> tuple[float, float]:
         """Return the median and spread of actual to declared times."""
@@ -254,7 +264,10 @@
 
 
 def _given_declared(
-    known: histogram.Distribution, centre_s: float, spread: float
+    known: histogram.Distribution,
+    centre_s: float,
+    spread: float,
+    trust: float,
 ) -> histogram.Distribution:
     """Return what is known given the declared time, unless it misleads."""
     centre = histogram.position_of(centre_s)
@@ -263,6 +276,7 @@
 
     def likelihood(position: float) -> float:
         deviations = (position - centre) * unit / spread
-        return peak * math.exp(-(deviations**2) / 2) + _MISLEADING_DENSITY
+        density = peak * math.exp(-(deviations**2) / 2) + _MISLEADING_DENSITY
+        return density**trust
 
     return histogram.reweighed(known, likelihood)
--- a/cardamomcroft/runtimes/speeds.py
+++ b/cardamomcroft/runtimes/speeds.py
@@ -11,6 +11,8 @@
 
 import immutables
 
+from cardamomcroft.ports import fleet
+
 MIN_RUNS = 3  # of a step, to have a median
 # Steps before a worker's or a kind's ratio counts at all. Tasks of a step
 # differ by 30%, so that four steps would show a difference where none is.
@@ -23,6 +25,18 @@
 WorkerKind = tuple[object, ...]
 
 
+def kind_of(listing: fleet.Listing | None) -> WorkerKind:
+    """Return a worker's labels without its rack, and its capacity."""
+    if listing is None:
+        return ()
+    return (
+        listing.labels - {listing.rack},
+        listing.milli_cores,
+        listing.memory_mb,
+        listing.accelerators,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ratio:
     """Mean logarithm of run times over their steps' medians."""
@@ -41,6 +55,9 @@
         return (self.total + prior * PRIOR_STEPS) / (self.steps + PRIOR_STEPS)
 
 
+_Known = tuple[WorkerKind, Ratio]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Speeds:
     """Ratios by worker and by kind of worker."""
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -7,6 +7,8 @@
 
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
+from cardamomcroft.runtimes import learned
+from cardamomcroft.runtimes import speeds
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import events
@@ -44,6 +46,7 @@
     # Decide by what is expected to come: urgent work that begins only after
     # others have been stopped is late, where stops take long.
     plans_ahead: bool = False
+    learns_run_times: bool = False  # only where it plans ahead
 
     @property
     def preemption_lead(self) -> datetime.timedelta:
@@ -89,6 +92,8 @@
         self.jobs_by_id: dict[str, runs.JobState] = {}
         self.workers_by_id: dict[str, runs.Worker] = {}
         self.durations: estimates.RunTimes = estimates.Durations()
+        if parameters.learns_run_times:
+            self.durations = learned.LearnedRunTimes(self._kind_of)
         self.open_gangs: set[runs.StepState] = set()  # lack refused members
         self._raised_tokens_by_worker: dict[str, int] = {}
         # No longer tracked; orders for them may still be carried out.
@@ -198,6 +203,18 @@
         run.step.runs_by_index[index] = run
         self.workers_by_id[run.worker_id].runs_by_task[run.name] = run
 
+    def _kind_of(self, worker_id: str) -> speeds.WorkerKind:
+        """Return what workers of like speed have in common."""
+        worker = self.workers_by_id.get(worker_id)
+        return speeds.kind_of(worker.listing if worker else None)
+
+    def observe_stopped(
+        self, run: runs.Run, ended_at: datetime.timedelta
+    ) -> None:
+        """Learn from a run at work that is stopped or lost."""
+        if run.phase is runs.Phase.AT_WORK:
+            self.durations.observe_stopped(run, ended_at - run.began_at)
+
     def detach(self, run: runs.Run) -> None:
         """Remove a run that has certainly ended or was never sent."""
         was_sent = run.phase is not runs.Phase.ASSIGNED
--- a/cardamomcroft/scheduling/estimates.py
+++ b/cardamomcroft/scheduling/estimates.py
@@ -59,6 +59,14 @@
     def observe_stopped(self, run: runs.Run, ran: datetime.timedelta) -> None:
         """Record that a run takes longer than it ran before its stop."""
 
+    def observe_run(self, run: runs.Run, actual: datetime.timedelta) -> None:
+        """Record an uninterrupted run that is done."""
+        self.observe(run.step.job.job, run.step.model, actual)
+
+    def is_slow(self, run: runs.Run, now: datetime.timedelta) -> bool | None:
+        """Return whether a run is slow; None to judge by upper estimates."""
+        return None
+
     def remaining_quantile(
         self, run: runs.Run, now: datetime.timedelta, quantile: float
     ) -> datetime.timedelta:
--- a/cardamomcroft/scheduling/holding.py
+++ b/cardamomcroft/scheduling/holding.py
@@ -11,6 +11,8 @@
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import runs
 
+# Most runs have ended by then; half of them take longer than the median.
+COMPLETION_QUANTILE = 0.75
 MAX_HELD_SHARE = 0.35  # of the workers; the others continue with small tasks
 MIN_LARGE_SHARE = 0.25  # of a worker; smaller tasks fit what becomes free
 HOLD_HORIZON = datetime.timedelta(seconds=5)  # holding longer wastes too much
@@ -98,7 +100,10 @@
     """Return when each run is expected to end and what it frees."""
     return sorted(
         (
-            (durations.remaining(run, now), placing.demand_of(run.step.model))
+            (
+                durations.remaining_quantile(run, now, COMPLETION_QUANTILE),
+                placing.demand_of(run.step.model),
+            )
             for run in worker.runs_by_task.values()
             if not run.step.model.is_lasting
         ),
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -266,8 +266,9 @@
             run.stop_reason = reason
             self._cluster.detach(run)
             return
-        run.phase = runs.Phase.STOPPING
         run.stop_reason = reason
+        self._cluster.observe_stopped(run, self._clock.monotonic())
+        run.phase = runs.Phase.STOPPING
         run.absence_valid_from = None
         self._cluster.spawn(self._stop(run))
 
--- a/cardamomcroft/scheduling/queue_waits.py
+++ b/cardamomcroft/scheduling/queue_waits.py
@@ -133,17 +133,22 @@
     return max((need / have for need, have in pairs if have), default=0.0)
 
 
-def retry_after_s(job: models.Job, wait: datetime.timedelta) -> int | None:
+def retry_after_s(
+    job: models.Job,
+    wait: datetime.timedelta,
+    durations: estimates.RunTimes | None = None,
+) -> int | None:
     """Return when a job should be submitted again; None to accept it now.
 
     A job is refused only if it could not end by its final deadline. It should
-    return when the backlog is short enough for that.
+    return when the backlog is short enough for that. Without ``durations``
+    the declared times count.
     """
     if job.is_lasting or job.timetable:
         return None
-    declared = estimates.Durations()
-    final_deadline = declared.objective(job) * ordering.FINAL_DEADLINE_FACTOR
-    max_wait = final_deadline - declared.critical_path(job)
+    times = durations or estimates.Durations()
+    final_deadline = times.objective(job) * ordering.FINAL_DEADLINE_FACTOR
+    max_wait = final_deadline - times.critical_path(job)
     if wait <= max(max_wait, REFRESH_PERIOD):
         return None
     seconds = (wait - max_wait) / datetime.timedelta(seconds=1)
--- a/cardamomcroft/scheduling/restarts.py
+++ b/cardamomcroft/scheduling/restarts.py
@@ -153,6 +153,8 @@
                 worker_id=worker.worker_id,
                 reason=reason,
             )
+            if worker.heard_at is not None:
+                self._cluster.observe_stopped(run, worker.heard_at)
             self._cluster.detach(run)
             self.stop_gang_of(run, reason)
         if worker.has_assignment_record:
--- a/cardamomcroft/scheduling/stragglers.py
+++ b/cardamomcroft/scheduling/stragglers.py
@@ -21,6 +21,7 @@
 # A task that is slow on a second worker is long in itself. One that stalls on
 # several workers has met a fault of a rack or stalls by itself.
 MAX_SLOW_MOVES = 1
+STALLED = "stalled"  # reason of a stop
 MAX_STALL_MOVES = 3
 DRAIN_MARGIN = datetime.timedelta(milliseconds=300)
 
@@ -64,6 +65,9 @@
         return False
     if run.step.moves_by_index[run.key.index] >= MAX_SLOW_MOVES:
         return False
+    verdict = durations.is_slow(run, now)
+    if verdict is not None:
+        return verdict
     expected = durations.upper_estimate(run.step.job.job, run.step.model)
     if expected is None:
         return False
@@ -122,7 +126,7 @@
     if run.reported_at is None or run.reported_at == run.examined_report:
         return ""
     if has_stalled(run, now):
-        return "stalled"
+        return STALLED
     if is_slow(run, durations, now):
         return "slow"
     if not run.step.model.is_gang:
