Store learned run times and use them in refusals

The holder appends the kinds that changed by more than a tenth to keyed.runtimes, at most every 5 s; a successor reads them before its first decision if that takes 0.3 s at most, the other instances for their refusals. CARDAMOMCROFT_RUN_TIMES=declared switches learning off.

--- a/cardamomcroft/cli/main.py
+++ b/cardamomcroft/cli/main.py
@@ -4,6 +4,7 @@
 
 from cardamomcroft.cli import callers
 from cardamomcroft.cli import deployment
+from cardamomcroft.cli import estimates
 from cardamomcroft.cli import explain
 from cardamomcroft.cli import operators
 from cardamomcroft.cli import running
@@ -33,6 +34,7 @@
     callers.cancel,
     callers.request,
     explain.explain,
+    estimates.estimates,
 ):
     app.command(function)
 
--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -415,7 +415,8 @@
         if job.job_id in replica.ledger.cancelled_ids:
             return None  # it never begins, whenever its client comes back
         wait = replica.expected_wait(job.queue.name)
-        retry_after_s = queue_waits.retry_after_s(job, wait)
+        learned = self._node.run_times and self._node.run_times.times
+        retry_after_s = queue_waits.retry_after_s(job, wait, learned)
         if retry_after_s is None:
             return None
         await replica.refresh(REFRESH_TIMEOUT)
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -72,6 +72,10 @@
         self._plans_ahead = settings.plans_ahead(
             os.environ.get(platform_settings.PLANNING_VARIABLE, "")
         )
+        self._learns_run_times = platform_settings.learns_run_times(
+            self._plans_ahead,
+            os.environ.get(platform_settings.RUN_TIMES_VARIABLE, ""),
+        )
         self._peers: peer_view.PeerView | None = None
 
     async def run(self) -> None:
@@ -148,6 +152,7 @@
             0,
             settings.retention + RETENTION_MARGIN,
             self._plans_ahead,
+            self._learns_run_times,
         )
         node = nodes.Node(
             f"{settings.instance} {uuid.uuid4().hex[:8]}",
@@ -214,14 +219,17 @@
                 settings.metrics_address,
             ),
         ]
+        loops = [
+            ("configuration", view.run),
+            ("node", node.run),
+            ("peers", self._peers.run),
+            ("registrar", registrar.run),
+        ]
+        if node.run_times is not None:
+            loops.append(("run times", node.run_times.run))
         tasks = [
             asyncio.ensure_future(self.keep_running(name, run))
-            for name, run in (
-                ("configuration", view.run),
-                ("node", node.run),
-                ("peers", self._peers.run),
-                ("registrar", registrar.run),
-            )
+            for name, run in loops
         ]
         try:
             await self._wait_until_leaving(tasks)
--- a/cardamomcroft/platform/settings.py
+++ b/cardamomcroft/platform/settings.py
@@ -10,6 +10,7 @@
 METRICS_PORT = 9464  # as in the deploy file; usual for exporters
 PATH_VARIABLE = "CARDAMOMCROFT_CONFIG"
 PLANNING_VARIABLE = "CARDAMOMCROFT_PLANNING"
+RUN_TIMES_VARIABLE = "CARDAMOMCROFT_RUN_TIMES"
 # With the report of its end and the start that follows (0.3 s), a stop that
 # takes this long exceeds the 0.9 s for which urgent work can wait.
 MIN_SLOW_STOP = datetime.timedelta(milliseconds=600)
@@ -65,6 +66,15 @@
         )
 
 
+def learns_run_times(plans_ahead: bool, source: str = "") -> bool:
+    """Return whether run times are learned, by the source given."""
+    if source not in ("", "learned", "declared"):
+        raise SettingsError(
+            f"{RUN_TIMES_VARIABLE} must be learned or declared, not {source!r}"
+        )
+    return plans_ahead and source != "declared"
+
+
 def decode(data: dict, path: str) -> Settings:
     """Decode the settings; raise SettingsError if a field is invalid."""
     try:
--- a/cardamomcroft/platform/store.py
+++ b/cardamomcroft/platform/store.py
@@ -25,6 +25,7 @@
     store.Stream.SERVERS: "keyed.servers",
     store.Stream.OPERATOR: "keyed.op",
     store.Stream.INSTANCES: "keyed.instances",
+    store.Stream.RUNTIMES: "keyed.runtimes",
 }
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
--- a/cardamomcroft/ports/store.py
+++ b/cardamomcroft/ports/store.py
@@ -14,6 +14,7 @@
     SERVERS = "servers"
     OPERATOR = "operator"
     INSTANCES = "instances"
+    RUNTIMES = "runtimes"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -6,6 +6,8 @@
 
 # Buckets from one store call (6 ms) to the longest objective of a job.
 _BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1, 2, 4, 8, 16, 32, 64)
+# From an estimate eight times too long to one eight times too short.
+_RATIOS = (0.125, 0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4, 8)
 
 
 class Metrics:
@@ -100,6 +102,13 @@
             buckets=_BUCKETS_S,
             registry=registry,
         )
+        self.run_time_errors = prometheus_client.Histogram(
+            "cardamomcroft_run_time_error_ratio",
+            "Actual to expected run times",
+            ("queue",),
+            buckets=_RATIOS,
+            registry=registry,
+        )
         self.round_lateness = prometheus_client.Histogram(
             "cardamomcroft_round_late_seconds",
             "How much later than planned a scheduling round began",
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -9,6 +9,7 @@
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
@@ -57,6 +58,10 @@
         self._candidate = candidates.Candidate(
             holder, target, self.replica, clock, log, rng, rank
         )
+        # The instance's copy of what the scheduler has learned.
+        self.run_times: run_time_stream.View | None = None
+        if parameters.learns_run_times:
+            self.run_times = run_time_stream.View(target, clock, log)
         self.scheduler: schedulers.Scheduler | None = None
         self._scheduler_task: asyncio.Task | None = None
         self._used_epochs: set[int] = set()
@@ -127,6 +132,14 @@
             self._guarantees,
             self._candidate.inherited_leases(parameters),
         )
+        if self.run_times is not None:
+            self.scheduler.learning = run_time_stream.Learning(
+                self._store,
+                self._clock,
+                self._log,
+                self.scheduler.cluster,
+                self.run_times,
+            )
         self._scheduler_task = asyncio.ensure_future(self._run_scheduler())
 
     async def _run_scheduler(self) -> None:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
+from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import ending
@@ -87,6 +88,7 @@
         self._forecast = queue_waits.Forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._ending = ending.Ending(self.cluster, self._orders, replica)
+        self.learning: run_time_stream.Learning | None = None
 
     async def run(self) -> None:
         """Run scheduling rounds until the claim is lost."""
@@ -95,6 +97,9 @@
         self._directory.on_change = cluster.wake
         try:
             cluster.spawn(self.journal.run())
+            if self.learning is not None:
+                await self.learning.begin()
+                cluster.spawn(self.learning.run())
             await self._take_over()
             cluster.spawn(self._directory.run())
             while not self.journal.is_claim_lost:
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -14,6 +14,7 @@
 from cardamomcroft.ports import store
 from cardamomcroft.relaying import base
 from cardamomcroft.relaying import forwarder as forwarders
+from cardamomcroft.runtimes import learned
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import configuration
 from cardamomcroft.scheduling import events
@@ -91,10 +92,11 @@
         self.is_store_silent = False
         self.age = harness.seconds(0)
         self.failing_refresh_delay = None
+        self.wait = harness.seconds(0)
 
     def expected_wait(self, queue):
-        """Return no wait."""
-        return harness.seconds(0)
+        """Return the forecast."""
+        return self.wait
 
     async def refresh(self, timeout):
         """Return whether the copy is current."""
@@ -114,6 +116,7 @@
         self.clock = clocks.FakeClock()
         self.replica = FakeReplica(self.clock)
         self.memory_for_jobs: int | None = None
+        self.run_times = None
 
     def make(self, target, forwarder: base.Forwarder) -> ingress.Ingress:
         """Return an ingress with a public route."""
@@ -126,7 +129,9 @@
             require=lambda version: None,
         )
         log = events.Events(self.clock, "me", metrics.Metrics(), self.sink)
-        node = types.SimpleNamespace(replica=self.replica)
+        node = types.SimpleNamespace(
+            replica=self.replica, run_times=self.run_times
+        )
         return ingress.Ingress(
             node,
             target,
@@ -241,6 +246,36 @@
         self.assertGreaterEqual(forwarder.calls[0].timeout, hasty)
 
 
+class LateTest(IngressTestCase):
+    """A job declares 2 s and waits 25 s; its kind takes 8 s."""
+
+    BODY = b'{"Spec":"x","Phases":[{"Count":1,"Cpu":1,"EstimateMs":2000}]}'
+
+    async def submit(self) -> base.Reply:
+        """Submit the job to a store that refuses it."""
+        self.replica.wait = harness.seconds(25)
+        target = self.make(RefusingStore(), base.NoForwarder())
+        return await self.call(target, "POST", body=self.BODY)
+
+    async def test_declared_times_decide_without_learned_ones(self):
+        """The final deadline is three times 7 s, the slack 19 s."""
+        reply = await self.submit()
+        self.assertIn(b"wait of 25 s is too long", reply.body)
+        self.assertEqual(reply.retry_after_s, 7)
+
+    async def test_learned_times_decide_where_they_are_known(self):
+        """Its objective is 25 s, so that it would end in time."""
+        times = learned.LearnedRunTimes()
+        self.run_times = types.SimpleNamespace(times=times)
+        job = submissions.decode(
+            "a" * 16, ROUTE.queue, "", self.BODY, self.clock.now()
+        )
+        for _ in range(40):
+            times.observe(job, job.steps[0], harness.seconds(8))
+        reply = await self.submit()
+        self.assertNotIn(b"too long", reply.body)
+
+
 class MemoryTest(IngressTestCase):
     """The smallest instance has memory for the jobs of a ledger."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -93,3 +93,25 @@
         self.assertEqual(
             settings.evacuation_bound, datetime.timedelta(seconds=4)
         )
+
+
+class RunTimesTest(unittest.TestCase):
+    """Run times are learned where planning is ahead, unless switched off."""
+
+    def test_reactive_planning_learns_nothing(self):
+        """Deployments whose workers stop runs fast are served as before."""
+        for source in ("", "learned", "declared"):
+            found = platform_settings.learns_run_times(False, source)
+            self.assertFalse(found)
+
+    def test_declared_times_can_be_chosen(self):
+        """An operator may do without the records."""
+        learns = platform_settings.learns_run_times
+        self.assertTrue(learns(True))
+        self.assertTrue(learns(True, "learned"))
+        self.assertFalse(learns(True, "declared"))
+
+    def test_unknown_source_is_refused(self):
+        """A mistyped value must not choose one silently."""
+        with self.assertRaises(platform_settings.SettingsError):
+            platform_settings.learns_run_times(True, "Declared")
