--- a/cardamomcroft/runtimes/histogram.py
+++ b/cardamomcroft/runtimes/histogram.py
@@ -248,13 +248,38 @@
     return tuple((bucket, share / total) for bucket, share in positive)
 
 
+def mixed(
+    left: Distribution,
+    left_weight: float,
+    right: Distribution,
+    right_weight: float,
+) -> Distribution:
+    """Return the mixture of two distributions."""
+    shares = add_weights(
+        tuple((b, s * left_weight) for b, s in left.shares),
+        tuple((b, s * right_weight) for b, s in right.shares),
+    )
+    return Distribution(_normalised(shares))
+
+
+def shifted(ratios: Distribution, base_s: float) -> Distribution:
+    """Return the distribution of a base times these ratios."""
+    at = position_of(base_s)
+    whole = math.floor(at)
+    part = at - whole
+    shares: Weights = ()
+    for step, factor in ((0, 1 - part), (1, part)):
+        moved = ((b + whole + step, s * factor) for b, s in ratios.shares)
+        shares = add_weights(shares, tuple(moved))
+    return Distribution(_normalised(shares))
+
+
 def reweighed(
-    known: Distribution, likelihood: collections.abc.Callable[[float], float]
+    known: Distribution, likelihood: collections.abc.Callable[[int], float]
 ) -> Distribution:
     """Return the distribution given evidence with this likelihood."""
     shares = [
-        (bucket, share * likelihood(bucket + 0.5))
-        for bucket, share in known.shares
+        (bucket, share * likelihood(bucket)) for bucket, share in known.shares
     ]
     if sum(share for _, share in shares) <= 0:
         return known
--- a/cardamomcroft/runtimes/kinds.py
+++ b/cardamomcroft/runtimes/kinds.py
@@ -4,8 +4,8 @@
 the declared time.
 """
 
+import collections
 import dataclasses
-import math
 
 import immutables
 
@@ -25,12 +25,11 @@
 # A single wrong unit or an end at once must not make all of an account's
 # declared times look useless.
 MAX_DECLARED_RATIO = 30.0
-MIN_DECLARED_SPREAD = 0.1  # finer than a bucket shows
 _DECLARED_WEIGHT = 3.0  # runs that this assumption counts for
 # Share of the runs about which a declared time says nothing, as those that
-# take seven times as long; spread over six units of the logarithm.
+# take seven times as long; spread over as many buckets as a factor of 400.
 _MISLEADING_SHARE = 0.05
-_MISLEADING_DENSITY = _MISLEADING_SHARE / 6
+_MISLEADING_PART = _MISLEADING_SHARE / 35
 
 Key = tuple[str, ...]
 LEAF, IMAGE, SHAPE, QUEUE, DECLARED = "leaf", "image", "shape", "queue", "decl"
@@ -110,24 +109,32 @@
     ) -> tuple[histogram.Weights, histogram.Weights]:
         """Return the evidence for an account's estimate.
 
-        That of any other account counts for at most half.
+        That of any other account counts for at most half of what the rest
+        share.
         """
-        total = self.weight
-        done: histogram.Weights = ()
-        bounds: histogram.Weights = ()
+        weights = {a: known.weight for a, known in self.by_account.items()}
+        total = sum(weights.values())
+        done: dict[int, float] = collections.defaultdict(float)
+        bounds: dict[int, float] = collections.defaultdict(float)
         for account, known in self.by_account.items():
-            weight = known.weight
-            limit = PARENT_WEIGHT + total - weight
+            limit = (PARENT_WEIGHT + total - weights[account]) / 2
             factor = 1.0
-            if account != reader and weight > limit:
-                factor = limit / weight
-            done = histogram.add_weights(
-                done, histogram.scale(known.done, factor)
-            )
-            bounds = histogram.add_weights(
-                bounds, histogram.scale(known.bounds, factor)
-            )
-        return done, bounds
+            if account != reader and weights[account] > limit:
+                factor = limit / weights[account]
+            for bucket, weight in known.done:
+                done[bucket] += weight * factor
+            for bucket, weight in known.bounds:
+                bounds[bucket] += weight * factor
+        return tuple(sorted(done.items())), tuple(sorted(bounds.items()))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Learned:
+    """What the kinds of a run tell, without its declared time."""
+
+    times: histogram.Distribution
+    finished: float  # weight of the finished runs behind it
+    weight: float  # of all runs behind it
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,14 +179,14 @@
 
     def estimate(self, subject: Subject) -> histogram.Distribution | None:
         """Return the run time's distribution; None if nothing is known."""
-        bias, spread = self._declared_error(subject)
+        return given_declared(
+            self.learned(subject), self.declared_ratios(subject), subject
+        )
+
+    def learned(self, subject: Subject) -> Learned | None:
+        """Return what the kinds tell, whatever is declared."""
         known: histogram.Distribution | None = None
-        if subject.declared_s > 0:
-            centre_s = subject.declared_s * bias
-            known = histogram.Distribution(
-                histogram.log_normal(centre_s, spread)
-            )
-        finished = 0.0
+        finished = weight = 0.0
         wider = None
         for key in reversed(subject.keys()):
             kind = self.by_key.get(key)
@@ -189,28 +196,23 @@
             if evidence == wider:
                 continue  # the same runs must not count twice
             wider = evidence
-            finished = max(finished, sum(weight for _, weight in done))
+            part = sum(each for _, each in done)
+            finished = max(finished, part)
+            weight = max(weight, part + sum(each for _, each in bounds))
             if known is not None:
                 prior = tuple((b, s * PARENT_WEIGHT) for b, s in known.shares)
                 done = histogram.add_weights(done, prior)
             known = histogram.distribution(done, bounds) or known
-        if known is None or not finished or subject.declared_s <= 0:
-            return known
-        # Before runs have finished, what is known is the declared time.
-        trust = finished / (finished + PARENT_WEIGHT)
-        return _given_declared(known, subject.declared_s * bias, spread, trust)
-
-    def _declared_error(self, subject: Subject) -> tuple[float, float]:
-        """Return the median and spread of actual to declared times."""
+        return Learned(known, finished, weight) if known else None
+
+    def declared_ratios(self, subject: Subject) -> histogram.Distribution:
+        """Return the distribution of actual to declared times."""
         known = self._evidence(subject.declared_key, subject.account)
         prior = histogram.log_normal(1.0, DECLARED_SPREAD)
         scaled = tuple((b, s * _DECLARED_WEIGHT) for b, s in prior)
-        found = histogram.distribution(
+        return histogram.distribution(
             histogram.add_weights(known.done, scaled), known.bounds
         )
-        low, middle, high = map(found.quantile_s, (0.16, 0.5, 0.84))
-        spread = math.log(high / low) / 2
-        return middle, max(spread, MIN_DECLARED_SPREAD)
 
     def _evidence(self, key: Key, account: str) -> histogram.Histogram:
         kind = self.by_key.get(key)
@@ -263,20 +265,27 @@
     return Kinds(by_key, kinds.count)
 
 
-def _given_declared(
-    known: histogram.Distribution,
-    centre_s: float,
-    spread: float,
-    trust: float,
-) -> histogram.Distribution:
-    """Return what is known given the declared time, unless it misleads."""
-    centre = histogram.position_of(centre_s)
-    unit = math.log(2) / histogram.BUCKETS_PER_OCTAVE
-    peak = (1 - _MISLEADING_SHARE) / (spread * math.sqrt(2 * math.pi))
-
-    def likelihood(position: float) -> float:
-        deviations = (position - centre) * unit / spread
-        density = peak * math.exp(-(deviations**2) / 2) + _MISLEADING_DENSITY
-        return density**trust
-
-    return histogram.reweighed(known, likelihood)
+def given_declared(
+    known: Learned | None,
+    ratios: histogram.Distribution,
+    subject: Subject,
+) -> histogram.Distribution | None:
+    """Return the distribution of a run's time, also by its declared time.
+
+    The declared time counts for a few runs, and shows which of the times
+    known are likely; of some it says nothing.
+    """
+    if subject.declared_s <= 0:
+        return known.times if known else None
+    declared = histogram.shifted(ratios, subject.declared_s)
+    if known is None:
+        return declared
+    trust = known.finished / (known.finished + PARENT_WEIGHT)
+    shares = dict(declared.shares)
+
+    def likelihood(bucket: int) -> float:
+        share = (1 - _MISLEADING_SHARE) * shares.get(bucket, 0.0)
+        return (share + _MISLEADING_PART) ** trust
+
+    likely = histogram.reweighed(known.times, likelihood)
+    return histogram.mixed(declared, PARENT_WEIGHT, likely, known.weight)
--- a/cardamomcroft/runtimes/learned.py
+++ b/cardamomcroft/runtimes/learned.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 import statistics
+import typing
 
 from cardamomcroft.runtimes import accuracy
 from cardamomcroft.runtimes import histogram
@@ -28,7 +29,7 @@
 # Tasks of a step differ by up to 30%, workers by a factor of 1.6 (0.8 to 1.3).
 MIN_PEER_RATIO = 2.0
 # Estimates are kept until a kind has got this share of new evidence.
-MIN_NEW_SHARE = 0.05
+MIN_NEW_SHARE = 0.1
 MAX_CACHED = 4_096  # about 4 MB
 # Steps whose run times are collected until the last task has ended.
 MAX_OPEN_STEPS = 64
@@ -60,7 +61,7 @@
         self._new_weights: collections.Counter[kinds.Key] = (
             collections.Counter()
         )
-        self._cache: dict[kinds.Subject, tuple] = {}
+        self._cache: dict[collections.abc.Hashable, tuple] = {}
         self._times_by_step: dict[runs.StepState, list[tuple[str, float]]] = {}
 
     @property
@@ -178,29 +179,54 @@
             subject = dataclasses.replace(
                 subject, declared_s=histogram.seconds_at(rounded)
             )
-        keys = (*subject.keys(), subject.declared_key)
+        keys = subject.keys()
+        named = dataclasses.replace(subject, declared_s=0.0)
+        known = self._cached(
+            ("learned", named), keys, lambda: self._known.learned(named)
+        )
+        ratios = self._cached(
+            subject.declared_key,
+            (subject.declared_key,),
+            lambda: self._known.declared_ratios(subject),
+        )
+        return self._cached(
+            subject,
+            (*keys, subject.declared_key),
+            lambda: kinds.given_declared(known, ratios, subject),
+        )
+
+    def _cached(
+        self,
+        name: collections.abc.Hashable,
+        keys: tuple[kinds.Key, ...],
+        compute: collections.abc.Callable[[], typing.Any],
+    ) -> typing.Any:
+        """Return what was computed from the same evidence."""
         revisions = tuple(self._revisions[key] for key in keys)
-        cached = self._cache.get(subject)
+        cached = self._cache.get(name)
         if cached is not None and cached[0] == revisions:
             return cached[1]
+        found = compute()
         if len(self._cache) >= MAX_CACHED:
             self._cache.clear()
-        found = self._known.estimate(subject)
-        self._cache[subject] = revisions, found
+        self._cache[name] = revisions, found
         return found
 
     def evidence(self, job: models.Job, step: models.Step) -> float:
         """Return how many recent steps of its queue are known."""
-        kind = self._known.by_key.get(kinds.subject_of(job, step).keys()[-1])
-        return kind.weight if kind else 0.0
+        key = (kinds.QUEUE, job.queue.name)
+        kind = self._known.by_key.get(key)
+        if kind is None:
+            return 0.0
+        return self._cached(key, (key,), lambda: kind.weight)
 
     def quantile(
         self, job: models.Job, step: models.Step, quantile: float
     ) -> datetime.timedelta:
         """Return the time within which this share of the runs ends."""
-        found = self._distribution(job, step)
-        if found is None or not self.evidence(job, step):
+        if not self.evidence(job, step):
             return step.estimate
+        found = self._distribution(job, step)
         return found.quantile_s(quantile) * _SECOND
 
     def expected(
@@ -245,9 +271,9 @@
         """Return what others that ran as long took beyond that."""
         job, step = run.step.job.job, run.step.model
         ran = max(now - run.began_at, _ZERO)
-        found = self._distribution(job, step)
-        if found is None or not self.evidence(job, step):
+        if not self.evidence(job, step):
             return max(step.estimate - ran, _ZERO)
+        found = self._distribution(job, step)
         ran_s = ran.total_seconds()
         total_s = found.quantile_after_s(quantile, ran_s)
         return max(total_s - ran_s, 0) * _SECOND
