--- a/cardamomcroft/runtimes/histogram.py
+++ b/cardamomcroft/runtimes/histogram.py
@@ -5,8 +5,10 @@
 out would favour short runs, which are stopped less often.
 """
 
+import bisect
 import collections.abc
 import dataclasses
+import functools
 import itertools
 import math
 
@@ -21,6 +23,7 @@
 MIN_WEIGHT = 0.01  # of a bucket; lighter ones are dropped
 # Of the longest lower bound: where the mass beyond all known ends is put.
 _TAIL_BUCKETS = 2
+_MIN_SHARE = 1e-9  # below this, sums differ by rounding only
 
 Weights = tuple[tuple[int, float], ...]  # buckets, ascending, and weights
 
@@ -157,12 +160,17 @@
     return add_weights(weights, ((bucket, weight),))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Distribution:
     """Probabilities by bucket, ascending; they add up to 1."""
 
     shares: Weights
 
+    @functools.cached_property
+    def _cumulative(self) -> list[float]:
+        """Return the share of the runs that end in or before each bucket."""
+        return list(itertools.accumulate(share for _, share in self.shares))
+
     def quantile_s(self, quantile: float) -> float:
         """Return the duration that this share of the runs stays below."""
         return self.quantile_after_s(quantile, 0.0)
@@ -174,25 +182,19 @@
         bucket spans.
         """
         at = position_of(ran_s) if ran_s > 0 else -math.inf
-        left = [
-            (max(float(bucket), at), bucket + 1, share * _part(bucket, at))
-            for bucket, share in self.shares
-            if bucket + 1 > at
-        ]
-        total = sum(share for _, _, share in left)
-        if total <= 0:
+        totals = self._cumulative
+        below = 0.0
+        if at > self.shares[0][0]:
+            first = bisect.bisect_right(self.shares, (at, math.inf)) - 1
+            bucket, share = self.shares[first]
+            below = totals[first] - share + share * min(at - bucket, 1.0)
+        if totals[-1] - below <= _MIN_SHARE:
             return seconds_at(at + 1)
-        wanted = quantile * total
-        for low, high, share in left:
-            if share >= wanted and share > 0:
-                return seconds_at(low + (high - low) * wanted / share)
-            wanted -= share
-        return seconds_at(left[-1][1])
-
-
-def _part(bucket: int, at: float) -> float:
-    """Return which part of a bucket lies above a place."""
-    return min(bucket + 1 - at, 1.0)
+        wanted = below + quantile * (totals[-1] - below)
+        found = min(bisect.bisect_left(totals, wanted), len(totals) - 1)
+        bucket, share = self.shares[found]
+        part = (wanted - totals[found] + share) / share
+        return seconds_at(max(bucket + min(max(part, 0.0), 1.0), at))
 
 
 def distribution(done: Weights, bounds: Weights) -> Distribution | None:
@@ -213,7 +215,7 @@
             shares.append((bucket, share))
             survival -= share
         at_risk -= weight + stopped.get(bucket, 0.0)
-    if survival > 1e-9 and bounds:
+    if survival > _MIN_SHARE and bounds:
         tail = max(bounds[-1][0], *(b for b, _ in done), bounds[-1][0])
         shares.append((tail + _TAIL_BUCKETS, survival))
     return Distribution(_normalised(shares))
--- a/cardamomcroft/runtimes/learned.py
+++ b/cardamomcroft/runtimes/learned.py
@@ -5,15 +5,12 @@
 slow worker.
 """
 
-import collections
 import collections.abc
-import dataclasses
 import datetime
 import statistics
-import typing
 
 from cardamomcroft.runtimes import accuracy
-from cardamomcroft.runtimes import histogram
+from cardamomcroft.runtimes import cached
 from cardamomcroft.runtimes import kinds
 from cardamomcroft.runtimes import sources
 from cardamomcroft.runtimes import speeds
@@ -28,14 +25,10 @@
 MIN_SLOW_EVIDENCE = 2.0
 # Tasks of a step differ by up to 30%, workers by a factor of 1.6 (0.8 to 1.3).
 MIN_PEER_RATIO = 2.0
-# Estimates are kept until a kind has got this share of new evidence.
-MIN_NEW_SHARE = 0.1
-MAX_CACHED = 4_096  # about 4 MB
 # Steps whose run times are collected until the last task has ended.
 MAX_OPEN_STEPS = 64
 MAX_STEP_TIMES = 512  # enough for a median
 _RATE_ERROR = 0.05  # of a run's rate, beside the rounding of percentages
-_DECLARED_PARTS = 8  # of a bucket, in which declared times are told apart
 _MIN_S = 0.001
 _SECOND = datetime.timedelta(seconds=1)
 _ZERO = datetime.timedelta()
@@ -53,27 +46,21 @@
     def __init__(self, kind_of: KindOf = _no_kind) -> None:
         """Start without evidence; ``kind_of`` returns a worker's kind."""
         self._kind_of = kind_of
-        self._known = kinds.Kinds()
+        self._cache = cached.Cache()
         self.speeds = speeds.Speeds()
         self._sources = sources.Sources()
         self.accuracy = accuracy.Accuracy()
-        self._revisions: collections.Counter[kinds.Key] = collections.Counter()
-        self._new_weights: collections.Counter[kinds.Key] = (
-            collections.Counter()
-        )
-        self._cache: dict[collections.abc.Hashable, tuple] = {}
         self._times_by_step: dict[runs.StepState, list[tuple[str, float]]] = {}
 
     @property
     def known(self) -> kinds.Kinds:
         """Return all evidence."""
-        return self._known
+        return self._cache.known
 
     @known.setter
     def known(self, replacement: kinds.Kinds) -> None:
         """Replace all evidence."""
-        self._known = replacement
-        self._cache.clear()
+        self._cache.replace(replacement)
 
     def observe(
         self, job: models.Job, step: models.Step, actual: datetime.timedelta
@@ -109,8 +96,8 @@
         actual_s = max(actual.total_seconds(), _MIN_S)
         expected_s = max(self.expected(job, step).total_seconds(), _MIN_S)
         self.accuracy.record(subject, actual_s, expected_s)
-        self._known = self._known.observe(subject, actual_s, weight)
-        self._age_cache(subject, weight)
+        known = self.known.observe(subject, actual_s, weight)
+        self._cache.update(known, subject, weight)
 
     def observe_stopped(self, run: runs.Run, ran: datetime.timedelta) -> None:
         """Record that a run takes longer than it ran before its stop.
@@ -136,22 +123,8 @@
         if weight:
             subject = kinds.subject_of(run.step.job.job, step)
             ran_s = ran.total_seconds()
-            self._known = self._known.observe_stopped(subject, ran_s, weight)
-            self._age_cache(subject, weight)
-
-    def _age_cache(self, subject: kinds.Subject, weight: float) -> None:
-        """Count new evidence; estimates based on it are made again."""
-        for key in (*subject.keys(), subject.declared_key):
-            self._new_weights[key] += weight
-            kind = self._known.by_key.get(key)
-            known = kind.weight if kind else 0.0
-            if self._new_weights[key] >= known * MIN_NEW_SHARE:
-                self._revisions[key] += 1
-                self._new_weights[key] = 0.0
-        if len(self._revisions) > 4 * kinds.MAX_KINDS:
-            self._revisions.clear()
-            self._new_weights.clear()
-            self._cache.clear()
+            known = self.known.observe_stopped(subject, ran_s, weight)
+            self._cache.update(known, subject, weight)
 
     def _compare_workers(self, run: runs.Run, actual_s: float) -> None:
         """Collect the run times of a step; compare them when it is done."""
@@ -169,56 +142,9 @@
             return
         self.speeds = self.speeds.observe(times, self._kind_of)
 
-    def _distribution(
-        self, job: models.Job, step: models.Step
-    ) -> histogram.Distribution | None:
-        subject = kinds.subject_of(job, step)
-        if subject.declared_s > 0:
-            place = histogram.position_of(subject.declared_s)
-            rounded = round(place * _DECLARED_PARTS) / _DECLARED_PARTS
-            subject = dataclasses.replace(
-                subject, declared_s=histogram.seconds_at(rounded)
-            )
-        keys = subject.keys()
-        named = dataclasses.replace(subject, declared_s=0.0)
-        known = self._cached(
-            ("learned", named), keys, lambda: self._known.learned(named)
-        )
-        ratios = self._cached(
-            subject.declared_key,
-            (subject.declared_key,),
-            lambda: self._known.declared_ratios(subject),
-        )
-        return self._cached(
-            subject,
-            (*keys, subject.declared_key),
-            lambda: kinds.given_declared(known, ratios, subject),
-        )
-
-    def _cached(
-        self,
-        name: collections.abc.Hashable,
-        keys: tuple[kinds.Key, ...],
-        compute: collections.abc.Callable[[], typing.Any],
-    ) -> typing.Any:
-        """Return what was computed from the same evidence."""
-        revisions = tuple(self._revisions[key] for key in keys)
-        cached = self._cache.get(name)
-        if cached is not None and cached[0] == revisions:
-            return cached[1]
-        found = compute()
-        if len(self._cache) >= MAX_CACHED:
-            self._cache.clear()
-        self._cache[name] = revisions, found
-        return found
-
     def evidence(self, job: models.Job, step: models.Step) -> float:
         """Return how many recent steps of its queue are known."""
-        key = (kinds.QUEUE, job.queue.name)
-        kind = self._known.by_key.get(key)
-        if kind is None:
-            return 0.0
-        return self._cached(key, (key,), lambda: kind.weight)
+        return self._cache.weight((kinds.QUEUE, job.queue.name))
 
     def quantile(
         self, job: models.Job, step: models.Step, quantile: float
@@ -226,7 +152,7 @@
         """Return the time within which this share of the runs ends."""
         if not self.evidence(job, step):
             return step.estimate
-        found = self._distribution(job, step)
+        found = self._cache.distribution(job, step)
         return found.quantile_s(quantile) * _SECOND
 
     def expected(
@@ -273,7 +199,7 @@
         ran = max(now - run.began_at, _ZERO)
         if not self.evidence(job, step):
             return max(step.estimate - ran, _ZERO)
-        found = self._distribution(job, step)
+        found = self._cache.distribution(job, step)
         ran_s = ran.total_seconds()
         total_s = found.quantile_after_s(quantile, ran_s)
         return max(total_s - ran_s, 0) * _SECOND
