--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -24,6 +24,7 @@
 from cardamomcroft.relaying import peer_view
 from cardamomcroft.relaying import registrar as registrars
 from cardamomcroft.relaying import rpc as relay_rpc
+from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
@@ -77,6 +78,7 @@
             os.environ.get(platform_settings.RUN_TIMES_VARIABLE, ""),
         )
         self._peers: peer_view.PeerView | None = None
+        self.run_times: run_time_stream.View | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -225,6 +227,7 @@
             ("peers", self._peers.run),
             ("registrar", registrar.run),
         ]
+        self.run_times = node.run_times
         if node.run_times is not None:
             loops.append(("run times", node.run_times.run))
         tasks = [
--- a/cardamomcroft/runtimes/kinds.py
+++ b/cardamomcroft/runtimes/kinds.py
@@ -33,7 +33,6 @@
 
 Key = tuple[str, ...]
 LEAF, IMAGE, SHAPE, QUEUE, DECLARED = "leaf", "image", "shape", "queue", "decl"
-LEVELS = frozenset({LEAF, IMAGE, SHAPE, QUEUE, DECLARED})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
