--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -211,9 +211,34 @@
     def observe_stopped(
         self, run: runs.Run, ended_at: datetime.timedelta
     ) -> None:
-        """Learn from a run at work that is stopped or lost."""
-        if run.phase is runs.Phase.AT_WORK:
+        """Learn from a run at work that is stopped or lost.
+
+        An error in an estimate must not keep a run from being stopped.
+        """
+        if run.phase is not runs.Phase.AT_WORK:
+            return
+        try:
             self.durations.observe_stopped(run, ended_at - run.began_at)
+        except Exception as error:
+            self._report_unlearned(run, error)
+
+    def observe_run(self, run: runs.Run, actual: datetime.timedelta) -> None:
+        """Learn from an uninterrupted run that is done.
+
+        An error in a learned estimate must not keep its end from counting.
+        """
+        if not self.parameters.learns_run_times:
+            self.durations.observe_run(run, actual)
+            return
+        try:
+            self.durations.observe_run(run, actual)
+        except Exception as error:
+            self._report_unlearned(run, error)
+
+    def _report_unlearned(self, run: runs.Run, error: Exception) -> None:
+        self.failures.report(
+            "run_time_not_learned", run.key.job_id, repr(error)
+        )
 
     def detach(self, run: runs.Run) -> None:
         """Remove a run that has certainly ended or was never sent."""
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -530,7 +530,7 @@
             and not run.is_inherited
         ):
             actual = self._clock.monotonic() - run.began_at
-            self._cluster.durations.observe_run(run, actual)
+            self._cluster.observe_run(run, actual)
 
     def expire_leases(self) -> None:
         """Drop the runs of workers with expired leases that aren't heard."""
--- a/tests/runtimes/test_stream.py
+++ b/tests/runtimes/test_stream.py
@@ -279,3 +279,18 @@
         kind = times.known.by_key[kinds.QUEUE, "q1"]
         (known,) = kind.by_account.values()
         self.assertGreater(sum(w for _, w in known.bounds), 0.4)
+
+    async def test_error_in_an_estimate_holds_nothing_up(self):
+        """Runs end and are stopped though nothing can be learned."""
+
+        def fail(*arguments):
+            raise ZeroDivisionError
+
+        times = self.scheduler.cluster.durations
+        times.observe_run = times.observe_stopped = fail
+        await self.run_jobs(1)
+        job_id = self.submit(self.step)
+        await self.wait_until(lambda: len(self.fleet.running()) == 2)
+        self.cancel(job_id)
+        await self.wait_until(lambda: not self.fleet.running(), 2)
+        self.assertGreaterEqual(self.count_logged("run_time_not_learned"), 2)
