--- a/tests/platform/test_run_times.py
+++ b/tests/platform/test_run_times.py
@@ -14,11 +14,17 @@
 class LearningTestCase(unittest.IsolatedAsyncioTestCase):
     """Two instances and two workers on loopback; a run takes 0.3 s."""
 
-    variables: dict[str, str] = {}  # noqa: RUF012
+    source = ""  # of run times
 
     async def asyncSetUp(self):
         """Start everything with the variables of the environment."""
-        patch = mock.patch.dict(os.environ, self.variables)
+        patch = mock.patch.dict(
+            os.environ,
+            {
+                settings.PLANNING_VARIABLE: "ahead",
+                settings.RUN_TIMES_VARIABLE: self.source,
+            },
+        )
         patch.start()
         self.addCleanup(patch.stop)
         self.path = test_path.PathTest()
@@ -46,8 +52,6 @@
 class LearnedTest(LearningTestCase):
     """The instances plan ahead."""
 
-    variables = {settings.PLANNING_VARIABLE: "ahead"}  # noqa: RUF012
-
     async def test_records_are_written_and_read(self):
         """The stream's name on the wire has to be the platform's."""
         await self.run_jobs(4)
@@ -66,10 +70,7 @@
 class DeclaredTest(LearningTestCase):
     """Learning is switched off."""
 
-    variables = {  # noqa: RUF012
-        settings.PLANNING_VARIABLE: "ahead",
-        settings.RUN_TIMES_VARIABLE: "declared",
-    }
+    source = "declared"
 
     async def test_nothing_is_written_or_read(self):
         """No instance has a view of the records."""
