--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -24,6 +24,7 @@
 from cardamomcroft.relaying import peer_view
 from cardamomcroft.relaying import registrar as registrars
 from cardamomcroft.relaying import rpc as relay_rpc
+from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
@@ -72,7 +73,12 @@
         self._plans_ahead = settings.plans_ahead(
             os.environ.get(platform_settings.PLANNING_VARIABLE, "")
         )
+        self._learns_run_times = platform_settings.learns_run_times(
+            self._plans_ahead,
+            os.environ.get(platform_settings.RUN_TIMES_VARIABLE, ""),
+        )
         self._peers: peer_view.PeerView | None = None
+        self.run_times: run_time_stream.View | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -148,6 +154,7 @@
             0,
             settings.retention + RETENTION_MARGIN,
             self._plans_ahead,
+            self._learns_run_times,
         )
         node = nodes.Node(
             f"{settings.instance} {uuid.uuid4().hex[:8]}",
@@ -215,14 +222,18 @@
                 settings.metrics_address,
             ),
         ]
+        loops = [
+            ("configuration", view.run),
+            ("node", node.run),
+            ("peers", self._peers.run),
+            ("registrar", registrar.run),
+        ]
+        self.run_times = node.run_times
+        if node.run_times is not None:
+            loops.append(("run times", node.run_times.run))
         tasks = [
             asyncio.ensure_future(self.keep_running(name, run))
-            for name, run in (
-                ("configuration", view.run),
-                ("node", node.run),
-                ("peers", self._peers.run),
-                ("registrar", registrar.run),
-            )
+            for name, run in loops
         ]
         try:
             await self._wait_until_leaving(tasks)
