Start nothing in an evacuated data centre

ConfigurationView now passes its records to evacuation.Evacuations, is_usable and the sums of capacity leave the workers out, and OrderSender asks a gate before each start order and before the repetition of an unanswered one. A start that waited there is withdrawn if its worker has become unusable. Reservations and holds on evacuated workers are dropped in the next round.

The stand-in fleet has data centres and records the start orders it gets. The tests' start_node passes a gate, which is None unless a test overrides make_gate.

--- a/cardamomcroft/cli/explain.py
+++ b/cardamomcroft/cli/explain.py
@@ -19,6 +19,8 @@
         "append_answered",
         "append_unanswered",
         "configuration_in_force",
+        "evacuation_began",
+        "evacuation_ended",
         "handover_failed",
         "leaving",
         "round_crashed",
--- /dev/null
+++ b/cardamomcroft/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of data centres: no task starts on their workers."""
--- a/cardamomcroft/platform/configuration.py
+++ b/cardamomcroft/platform/configuration.py
@@ -7,6 +7,7 @@
 from cardamomcroft.scheduling import models
 
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 _MS = datetime.timedelta(milliseconds=1)
 
 
@@ -29,6 +30,19 @@
     )
 
 
+def decode_evacuation(key: str) -> str | None:
+    """Return the data centre that a key evacuates; None for other keys.
+
+    Raise ValueError if the key names no data centre.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    data_centre = key.removeprefix(EVACUATION_PREFIX)
+    if not data_centre.strip():
+        raise ValueError("key names no data centre")
+    return data_centre
+
+
 def decode(value: bytes) -> configuration.Configuration:
     """Decode a version; raise ValueError or KeyError if it is invalid."""
     data = json.loads(value)
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -13,6 +13,8 @@
 import aiohttp
 from aiohttp import web
 
+from cardamomcroft.evacuation import evacuations as evacuation_sets
+from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.platform import configuration
 from cardamomcroft.platform import connections
 from cardamomcroft.platform import ingress as ingresses
@@ -149,6 +151,18 @@
             settings.retention + RETENTION_MARGIN,
             self._plans_ahead,
         )
+        view = configuration_view.ConfigurationView(
+            store,
+            clock,
+            log,
+            configuration.decode,
+            configuration.CONFIG_KEY,
+            settings.config_bound,
+        )
+        evacuations = evacuation_sets.Evacuations(
+            configuration.decode_evacuation, log
+        )
+        view.on_records = evacuations.read
         node = nodes.Node(
             f"{settings.instance} {uuid.uuid4().hex[:8]}",
             store,
@@ -159,14 +173,9 @@
             parameters,
             random.Random(),
             candidates.Rank(settings.cores, self.known_peers),
-        )
-        view = configuration_view.ConfigurationView(
-            store,
-            clock,
-            log,
-            configuration.decode,
-            configuration.CONFIG_KEY,
-            settings.config_bound,
+            gates.Gate(
+                evacuations, lambda: view.age, settings.evacuation_bound
+            ),
         )
         view.on_change = lambda config: setattr(node, "configuration", config)
         self._peers = peer_view.PeerView(store, clock, log)
@@ -210,7 +219,7 @@
             await _listen(ingress.handle_ready, settings.ready_address),
             await _listen(ingress.handle, settings.ingress_address),
             await _listen(
-                lambda request: self._serve_metrics(node, view),
+                lambda request: self._serve_metrics(node, view, evacuations),
                 settings.metrics_address,
             ),
         ]
@@ -267,7 +276,10 @@
             await self._clock.sleep(LOOP_RESTART_PAUSE)
 
     async def _serve_metrics(
-        self, node: nodes.Node, view: configuration_view.ConfigurationView
+        self,
+        node: nodes.Node,
+        view: configuration_view.ConfigurationView,
+        evacuations: evacuation_sets.Evacuations,
     ) -> web.Response:
         for name, age in (
             ("jobs", node.replica.age),
@@ -283,6 +295,8 @@
                 self._metrics.jobs.labels(*labels).set(count)
             for reason, count in node.scheduler.count_standing().items():
                 self._metrics.standing.labels(reason).set(count)
+        evacuated = len(evacuations.offsets_by_data_centre)
+        self._metrics.evacuated.set(evacuated)
         self._metrics.unmatched.set(len(node.replica.ledger.unmatched))
         self._metrics.is_scheduler.set(node.scheduler is not None)
         return web.Response(body=self._metrics.render())
--- a/cardamomcroft/scheduling/capacity.py
+++ b/cardamomcroft/scheduling/capacity.py
@@ -16,13 +16,24 @@
     )
 
 
+def counted(
+    workers: collections.abc.Iterable[runs.Worker],
+) -> list[runs.Worker]:
+    """Return the workers whose capacity counts: listed, not evacuated."""
+    return [
+        worker
+        for worker in workers
+        if worker.listing is not None and not worker.is_evacuated
+    ]
+
+
 def use_of(
     workers: collections.abc.Iterable[runs.Worker], service: str
 ) -> tuple[models.Demand, models.Demand]:
     """Return what runs of a service use, and the capacity of its workers."""
     used = total = models.Demand()
-    for worker in workers:
-        if worker.listing is not None and worker.listing.service == service:
+    for worker in counted(workers):
+        if worker.listing.service == service:
             used = used.plus(worker.used())
             total = total.plus(capacity_of(worker.listing))
     return used, total
@@ -69,4 +80,5 @@
         and worker.has_inventory
         and worker.unreachable_since is None
         and worker.avoid_until <= now
+        and not worker.is_evacuated
     )
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -5,6 +5,7 @@
 import dataclasses
 import datetime
 
+from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import codec
@@ -79,6 +80,7 @@
         clock: base.Clock,
         log: events.Events,
         parameters: SchedulingParameters,
+        gate: gates.Gate,
     ) -> None:
         """Create a state without jobs and workers."""
         self.journal = journal
@@ -86,6 +88,7 @@
         self.log = log
         self.failures = failures.FailureLog(clock, log)
         self.parameters = parameters
+        self.gate = gate  # to pass before each start order
         self.jobs_by_id: dict[str, runs.JobState] = {}
         self.workers_by_id: dict[str, runs.Worker] = {}
         self.durations: estimates.RunTimes = estimates.Durations()
--- a/cardamomcroft/scheduling/configuration_view.py
+++ b/cardamomcroft/scheduling/configuration_view.py
@@ -17,6 +17,8 @@
 
 Decoder = collections.abc.Callable[[bytes], configuration.Configuration]
 Listener = collections.abc.Callable[[configuration.Configuration], None]
+# Takes records, and whether they are all that the stream has.
+Reader = collections.abc.Callable[[tuple[store.Record, ...], bool], None]
 
 
 class ConfigurationView:
@@ -46,6 +48,7 @@
         self.current: configuration.Configuration | None = None
         self.read_at: datetime.timedelta | None = None
         self.on_change: Listener = lambda config: None
+        self.on_records: Reader = lambda records, is_load: None
 
     @property
     def age(self) -> datetime.timedelta | None:
@@ -121,11 +124,12 @@
         if isinstance(page, store.ReadFailure):
             return False
         self._load = None
-        self._apply(page)
+        self._apply(page, is_load=True)
         self.read_at = self._load_began_at
         return True
 
-    def _apply(self, page: store.Page) -> None:
+    def _apply(self, page: store.Page, is_load: bool = False) -> None:
+        self.on_records(page.records, is_load)
         for record in page.records:
             if record.key == self._key and record.value:
                 self._apply_record(record)
--- a/cardamomcroft/scheduling/holding.py
+++ b/cardamomcroft/scheduling/holding.py
@@ -4,6 +4,7 @@
 free, and tasks that need most of a worker starve.
 """
 
+import collections.abc
 import datetime
 
 from cardamomcroft.scheduling import estimates
@@ -60,6 +61,12 @@
         """Release the workers held for a step."""
         self._by_step.pop(step, None)
 
+    def drop_workers(self, worker_ids: collections.abc.Set[str]) -> None:
+        """Drop the holds of workers that get no new tasks."""
+        for step, (held, _) in list(self._by_step.items()):
+            if not worker_ids.isdisjoint(held):
+                del self._by_step[step]
+
     def may_search(self) -> bool:
         """Count a search for workers; return whether it is allowed."""
         self._searches += 1
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -89,6 +89,11 @@
             ("reason",),
             registry=registry,
         )
+        self.evacuated = prometheus_client.Gauge(
+            "cardamomcroft_evacuated_data_centres",
+            "Data centres on whose workers nothing may start",
+            registry=registry,
+        )
         self.unmatched = prometheus_client.Gauge(
             "cardamomcroft_unmatched_cancellations",
             "Cancelled job ids without a stored submission",
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -5,6 +5,7 @@
 import datetime
 import random
 
+from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
@@ -44,14 +45,19 @@
         parameters: cluster_state.SchedulingParameters,
         rng: random.Random,
         rank: candidates.Rank,
+        gate: gates.Gate | None = None,
     ) -> None:
-        """Assemble the components; ``run`` starts them."""
+        """Assemble the components; ``run`` starts them.
+
+        Starts have to pass the gate, if one is given.
+        """
         self._store = target
         self._link = link
         self._clock = clock
         self._log = log
         self._decode_listing = decode_listing
         self._parameters = parameters
+        self._gate = gate or gates.Gate()
         self.replica = replicas.Replica(target, clock, log)
         self.replica.on_updates = self._apply_updates
         self._candidate = candidates.Candidate(
@@ -126,6 +132,7 @@
             parameters,
             self._guarantees,
             self._candidate.inherited_leases(parameters),
+            self._gate,
         )
         self._scheduler_task = asyncio.ensure_future(self._run_scheduler())
 
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -5,6 +5,7 @@
 import datetime
 
 from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import capacity as capacities
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import runs
 
@@ -21,6 +22,9 @@
 # The other members wait at least 3 s for a refused one (protocol), but keep
 # their capacity idle meanwhile.
 GANG_REFILL_TIMEOUT = datetime.timedelta(seconds=1)
+# Between two looks whether the operator's records have been read.
+VIEW_PAUSE = datetime.timedelta(milliseconds=50)
+EVACUATED = "data centre is evacuated"
 
 Contact = collections.abc.Callable[[runs.Worker], None]
 Status = fleet.OrderStatus
@@ -68,19 +72,21 @@
             if run.phase is not runs.Phase.ASSIGNED:
                 continue
             if worker.unreachable_since is not None:
-                self._withdraw(worker, run)
+                self._withdraw(worker, run, "worker does not answer")
                 continue
-            await self._start(worker, run)
-            self.on_contact(worker)
+            if await self._start(worker, run):
+                self.on_contact(worker)
 
-    def _withdraw(self, worker: runs.Worker, run: runs.Run) -> None:
-        """Let other workers run what a silent one was to start."""
+    def _withdraw(
+        self, worker: runs.Worker, run: runs.Run, reason: str
+    ) -> None:
+        """Let other workers run what a worker is not to start."""
         self._log.emit(
             "start_withdrawn",
             task=run.name,
             run=run.number,
             worker_id=worker.worker_id,
-            reason="worker does not answer",
+            reason=reason,
         )
         self._cluster.detach(run)
         # Or a successor would wait for the run.
@@ -88,19 +94,59 @@
         if run.step.model.is_gang:
             self._open_gang(worker, run)
 
-    async def _start(self, worker: runs.Worker, run: runs.Run) -> None:
+    async def _start(self, worker: runs.Worker, run: runs.Run) -> bool:
+        """Send a start; return False if it has been withdrawn instead."""
         if run.step.job.is_cancelled or run.step.job.final_state:
             self._cluster.detach(run)
-            return
-        # Earlier starts on this worker may have taken long to fail.
-        while not self._cluster.is_claim_confirmed:
-            if not await self._cluster.journal.commit(frozenset()):
-                return
-        if run.phase is not runs.Phase.ASSIGNED:
-            return
+            return True
+        has_waited = await self._await_permission(run)
+        if run.phase is not runs.Phase.ASSIGNED or has_waited is None:
+            return True
+        if reason := self._obstacle(worker, has_waited):
+            self._withdraw(worker, run, reason)
+            return False
         run.phase = runs.Phase.STARTING
         result = await self._order_start(worker, run)
         self._handle_start_result(worker, run, result)
+        return True
+
+    async def _await_permission(self, run: runs.Run) -> bool | None:
+        """Wait for the claim and the gate; None if the claim is lost.
+
+        Otherwise return whether the gate was closed.
+        """
+        has_waited = False
+        # Earlier starts on this worker may have taken long to fail.
+        while run.phase is runs.Phase.ASSIGNED:
+            if not self._cluster.is_claim_confirmed:
+                if not await self._cluster.journal.commit(frozenset()):
+                    return None
+            elif not self._cluster.gate.is_open:
+                has_waited = True
+                await self._pause_for_view(run)
+            else:
+                break
+        return has_waited
+
+    def _obstacle(self, worker: runs.Worker, has_waited: bool) -> str:
+        """Return why a planned start is not to be sent; empty if it is."""
+        if self._is_evacuated(worker):
+            return EVACUATED
+        # The gate may stay closed for long, while a worker begins to drain.
+        now = self._clock.monotonic()
+        if has_waited and not capacities.is_usable(worker, now):
+            return "worker gets no new tasks"
+        return ""
+
+    async def _pause_for_view(self, run: runs.Run) -> None:
+        run.awaits_view = True
+        try:
+            await self._clock.sleep(VIEW_PAUSE)
+        finally:
+            run.awaits_view = False
+
+    def _is_evacuated(self, worker: runs.Worker) -> bool:
+        return self._cluster.gate.is_evacuated(worker.data_centre)
 
     async def _order_start(
         self, worker: runs.Worker, run: runs.Run
@@ -123,6 +169,8 @@
                 result.status not in _SILENT
                 or run.phase is not runs.Phase.STARTING
                 or not self._cluster.is_claim_confirmed
+                or not self._cluster.gate.is_open
+                or self._is_evacuated(worker)
             ):
                 break
             may_have_run = result.status is Status.MAY_HAVE_RUN
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -338,8 +338,9 @@
             held = self._inputs.holds.worker_ids()
             total = sum(
                 worker.listing.accelerators
-                for worker in self._inputs.workers_by_id.values()
-                if worker.listing is not None
+                for worker in capacities.counted(
+                    self._inputs.workers_by_id.values()
+                )
             )
             free_workers = [
                 free_worker
@@ -428,11 +429,12 @@
         demand = step.model.demand
         if demand not in self._max_rack_tasks_by_demand:
             count_by_rack: collections.Counter[str] = collections.Counter()
-            for worker in self._inputs.workers_by_id.values():
-                if worker.listing is not None:
-                    capacity = capacities.capacity_of(worker.listing)
-                    count = placing.max_tasks(step.model, capacity)
-                    count_by_rack[worker.listing.rack] += count
+            for worker in capacities.counted(
+                self._inputs.workers_by_id.values()
+            ):
+                capacity = capacities.capacity_of(worker.listing)
+                count = placing.max_tasks(step.model, capacity)
+                count_by_rack[worker.listing.rack] += count
             self._max_rack_tasks_by_demand[demand] = max(
                 count_by_rack.values(), default=0
             )
--- a/cardamomcroft/scheduling/queue_waits.py
+++ b/cardamomcroft/scheduling/queue_waits.py
@@ -90,13 +90,12 @@
     workers: collections.abc.Iterable[runs.Worker],
 ) -> dict[str, models.Demand]:
     capacity_by_service: dict[str, models.Demand] = {}
-    for worker in workers:
-        if worker.listing is not None:
-            service = worker.listing.service
-            total = capacity_by_service.get(service, models.Demand())
-            capacity_by_service[service] = total.plus(
-                capacity.capacity_of(worker.listing)
-            )
+    for worker in capacity.counted(workers):
+        service = worker.listing.service
+        total = capacity_by_service.get(service, models.Demand())
+        capacity_by_service[service] = total.plus(
+            capacity.capacity_of(worker.listing)
+        )
     return capacity_by_service
 
 
--- a/cardamomcroft/scheduling/reservations.py
+++ b/cardamomcroft/scheduling/reservations.py
@@ -80,6 +80,19 @@
         """Drop a step's reservations; it is planned anew."""
         self._by_step.pop(step, None)
 
+    def drop_workers(self, worker_ids: collections.abc.Set[str]) -> None:
+        """Drop what is reserved on workers that get no new tasks.
+
+        A gang is planned anew as a whole, at once instead of after the
+        lifetime of its reservations.
+        """
+        for step, entries in list(self._by_step.items()):
+            left = [e for e in entries if e.worker_id not in worker_ids]
+            if not left or (step.model.is_gang and len(left) < len(entries)):
+                del self._by_step[step]
+            else:
+                self._by_step[step] = left
+
     def steps(self) -> list[runs.StepState]:
         """Return the steps that have reservations."""
         return list(self._by_step)
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -68,6 +68,7 @@
     pace: int = 100
     stop_reason: str = ""
     awaits_end: bool = False  # of an earlier run, before its start is sent
+    awaits_view: bool = False  # of the operator's records, likewise
 
     @property
     def phase(self) -> Phase:
@@ -302,7 +303,10 @@
         self.born_ms = born_ms
         self.listing: fleet.Listing | None = None
         self.listed_at = _ZERO
-        self._last_rack: str | None = None  # of a listing withdrawn
+        # Of a listing withdrawn.
+        self._last_rack: str | None = None
+        self._last_data_centre: str | None = None
+        self.is_evacuated = False  # its data centre, as of the last round
         self.runs_by_task: dict[str, Run] = {}
         # Done, but the record of it is held back: a successor must ask the
         # worker before it runs the task.
@@ -357,6 +361,13 @@
         """Return the rack last listed; None if it was never listed."""
         return self.listing.rack if self.listing else self._last_rack
 
+    @property
+    def data_centre(self) -> str | None:
+        """Return the data centre last listed; None if it was never listed."""
+        if self.listing is not None:
+            return self.listing.data_centre
+        return self._last_data_centre
+
     def is_born_later(self, listing: fleet.Listing) -> bool:
         """Return whether a listing is that of a new incarnation."""
         return (
@@ -367,6 +378,7 @@
     def withdraw_listing(self) -> None:
         """Note that the directory has no entry any more."""
         self._last_rack = self.rack
+        self._last_data_centre = self.data_centre
         self.listing = None
 
     @property
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -7,6 +7,8 @@
 import traceback
 import typing
 
+from cardamomcroft.evacuation import gate as gates
+from cardamomcroft.evacuation import watch as evacuation_watch
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
@@ -57,6 +59,7 @@
         parameters: cluster_state.SchedulingParameters,
         guarantees: collections.abc.Callable[[], dict[str, int]],
         inherited_leases: inheriting.InheritedLeases,
+        gate: gates.Gate,
     ) -> None:
         """Assemble the components; ``run`` starts them.
 
@@ -70,8 +73,9 @@
         self._guarantees = guarantees
         self._inherited_leases = inherited_leases
         self.cluster = cluster_state.ClusterState(
-            journal, clock, log, parameters
+            journal, clock, log, parameters, gate
         )
+        self._evacuation = evacuation_watch.Watch(gate, log, self.cluster.wake)
         self._orders = order_senders.OrderSender(self.cluster, link)
         self._poller = worker_polling.WorkerPoller(
             self.cluster, self._orders, link
@@ -93,6 +97,7 @@
         cluster = self.cluster
         self.journal.on_claim_lost = cluster.wake
         self._directory.on_change = cluster.wake
+        self._evacuation.begin()
         try:
             cluster.spawn(self.journal.run())
             await self._take_over()
@@ -113,6 +118,7 @@
                     await self._clock.sleep(pause)
                 changed.clear()
         finally:
+            self._evacuation.end()
             cluster.cancel_tasks()
 
     async def _take_over(self) -> None:
@@ -192,6 +198,7 @@
     def _round(self) -> None:
         """Run the phases of one round."""
         self._try_phase("workers", self._sync_workers)
+        self._try_phase("evacuation", self._follow_evacuations)
         self._try_phase("leases", self._poller.expire_leases)
         self._try_phase("starts", self._orders.stop_unanswered_starts)
         self._try_phase("gangs", self._orders.stop_open_gangs)
@@ -229,6 +236,14 @@
             )
             return None
 
+    def _follow_evacuations(self) -> None:
+        workers = self.cluster.workers_by_id.values()
+        evacuated_ids = self._evacuation.update(workers)
+        self._reservations.drop_workers(evacuated_ids)
+        self._holds.drop_workers(evacuated_ids)
+        if self._directory.is_loaded:
+            self._evacuation.log_changes(workers)
+
     def _refresh_forecast(self) -> None:
         self._forecast.refresh(
             list(self.cluster.jobs_by_id.values()),
--- a/cardamomcroft/scheduling/standing_reasons.py
+++ b/cardamomcroft/scheduling/standing_reasons.py
@@ -19,6 +19,7 @@
     RECORD_AWAITED = "record_awaited"  # of the start, or of the claim
     ORDER_QUEUED = "order_queued"  # another start to the worker comes first
     END_AWAITED = "end_awaited"  # of an earlier run that was given up
+    VIEW_AWAITED = "view_awaited"  # of the operator's records
     START_NOT_SENT = "start_not_sent"  # recorded, yet nothing sends it
     START_UNANSWERED = "start_unanswered"
     LEASE_AWAITED = "lease_awaited"  # of a worker that does not answer
@@ -29,6 +30,7 @@
     NO_WORKER = "no_worker"  # none that is listed is suitable or large enough
     NO_ROOM = "no_room"
     UNUSABLE_WORKERS = "unusable_workers"  # room only on such
+    EVACUATED = "evacuated"  # room only in evacuated data centres
     HELD_WORKERS = "held_workers"  # room only on those kept for other work
     RACK_AWAITED = "rack_awaited"  # room only in other racks, or over several
     ROOM_UNUSED = "room_unused"  # there is room, yet no round has used it
@@ -58,6 +60,7 @@
     silent: int | None = None
     unheard: int | None = None  # no inventory yet
     draining: int | None = None
+    evacuated: int | None = None
     # Tasks for which there is room.
     fitting: int | None = None
     fitting_held: int | None = None
@@ -105,6 +108,7 @@
     Reason.RECORD_AWAITED,
     Reason.ORDER_QUEUED,
     Reason.END_AWAITED,
+    Reason.VIEW_AWAITED,
     Reason.LEASE_AWAITED,
     Reason.RUN_STOPPING,
     Reason.INHERITED_UNHEARD,
@@ -112,7 +116,7 @@
     Reason.UNKNOWN,
 )
 # Of runs that are assigned and whose start has not been sent.
-UNSENT = frozenset(_PRECEDENCE[:4])
+UNSENT = frozenset(_PRECEDENCE[:5])
 _REASONS_BY_PHASE = {
     runs.Phase.STARTING: Reason.START_UNANSWERED,
     runs.Phase.UNCERTAIN: Reason.START_UNANSWERED,
@@ -164,6 +168,8 @@
         return Reason.RECORD_AWAITED
     if run.awaits_end:
         return Reason.END_AWAITED
+    if any(other.awaits_view for other in worker.runs_by_task.values()):
+        return Reason.VIEW_AWAITED
     phases = {other.phase for other in worker.runs_by_task.values()}
     if runs.Phase.STARTING in phases:
         return Reason.ORDER_QUEUED
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -21,6 +21,7 @@
 # Visits of workers by all searches of a look, at some microseconds each; one
 # search is always allowed.
 MAX_VISITS = 1000
+EVACUATED = "evacuated"  # why a worker gets no new tasks
 Reason = reasons.Reason
 Holder = tuple[runs.StepState, list[str]]  # a step and its held workers
 
@@ -135,7 +136,8 @@
             and (free_worker := capacities.free_worker(worker, now))
         ]
         total = sum(
-            worker.listing.accelerators for worker in workers if worker.listing
+            worker.listing.accelerators
+            for worker in capacities.counted(workers)
         )
         return self._inputs.headroom.headroom_workers(free_workers, total)
 
@@ -145,7 +147,10 @@
 
     def _search(self, step: runs.StepState) -> reasons.Cause:
         model = step.model
-        places = self._suitable(step)
+        suitable = self._suitable(step)
+        places = [p for p in suitable if p.unusable != EVACUATED]
+        # Searched only if some are evacuated.
+        with_evacuated = suitable if len(places) < len(suitable) else []
         usable = [place for place in places if not place.unusable]
         kept = self._kept_ids(step, usable)
         open_places = [p for p in usable if p.worker_id not in kept]
@@ -161,19 +166,25 @@
             (Reason.RACK_AWAITED, fitting),
             (Reason.HELD_WORKERS, with_held),
             (Reason.UNUSABLE_WORKERS, with_all),
+            (Reason.EVACUATED, _count(step, with_evacuated)),
             (Reason.NO_ROOM, _count_on_empty(step, places, wanted)),
+            (
+                Reason.EVACUATED,
+                _count_on_empty(step, with_evacuated, wanted),
+            ),
         )
         reasons_with_room = (r for r, count in counts if count >= wanted)
-        unusable = collections.Counter(place.unusable for place in places)
+        unusable = collections.Counter(place.unusable for place in suitable)
         return reasons.Cause(
             next(reasons_with_room, Reason.NO_WORKER),
-            workers=len(places),
+            workers=len(suitable),
             usable=len(usable),
             held=len(kept),
             avoided=unusable["avoided"],
             silent=unusable["silent"],
             unheard=unusable["unheard"],
             draining=unusable["draining"],
+            evacuated=unusable[EVACUATED] or None,
             fitting=fitting,
             fitting_held=with_held - fitting,
             fitting_unusable=with_all - with_held,
@@ -244,6 +255,8 @@
         count_by_rack: collections.Counter[str] = collections.Counter()
         for places in self._places_by_service.values():
             for place in places:
+                if place.unusable == EVACUATED:
+                    continue
                 count = placing.max_tasks(model, place.total)
                 count_by_rack[place.listing.rack] += count
         return max(count_by_rack.values(), default=0) >= model.width
@@ -281,6 +294,8 @@
 
 def _unusable(worker: runs.Worker, now: datetime.timedelta) -> str:
     """Return why a listed worker gets no new tasks; empty if it does."""
+    if worker.is_evacuated:
+        return EVACUATED
     if worker.unreachable_since is not None:
         return "silent"
     if not worker.has_inventory:
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -47,6 +47,17 @@
     end: fleet.End | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceivedStart:
+    """A start order that has reached a worker, whatever came of it."""
+
+    task: str
+    run: int
+    worker_id: str
+    data_centre: str
+    received_at: datetime.timedelta
+
+
 def capacity_of(listing: fleet.Listing) -> models.Demand:
     """Return a worker's whole capacity."""
     return models.Demand(
@@ -260,6 +271,7 @@
         # Draws the clock of each incarnation; without it all begin at 0.
         self.clock_rng: random.Random | None = None
         self.injected: collections.Counter[str] = collections.Counter()
+        self.received_starts: list[ReceivedStart] = []
         # Orders to carry out START_DELAY after they came.
         self.late_starts: list[
             tuple[datetime.timedelta, FakeWorker, fleet.StartOrder]
@@ -281,14 +293,18 @@
         return self.durations_by_job.get(task[:16], self.duration)
 
     def add(
-        self, worker_id: str, accelerators: int = 8, rack: str = "r1"
+        self,
+        worker_id: str,
+        accelerators: int = 8,
+        rack: str = "r1",
+        data_centre: str = "dc",
     ) -> fleet.Listing:
         """Add a worker and return its directory entry."""
         listing = fleet.Listing(
             fleet.Address(worker_id, f"{worker_id}:80"),
             "svc",
             fleet.ServerState.READY,
-            "dc",
+            data_centre,
             1,
             0,
             frozenset({"a", rack}),
@@ -310,7 +326,10 @@
         """Replace a worker by its next incarnation, which has no state."""
         old = self._end_incarnation(worker_id)
         listing = self.add(
-            worker_id, old.listing.accelerators, old.listing.rack
+            worker_id,
+            old.listing.accelerators,
+            old.listing.rack,
+            old.listing.data_centre,
         )
         listing = dataclasses.replace(listing, born_ms=old.listing.born_ms + 1)
         self.workers_by_id[worker_id].listing = listing
@@ -415,6 +434,15 @@
         worker = await self._reach(address, order.token)
         if worker is None:
             return await self._time_out(timeout)
+        self.received_starts.append(
+            ReceivedStart(
+                order.task,
+                order.run,
+                address.worker_id,
+                worker.listing.data_centre,
+                self.clock.monotonic(),
+            )
+        )
         if order.born_ms not in (0, worker.listing.born_ms):
             self.injected["start_for_former"] += 1
             return fleet.OrderResult(Status.RESTARTED)
--- a/cardamomcroft/standin/platform.py
+++ b/cardamomcroft/standin/platform.py
@@ -171,7 +171,9 @@
         host, port = listener.getsockname()
         return site, f"{host}:{port}"
 
-    async def listen_for_worker(self, worker_id: str, rack: str) -> str:
+    async def listen_for_worker(
+        self, worker_id: str, rack: str, data_centre: str = "dc"
+    ) -> str:
         """Register a worker of a rack on a port of its own.
 
         Return its address.
@@ -180,7 +182,8 @@
         self._sites_by_worker[worker_id] = site
         self._addresses_by_worker[worker_id] = address
         self._transports_by_worker[worker_id] = set()
-        self._register(worker_id, self.fleet.add(worker_id, rack=rack))
+        listing = self.fleet.add(worker_id, rack=rack, data_centre=data_centre)
+        self._register(worker_id, listing)
         return address
 
     async def end_worker(self, worker_id: str, refuses: bool) -> None:
@@ -280,6 +283,16 @@
         value = json.dumps(data).encode()
         self.store.put(stores.Stream.OPERATOR, "config", value)
 
+    def evacuate(self, data_centre: str) -> None:
+        """Request the evacuation of a data centre as the operator does."""
+        key = f"evacuate/{data_centre}"
+        self.store.put(stores.Stream.OPERATOR, key, b"{}")
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """End the evacuation of a data centre as the operator does."""
+        key = f"evacuate/{data_centre}"
+        self.store.put(stores.Stream.OPERATOR, key, None)
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         handler = self._handlers.get(request.path)
         if handler is None:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -42,6 +42,17 @@
         own = [e.event for e in self.found if e.concerns(JOB)]
         self.assertEqual(own, ["job_submitted", "start_ordered", "job_ended"])
 
+    def test_evacuations_are_context(self):
+        """A task's long wait may be due to an evacuation."""
+        around = [
+            line(6, "b", '"event":"evacuation_began","data_centre":"east"'),
+            line(6.5, "b", '"event":"evacuation_ended","data_centre":"east"'),
+            line(60, "b", '"event":"evacuation_began","data_centre":"east"'),
+        ]
+        found = explain.history(explain.parse(LINES + around), JOB)
+        shown = [e.event for e in found if e.event.startswith("evacuation")]
+        self.assertEqual(shown, ["evacuation_began", "evacuation_ended"])
+
     def test_context_events_are_shown(self):
         """Events of its workers and of the scheduler's role are included."""
         others = [e.fields for e in self.found if not e.concerns(JOB)]
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -8,6 +8,7 @@
 import random
 import unittest
 
+from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
@@ -107,6 +108,10 @@
             max_age,
         )
 
+    def make_gate(self, name: str) -> gates.Gate | None:
+        """Return what an instance's starts have to pass, if anything."""
+        return None
+
     def add_workers(self, count: int, accelerators: int = 8) -> None:
         """Add workers with their entries in the directory."""
         for number in range(count):
@@ -135,6 +140,7 @@
             PARAMETERS,
             random.Random(f"{name}{seed}"),
             candidates.Rank(cores, peers),
+            self.make_gate(name),
         )
         self.nodes_by_name[name] = node
         self.tasks_by_name[name] = asyncio.ensure_future(node.run())
