Evacuate data centres in the soak and check that nothing starts there

Four kinds of faults: one data centre, two at once, one revoked while the store is down and one beside a takeover of the scheduler. started_in_evacuated finds start orders that reach a worker over 5 s after the request. Racks stand in up to three data centres, in which workers that die are replaced, and the instances' settings have EvacuateMs.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from cardamomcroft.standin import platform
 from cardamomcroft.standin import store as standin_store
 from soak import clients
+from soak import evacuations
 from soak import instances as processes
 from soak import proxy
 from soak import rebirths
@@ -56,6 +57,7 @@
         self._workers = worker_faults.WorkerFaults(
             target, callers, rng, self._note, self.counts
         )
+        self.evacuations = evacuations.Evacuations(target, rng, self._note)
         self._under_way = 0  # faults that have not ended
         self._has_begun = False  # a fault, since this was last asked for
         self.history: list[str] = []
@@ -99,6 +101,10 @@
             ),
             "configuration": self._configuration,
             "revoke_key": self._revoke_key,
+            "evacuation": self.evacuations.evacuate_one,
+            "evacuation_of_two": self.evacuations.evacuate_two,
+            "evacuation_revoked_in_outage": self.evacuations.revoke_in_outage,
+            "evacuation_at_takeover": self._evacuate_at_takeover,
         }
 
     def holder(self) -> processes.Instance:
@@ -321,12 +327,21 @@
         """Kill or stop the scheduler's holder, or freeze it for long."""
         self._disrupted -= self._kept
         self._kept = set()
+        await self._disrupt_unkept_holder()
+
+    async def _disrupt_unkept_holder(self) -> None:
+        """Kill, stop or freeze the holder unless it is spared by another."""
         disrupt = self._rng.choice(
             (self._kill_one, self._freeze_long, self._stop_one)
         )
         self._note(disrupt.__name__)
         await self._disrupt_process(self.holder(), disrupt)
 
+    async def _evacuate_at_takeover(self) -> None:
+        await self.evacuations.evacuate_at_takeover(
+            self._disrupt_unkept_holder
+        )
+
     async def _configuration(self) -> None:
         self._version += 1
         data = make_configuration(self._version, self._callers.key)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -29,6 +29,7 @@
     "ReclaimMs": 2700,
     "GangTimeoutMs": 3000,
     "status_s": 120,
+    "EvacuateMs": 5000,
 }
 
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -18,6 +18,7 @@
 from cardamomcroft.standin import platform
 from soak import checks
 from soak import clients
+from soak import evacuations
 from soak import faults as faults_module
 from soak import instances as processes
 from soak import monitoring
@@ -52,6 +53,7 @@
 READY_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.2
 JOBS_PER_CROWD = 20
+DATA_CENTRES = 3  # at most; each rack is in one
 LASTING_S = 8.0  # until a job that lasts is cancelled
 # Of the callers, who cancel what gets no answer instead of repeating it.
 HASTY_SHARE = 0.5
@@ -134,8 +136,10 @@
             faults_module.make_configuration(1, clients.INITIAL_KEY)
         )
         for number in range(self._size.workers):
-            rack = f"r{number // self._size.rack_workers}"
-            await self._platform.listen_for_worker(f"w{number}", rack)
+            rack = number // self._size.rack_workers
+            await self._platform.listen_for_worker(
+                f"w{number}", f"r{rack}", f"dc{rack % DATA_CENTRES}"
+            )
         # Ports are fixed, so each process uses its own block of loopback
         # addresses; trials may run in parallel.
         first, second = divmod(os.getpid(), 250)
@@ -279,6 +283,9 @@
                 self._platform.fleet, faults.thaws
             )
         )
+        violations["started_in_evacuated"] = evacuations.started_in_evacuated(
+            self._platform.fleet.received_starts, faults.evacuations.requests
+        )
         violations["unexpected_error"] = checks.unexpected_errors(
             instance.log for instance in self._instances
         )
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -6,6 +6,7 @@
 import datetime
 import random
 
+from cardamomcroft.ports import fleet
 from cardamomcroft.standin import fleet as standin_fleet
 from cardamomcroft.standin import platform
 from soak import checks
@@ -143,9 +144,9 @@
     async def die(self, refuses: bool = False) -> None:
         """End a worker for good, with tasks if any has some."""
         await self._wait_for_workers()
-        fleet = self._platform.fleet
-        busy = sorted({worker_id for _, worker_id in fleet.running()})
-        worker_id = self._rng.choice(busy or sorted(fleet.workers_by_id))
+        workers = self._platform.fleet
+        busy = sorted({worker_id for _, worker_id in workers.running()})
+        worker_id = self._rng.choice(busy or sorted(workers.workers_by_id))
         await self._end_worker(worker_id, refuses)
 
     async def _refuse(self) -> None:
@@ -203,18 +204,20 @@
 
     async def _end_worker(self, worker_id: str, refuses: bool) -> None:
         """End a worker; let another one follow in its rack."""
-        rack = self._platform.fleet.workers_by_id[worker_id].listing.rack
+        listing = self._platform.fleet.workers_by_id[worker_id].listing
         self._note(f"{worker_id} dies")
         await self._platform.end_worker(worker_id, refuses)
         number = len(self._replacing)
         successor = f"w{number}-after-{worker_id.partition('-')[0]}"
-        replacing = self._replace_worker(worker_id, rack, successor)
+        replacing = self._replace_worker(listing, successor)
         self._replacing.append(asyncio.ensure_future(replacing))
 
     async def _replace_worker(
-        self, worker_id: str, rack: str, successor: str
+        self, lost: fleet.Listing, successor: str
     ) -> None:
         await asyncio.sleep(ENTRY_LIFE_S)
-        self._platform.remove_entry(worker_id)
+        self._platform.remove_entry(lost.address.worker_id)
         await self._pause()
-        await self._platform.listen_for_worker(successor, rack)
+        await self._platform.listen_for_worker(
+            successor, lost.rack, lost.data_centre
+        )
