--- a/cardamomcroft/sharing/backlogs.py
+++ b/cardamomcroft/sharing/backlogs.py
@@ -112,9 +112,8 @@
         """Take the workers that get work, in parts of the total capacity."""
         self._workers = [
             worker
-            for worker in workers
-            if worker.listing is not None
-            and worker.listing.state is fleet.ServerState.READY
+            for worker in capacities.counted(workers)
+            if worker.listing.state is fleet.ServerState.READY
         ]
         self._total = total
         self.free = fair_shares.NOTHING
--- a/cardamomcroft/sharing/fair_shares.py
+++ b/cardamomcroft/sharing/fair_shares.py
@@ -118,9 +118,10 @@
             if worker.listing is None:
                 continue
             service = worker.listing.service
-            totals[service] = totals.get(service, models.Demand()).plus(
-                capacities.capacity_of(worker.listing)
-            )
+            total = totals.get(service, models.Demand())
+            if not worker.is_evacuated:
+                total = total.plus(capacities.capacity_of(worker.listing))
+            totals[service] = total
             for run in worker.runs_by_task.values():
                 model = run.step.model
                 tenant = service, run.step.job.job.account
