Place long work on workers that are likely to stay

A release that replaces workers one after the other moved long gangs from one worker that drained to the next: placement chose by best fit alone. The cost of a placement is now a strategy (placing.PlacementCost). Where the scheduler plans ahead, it ranks workers by the probability that they begin to drain before the run's end, from the drains of the last 10 s, the versions in the workers' entries and the racks that have begun; the best fit decides among equal ranks. Otherwise the former best fit decides, which a test compares with a copy of the former code.

--- /dev/null
+++ b/cardamomcroft/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where work is least likely to be wasted."""
--- /dev/null
+++ b/cardamomcroft/placement/costs.py
@@ -0,0 +1,210 @@
+"""Compare workers by the work that a placement there is likely to waste.
+
+A run that its worker does not outlast is lost, and with it its whole gang.
+"""
+
+import abc
+import collections
+import datetime
+import itertools
+
+from cardamomcroft.placement import outlook as outlooks
+from cardamomcroft.scheduling import estimates
+from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import placing
+from cardamomcroft.scheduling import plans
+from cardamomcroft.scheduling import runs
+
+# Ranks are tenths of the probability that a worker leaves before the run's
+# end: finer differences are within the error of the expectation.
+RANKS = 10
+# Steps of a round whose avoided workers are looked for; bounds its duration.
+MAX_EXPLAINED = 20
+NEVER = 1_000_000  # beyond any rank
+_STRIKE_SPAN = 64  # strikes that a rank counts; workers are avoided earlier
+_FIT_BITS = 40  # more than the accelerators of a worker need
+
+
+class LeastWaste(placing.PlacementCost):
+    """Prefer workers that are likely to stay, and among them the best fit."""
+
+    def __init__(self, ranks_by_id: dict[str, int]) -> None:
+        """Place on workers with a rank only after those without one."""
+        self.ranks_by_id = ranks_by_id
+
+    def best(
+        self,
+        step: models.Step,
+        demand: models.Demand,
+        free_workers: list[placing.FreeWorker],
+        count_by_worker: dict[str, int],
+    ) -> placing.FreeWorker | None:
+        """Return the worker that costs least, of those that fit."""
+        ranks, limit = self.ranks_by_id, step.spread_limit
+        cores, memory = demand.milli_cores, demand.memory_mb
+        best, best_head, best_tail = None, None, None
+        for worker in free_workers:
+            free = worker.free
+            left = free.accelerators - demand.accelerators
+            if left < 0 or free.milli_cores < cores or free.memory_mb < memory:
+                continue
+            worker_id = worker.worker_id
+            if limit and count_by_worker.get(worker_id, 0) >= limit:
+                continue
+            rank = ranks.get(worker_id, 0) if ranks else 0
+            strikes = min(worker.strikes, _STRIKE_SPAN - 1)
+            head = ((rank * _STRIKE_SPAN + strikes) << _FIT_BITS) + left
+            if best is not None and head > best_head:
+                continue
+            tail = self._tail(worker)
+            if best is None or head < best_head or tail < best_tail:
+                best, best_head, best_tail = worker, head, tail
+        return best
+
+    def _tail(self, worker: placing.FreeWorker) -> tuple:
+        """Return what decides between workers of the same rank and fit."""
+        return (worker.free.milli_cores,)
+
+    def order_racks(self, step, racks) -> list[list[placing.FreeWorker]]:
+        """Return the racks, first those of which the fewest workers leave."""
+        ordered = super().order_racks(step, racks)
+        if self.ranks_by_id:
+            ordered.sort(key=lambda rack: self._worst_rank(step, rack))
+        return ordered
+
+    def _worst_rank(
+        self, step: models.Step, rack: list[placing.FreeWorker]
+    ) -> int:
+        """Return the highest rank that a gang of the step needs in a rack."""
+        missing = step.width
+        for rank, count in sorted(
+            (
+                self.ranks_by_id.get(worker.worker_id, 0),
+                placing.max_tasks(step, worker.free),
+            )
+            for worker in rack
+        ):
+            missing -= max(count, 0)
+            if missing <= 0:
+                return rank
+        return NEVER  # the rack is too full
+
+
+class RoundCosts(abc.ABC):
+    """The costs of placements in one round."""
+
+    @abc.abstractmethod
+    def of(self, step: runs.StepState) -> placing.PlacementCost:
+        """Return how to compare workers for a step."""
+
+    def avoidances(self, starts: list[plans.Start]) -> list[plans.Avoidance]:
+        """Return which starts other workers with room were left out for."""
+        return []
+
+
+class _SameCosts(RoundCosts):
+    """Decide by best fit only."""
+
+    def of(self, step: runs.StepState) -> placing.PlacementCost:
+        """Return the best fit."""
+        return placing.BEST_FIT
+
+
+class _ExpectedCosts(RoundCosts):
+    """Decide by what is expected of the workers during a step."""
+
+    def __init__(
+        self,
+        free_workers: list[placing.FreeWorker],
+        outlook: outlooks.Outlook,
+        durations: estimates.RunTimes,
+    ) -> None:
+        """Compute each cost when it is first needed."""
+        self._free_workers = free_workers
+        self._outlook = outlook
+        self._durations = durations
+        self._costs_by_key: dict[tuple, LeastWaste] = {}
+
+    def of(self, step: runs.StepState) -> LeastWaste:
+        """Return how to compare workers for a step."""
+        service = step.job.job.queue.service
+        departure = self._outlook.departures_by_service.get(service)
+        levels = (0, 0)
+        if departure is not None:
+            run_time = self._durations.expected(step.job.job, step.model)
+            levels = leave_ranks(departure, step.model, run_time)
+        key = (service, levels)
+        cost = self._costs_by_key.get(key)
+        if cost is None:
+            ranks_by_id = _ranks(departure, levels) if any(levels) else {}
+            cost = self._costs_by_key[key] = LeastWaste(ranks_by_id)
+        return cost
+
+    def avoidances(self, starts: list[plans.Start]) -> list[plans.Avoidance]:
+        """Return which starts other workers with room were left out for."""
+        counts = collections.Counter(start.step for start in starts)
+        worker_ids = {start.worker_id for start in starts}
+        found = []
+        for step, count in itertools.islice(counts.items(), MAX_EXPLAINED):
+            ranks_by_id = self.of(step).ranks_by_id
+            if not ranks_by_id:
+                continue
+            demand = placing.demand_of(step.model)
+            reasons = {
+                self._reason(worker.worker_id)
+                for worker in self._free_workers
+                if worker.worker_id in ranks_by_id
+                and worker.worker_id not in worker_ids
+                and demand.fits(worker.free)
+            }
+            found += [
+                plans.Avoidance(reason, step.job.job.job_id, count)
+                for reason in sorted(reasons)
+            ]
+        return found
+
+    def _reason(self, worker_id: str) -> str:
+        """Return why placements avoid a worker."""
+        return "leaving"
+
+
+def leave_ranks(
+    departure: outlooks.Departure,
+    step: models.Step,
+    run_time: datetime.timedelta,
+) -> tuple[int, int]:
+    """Return the ranks of workers in racks that have begun, and of others.
+
+    A gang is lost with any of its members.
+    """
+    members = step.width if step.is_gang else 1
+    begun, others = (
+        min(1.0, probability * members)
+        for probability in departure.probabilities(run_time)
+    )
+    first, second = round(begun * RANKS), round(others * RANKS)
+    # Where either is nearly certain to leave, those that leave later are
+    # still the better ones.
+    return max(first, second + 1) if second else first, second
+
+
+def _ranks(
+    departure: outlooks.Departure, levels: tuple[int, int]
+) -> dict[str, int]:
+    begun, others = levels
+    ranks_by_id = dict.fromkeys(departure.begun, begun) if begun else {}
+    if others:
+        ranks_by_id.update(dict.fromkeys(departure.others, others))
+    return ranks_by_id
+
+
+def make(
+    plans_ahead: bool,
+    free_workers: list[placing.FreeWorker],
+    outlook: outlooks.Outlook,
+    durations: estimates.RunTimes,
+) -> RoundCosts:
+    """Return the costs of a round."""
+    if not plans_ahead:
+        return _SameCosts()
+    return _ExpectedCosts(free_workers, outlook, durations)
--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -278,11 +278,13 @@
                 gauge.set(age.total_seconds())
         self._metrics.jobs.clear()
         self._metrics.standing.clear()
+        self._metrics.leaving.set(0)
         if node.scheduler is not None:
             for labels, count in node.scheduler.count_jobs().items():
                 self._metrics.jobs.labels(*labels).set(count)
             for reason, count in node.scheduler.count_standing().items():
                 self._metrics.standing.labels(reason).set(count)
+            self._metrics.leaving.set(node.scheduler.count_leaving())
         self._metrics.unmatched.set(len(node.replica.ledger.unmatched))
         self._metrics.is_scheduler.set(node.scheduler is not None)
         return web.Response(body=self._metrics.render())
--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -367,6 +367,7 @@
         )
         state = fleet.ServerState(data["State"])
         remaining_ms = data.get("RemainingMs")
+        version = data.get("Version")
     except errors.CALL_ERRORS:
         return None
     if not all(_is_count(value) and value >= 0 for value in counts):
@@ -388,4 +389,5 @@
         counts[1],
         counts[2],
         _remaining(remaining_ms),
+        version if isinstance(version, str) else "",
     )
--- a/cardamomcroft/ports/fleet.py
+++ b/cardamomcroft/ports/fleet.py
@@ -218,3 +218,4 @@
     memory_mb: int
     accelerators: int
     remaining: datetime.timedelta | None  # until a draining worker leaves
+    version: str = ""  # of its software; empty if unknown
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -89,6 +89,17 @@
             ("reason",),
             registry=registry,
         )
+        self.leaving = prometheus_client.Gauge(
+            "cardamomcroft_leaving_workers",
+            "Workers expected to drain soon, at the scheduler",
+            registry=registry,
+        )
+        self.placements_avoided = prometheus_client.Counter(
+            "cardamomcroft_placements_avoided",
+            "Tasks that were kept off workers with room, or held back",
+            ("reason",),
+            registry=registry,
+        )
         self.unmatched = prometheus_client.Gauge(
             "cardamomcroft_unmatched_cancellations",
             "Cancelled job ids without a stored submission",
--- a/cardamomcroft/scheduling/placing.py
+++ b/cardamomcroft/scheduling/placing.py
@@ -1,5 +1,7 @@
 """Place tasks and gangs on workers, without I/O or clocks."""
 
+import abc
+import collections.abc
 import dataclasses
 
 from cardamomcroft.scheduling import models
@@ -17,6 +19,66 @@
     strikes: int = 0  # recent failures; workers with fewer come first
 
 
+class PlacementCost(abc.ABC):
+    """Compare the workers on which a step may be placed."""
+
+    @abc.abstractmethod
+    def best(
+        self,
+        step: models.Step,
+        demand: models.Demand,
+        free_workers: list[FreeWorker],
+        count_by_worker: dict[str, int],
+    ) -> FreeWorker | None:
+        """Return the worker for the next task; None if it fits nowhere."""
+
+    def order_racks(
+        self, step: models.Step, racks: collections.abc.Iterable[list]
+    ) -> list[list[FreeWorker]]:
+        """Return the racks in the order in which to try a gang."""
+        return sorted(
+            racks,
+            key=lambda rack: sum(worker.free.accelerators for worker in rack),
+        )
+
+    def gang_groups(
+        self, step: models.Step, free_workers: list[FreeWorker]
+    ) -> collections.abc.Iterable[list[FreeWorker]]:
+        """Return the sets of workers to try a gang on, the best first."""
+        return (free_workers,)
+
+
+class BestFit(PlacementCost):
+    """Leave whole workers free for the tasks that need them."""
+
+    def best(
+        self,
+        step: models.Step,
+        demand: models.Demand,
+        free_workers: list[FreeWorker],
+        count_by_worker: dict[str, int],
+    ) -> FreeWorker | None:
+        """Return the worker that has the least left, of those that fit."""
+        best, best_cost = None, None
+        for worker in free_workers:
+            if not demand.fits(worker.free):
+                continue
+            limit = step.spread_limit
+            if limit and count_by_worker.get(worker.worker_id, 0) >= limit:
+                continue
+            cost = (
+                worker.strikes,
+                worker.free.accelerators - demand.accelerators,
+                worker.free.milli_cores,
+            )
+            if best_cost is None or cost < best_cost:
+                best, best_cost = worker, cost
+        return best
+
+
+BEST_FIT = BestFit()
+
+
 def demand_of(step: models.Step) -> models.Demand:
     """Return the demand of one task; filling tasks use leftover cores."""
     if not step.is_filling:
@@ -98,8 +160,9 @@
         count: int,
         free_workers: list[FreeWorker],
         count_by_worker: dict[str, int],
+        cost: PlacementCost = BEST_FIT,
     ) -> list[FreeWorker]:
-        """Allocate up to ``count`` tasks by best fit."""
+        """Allocate up to ``count`` tasks where they cost least."""
         demand = demand_of(step)
         placed: list[FreeWorker] = []
         counts = dict(count_by_worker)
@@ -107,7 +170,7 @@
             worker for worker in free_workers if demand.fits(worker.free)
         ]
         while len(placed) < count:
-            best = _best(step, demand, candidates, counts)
+            best = cost.best(step, demand, candidates, counts)
             if best is None:
                 break
             best.free = best.free.minus(demand)
@@ -120,31 +183,39 @@
         step: models.Step,
         free_workers: list[FreeWorker],
         may_span_racks: bool,
+        cost: PlacementCost = BEST_FIT,
     ) -> list[FreeWorker]:
         """Allocate all tasks of a gang, or none."""
         if step.is_rack_local and not may_span_racks:
-            return self._place_in_one_rack(step, free_workers)
-        placed = self.place(step, step.width, free_workers, {})
-        if len(placed) == step.width:
-            return placed
-        self.release(step, placed)
+            return self._place_in_one_rack(step, free_workers, cost)
+        return self._place_whole(step, free_workers, cost)
+
+    def _place_whole(
+        self,
+        step: models.Step,
+        free_workers: list[FreeWorker],
+        cost: PlacementCost,
+    ) -> list[FreeWorker]:
+        for group in cost.gang_groups(step, free_workers):
+            placed = self.place(step, step.width, group, {}, cost)
+            if len(placed) == step.width:
+                return placed
+            self.release(step, placed)
         return []
 
     def _place_in_one_rack(
-        self, step: models.Step, free_workers: list[FreeWorker]
+        self,
+        step: models.Step,
+        free_workers: list[FreeWorker],
+        cost: PlacementCost,
     ) -> list[FreeWorker]:
         by_rack: dict[str, list[FreeWorker]] = {}
         for worker in free_workers:
             by_rack.setdefault(worker.rack, []).append(worker)
-        racks = sorted(
-            by_rack.values(),
-            key=lambda rack: sum(worker.free.accelerators for worker in rack),
-        )
-        for rack in racks:
-            placed = self.place(step, step.width, rack, {})
-            if len(placed) == step.width:
+        for rack in cost.order_racks(step, by_rack.values()):
+            placed = self._place_whole(step, rack, cost)
+            if placed:
                 return placed
-            self.release(step, placed)
         return []
 
     def release(self, step: models.Step, placed: list[FreeWorker]) -> None:
@@ -152,27 +223,3 @@
         demand = demand_of(step)
         for worker in placed:
             worker.free = worker.free.plus(demand)
-
-
-def _best(
-    step: models.Step,
-    demand: models.Demand,
-    free_workers: list[FreeWorker],
-    counts: dict[str, int],
-) -> FreeWorker | None:
-    best, best_cost = None, None
-    for worker in free_workers:
-        if not demand.fits(worker.free):
-            continue
-        limit = step.spread_limit
-        if limit and counts.get(worker.worker_id, 0) >= limit:
-            continue
-        # Best fit leaves whole workers free for tasks that need them.
-        cost = (
-            worker.strikes,
-            worker.free.accelerators - demand.accelerators,
-            worker.free.milli_cores,
-        )
-        if best_cost is None or cost < best_cost:
-            best, best_cost = worker, cost
-    return best
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -5,6 +5,8 @@
 import datetime
 import itertools
 
+from cardamomcroft.placement import costs
+from cardamomcroft.placement import outlook as outlooks
 from cardamomcroft.scheduling import capacity as capacities
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import headroom
@@ -59,6 +61,7 @@
     plans_ahead: bool = False
     # From a stop order to the start in its place.
     preemption_lead: datetime.timedelta = datetime.timedelta()
+    outlook: outlooks.Outlook = outlooks.NOTHING_EXPECTED
 
 
 class Planner:
@@ -75,6 +78,12 @@
                 if (free_worker := capacities.free_worker(worker, inputs.now))
             ]
         )
+        self._costs = costs.make(
+            inputs.plans_ahead,
+            self._pool.free_workers,
+            inputs.outlook,
+            inputs.durations,
+        )
         self._guaranteed = ordering.guaranteed_accounts(
             inputs.jobs, inputs.accelerators_by_account
         )
@@ -127,6 +136,10 @@
                 self._infeasible.clear()
         return self._plan
 
+    def avoidances(self) -> list[plans.Avoidance]:
+        """Return which placements were avoided, and why."""
+        return self._costs.avoidances(self._plan.starts)
+
     def _ordered_jobs(self) -> list[runs.JobState]:
         """Return the jobs to plan, the most urgent first."""
         keyed: list[tuple[tuple, int]] = []
@@ -209,6 +222,7 @@
             len(waiting),
             free_workers,
             step.run_count_by_worker(),
+            self._costs.of(step),
         )
         if len(placed) < len(waiting):
             self._pool.release(step.model, placed)
@@ -370,7 +384,10 @@
         if len(step.waiting) < step.model.width:
             return True  # an earlier run is still ending
         placed = self._pool.place_gang(
-            step.model, free_workers, self._may_span_racks(step)
+            step.model,
+            free_workers,
+            self._may_span_racks(step),
+            self._costs.of(step),
         )
         for index, free_worker in enumerate(placed):
             self._start(step, index, free_worker)
@@ -383,7 +400,11 @@
         waiting = self._unplanned_indexes(step, limit)
         counts = self._count_by_worker(step)
         placed = self._pool.place(
-            step.model, len(waiting), free_workers, counts
+            step.model,
+            len(waiting),
+            free_workers,
+            counts,
+            self._costs.of(step),
         )
         for index, free_worker in zip(waiting, placed, strict=False):
             self._start(step, index, free_worker)
--- a/cardamomcroft/scheduling/plans.py
+++ b/cardamomcroft/scheduling/plans.py
@@ -30,6 +30,15 @@
     error: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Avoidance:
+    """Starts of a job that were kept off workers, or a job held back."""
+
+    reason: str
+    job_id: str
+    tasks: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Size:
     """How many decisions a plan has."""
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -7,6 +7,9 @@
 import traceback
 import typing
 
+from cardamomcroft.placement import history
+from cardamomcroft.placement import outlook as outlooks
+from cardamomcroft.placement import reporting
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
@@ -84,6 +87,9 @@
         self._standing = standing_watch.StandingWatch(
             self.cluster, self._reservations, self._holds, self._headroom
         )
+        self._history = history.History()
+        self._outlook = outlooks.NOTHING_EXPECTED
+        self._avoidance_log = reporting.AvoidanceLog(clock, log)
         self._forecast = queue_waits.Forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._ending = ending.Ending(self.cluster, self._orders, replica)
@@ -148,6 +154,10 @@
         """Count the jobs of which nothing runs for 3 s, by reason."""
         return self._standing.count_by_reason()
 
+    def count_leaving(self) -> int:
+        """Count the workers that are expected to leave."""
+        return self._outlook.leaving_count()
+
     def apply_updates(self, updates: list[tuple[ledgers.Kind, str]]) -> None:
         """Apply new submissions and cancellations."""
         for kind, job_id in updates:
@@ -200,6 +210,7 @@
         self._try_phase("expiry", self._ending.delete_expired_records)
         self._try_phase("moves", self._move_runs)
         self._try_phase("forecast", self._refresh_forecast)
+        self._try_phase("outlook", self._refresh_outlook)
         plan = self._try_phase("plan", self._plan)
         if plan is None:
             return
@@ -238,6 +249,21 @@
             self._clock.now(),
         )
 
+    def _refresh_outlook(self) -> None:
+        """Derive what to expect of the workers from what changed."""
+        if self.cluster.parameters.plans_ahead:
+            self._outlook = outlooks.NOTHING_EXPECTED  # after an error
+            self._outlook = self._history.observe(
+                self.cluster.workers_by_id, self._clock.monotonic()
+            )
+
+    def _report_avoidances(self, planner: planning.Planner) -> None:
+        self._avoidance_log.report(
+            planner.avoidances(),
+            self._outlook.leaving_count(),
+            len(self._outlook.flapping),
+        )
+
     def _plan(self) -> plans.Plan:
         inputs = planning.RoundInputs(
             list(self.cluster.jobs_by_id.values()),
@@ -252,8 +278,13 @@
             tuple(self.cluster.open_gangs),
             self.cluster.parameters.plans_ahead,
             self.cluster.parameters.preemption_lead,
+            self._outlook,
         )
-        return planning.Planner(inputs).plan()
+        planner = planning.Planner(inputs)
+        plan = planner.plan()
+        if inputs.plans_ahead:
+            self._try_phase("avoidances", self._report_avoidances, planner)
+        return plan
 
     def _report_failures(self, failed: list[plans.Failure]) -> None:
         for failure in failed:
--- /dev/null
+++ b/tests/placement/test_costs.py
@@ -0,0 +1,136 @@
+"""The placements of a scheduler that does not plan ahead stay as they were."""
+
+import random
+import unittest
+from unittest import mock
+
+from cardamomcroft.placement import outlook as outlooks
+from cardamomcroft.scheduling import models
+from cardamomcroft.scheduling import placing
+from tests.placement import play as plays
+
+
+def former_best(step, demand, free_workers, counts):
+    """Choose as all versions before this package did."""
+    best, best_cost = None, None
+    for worker in free_workers:
+        if not demand.fits(worker.free):
+            continue
+        limit = step.spread_limit
+        if limit and counts.get(worker.worker_id, 0) >= limit:
+            continue
+        cost = (
+            worker.strikes,
+            worker.free.accelerators - demand.accelerators,
+            worker.free.milli_cores,
+        )
+        if best_cost is None or cost < best_cost:
+            best, best_cost = worker, cost
+    return best
+
+
+def former_place(step, count, free_workers, counts):
+    """Place tasks as all versions before this package did."""
+    demand = placing.demand_of(step)
+    placed, counts = [], dict(counts)
+    while len(placed) < count:
+        best = former_best(step, demand, free_workers, counts)
+        if best is None:
+            break
+        best.free = best.free.minus(demand)
+        counts[best.worker_id] = counts.get(best.worker_id, 0) + 1
+        placed.append(best)
+    return placed
+
+
+def former_place_gang(step, free_workers, may_span_racks):
+    """Place a gang as all versions before this package did."""
+    groups = [free_workers]
+    if step.is_rack_local and not may_span_racks:
+        by_rack = {}
+        for worker in free_workers:
+            by_rack.setdefault(worker.rack, []).append(worker)
+        groups = sorted(
+            by_rack.values(),
+            key=lambda rack: sum(worker.free.accelerators for worker in rack),
+        )
+    for group in groups:
+        placed = former_place(step, step.width, group, {})
+        if len(placed) == step.width:
+            return placed
+        for worker in placed:
+            worker.free = worker.free.plus(placing.demand_of(step))
+    return []
+
+
+def make_free(rng: random.Random, count: int) -> list[placing.FreeWorker]:
+    """Return workers with free capacity of all kinds."""
+    return [
+        placing.FreeWorker(
+            f"w{number}",
+            models.Demand(
+                rng.randrange(0, 64_001, 8_000),
+                rng.randrange(0, 131_072, 8_192),
+                rng.randrange(-1, 9),
+            ),
+            f"r{rng.randrange(4)}",
+            frozenset(),
+            "svc",
+            rng.choice((0, 0, 0, 1, 2)),
+        )
+        for number in range(count)
+    ]
+
+
+class FormerPlacementTest(unittest.TestCase):
+    """Steps of all kinds on workers of all kinds."""
+
+    def test_best_fit_decides_as_before(self):
+        """The cost as a strategy must not change any placement."""
+        for seed in range(200):
+            rng = random.Random(seed)
+            pool, former = (
+                make_free(random.Random(seed), 20) for _ in range(2)
+            )
+            for _ in range(8):
+                step = plays.make_step(
+                    rng.randint(1, 6),
+                    rng.randint(0, 8),
+                    is_gang=rng.random() < 0.5,
+                    is_rack_local=rng.random() < 0.5,
+                    is_filling=rng.random() < 0.2,
+                    spread_limit=rng.choice((0, 0, 1, 2)),
+                )
+                spans = rng.random() < 0.3
+                workers = placing.WorkerPool(pool)
+                if step.is_gang:
+                    placed = workers.place_gang(step, pool, spans)
+                    expected = former_place_gang(step, former, spans)
+                else:
+                    placed = workers.place(step, step.width, pool, {})
+                    expected = former_place(step, step.width, former, {})
+                self.assertEqual(
+                    [worker.worker_id for worker in placed],
+                    [worker.worker_id for worker in expected],
+                    f"seed {seed}",
+                )
+
+    def test_planner_ignores_the_outlook(self):
+        """Unless it plans ahead, what is expected changes nothing."""
+        for plans_ahead in (False, True):
+            with self.subTest(plans_ahead=plans_ahead):
+                play = plays.Play(
+                    [plays.make_worker(f"w{n}") for n in range(4)],
+                    plans_ahead,
+                )
+                leaving = outlooks.Departure(
+                    frozenset({"w0"}), frozenset(), 1.0
+                )
+                outlook = outlooks.Outlook({"svc": leaving})
+                play.history = mock.Mock()
+                play.history.observe.return_value = outlook
+                play.submit(plays.make_step(run_s=9))
+                (start,) = play.plan().starts
+                self.assertEqual(
+                    start.worker_id, "w1" if plans_ahead else "w0"
+                )
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -88,6 +88,18 @@
         self.assertEqual(listing.rack, "r1-3")
         self.assertEqual(listing.accelerators, 8)
 
+    def test_version_is_optional(self):
+        """An entry without a version, or with an odd one, is valid."""
+        for changes, version in (
+            ({"Version": "v2"}, "v2"),
+            ({}, ""),
+            ({"Version": None}, ""),
+            ({"Version": 7}, ""),
+        ):
+            with self.subTest(changes=changes):
+                listing = workers.decode_listing(entry(**changes))
+                self.assertEqual(listing.version, version)
+
     def test_damaged_entries_name_no_worker(self):
         """An entry with a missing, mistyped or unknown field is rejected."""
         for changes in (
