Hold back gangs that fail by themselves

Jobs that can never succeed took room and preempted for each of their attempts. Where the scheduler plans ahead, a gang that has failed twice waits behind the other jobs of its queue, preempts nothing, holds no workers and leaves the headroom alone, until it has waited for one objective in all. It gets all its attempts, starts at once while under half of the capacity is in use, and guaranteed work is exempt.

--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -6,6 +6,7 @@
 import itertools
 
 from cardamomcroft.placement import costs
+from cardamomcroft.placement import failing as failing_gangs
 from cardamomcroft.placement import outlook as outlooks
 from cardamomcroft.scheduling import capacity as capacities
 from cardamomcroft.scheduling import estimates
@@ -62,6 +63,9 @@
     # From a stop order to the start in its place.
     preemption_lead: datetime.timedelta = datetime.timedelta()
     outlook: outlooks.Outlook = outlooks.NOTHING_EXPECTED
+    failing: failing_gangs.FailingGangs = dataclasses.field(
+        default_factory=failing_gangs.FailingGangs
+    )
 
 
 class Planner:
@@ -138,7 +142,8 @@
 
     def avoidances(self) -> list[plans.Avoidance]:
         """Return which placements were avoided, and why."""
-        return self._costs.avoidances(self._plan.starts)
+        newly_deferred = self._inputs.failing.take_newly_deferred()
+        return newly_deferred + self._costs.avoidances(self._plan.starts)
 
     def _ordered_jobs(self) -> list[runs.JobState]:
         """Return the jobs to plan, the most urgent first."""
@@ -146,7 +151,10 @@
         for number, job in enumerate(self._inputs.jobs):
             if not job.final_state and not job.is_cancelled:
                 self._isolation.decide(job, self._add_key, job, number, keyed)
-        return [self._inputs.jobs[number] for _, number in sorted(keyed)]
+        ordered = [self._inputs.jobs[number] for _, number in sorted(keyed)]
+        if self._inputs.plans_ahead:
+            ordered = self._inputs.failing.order(ordered, self._inputs.now)
+        return ordered
 
     def _add_key(
         self,
@@ -157,6 +165,9 @@
         key = ordering.sort_key(
             job, self._inputs.now, self._guaranteed, self._inputs.durations
         )
+        if self._inputs.plans_ahead:
+            is_guaranteed = self._is_guaranteed(job)
+            self._inputs.failing.examine(job, self._inputs.now, is_guaranteed)
         keyed.append((key, number))
 
     def _plan_job(self, job: runs.JobState) -> None:
@@ -249,8 +260,9 @@
         if not is_placed:
             if not is_unrestricted:
                 self._plan.advice_wanted.append(step)
-            self._preempt(step, advised)
-            self._hold(step, advised)
+            if not step.is_deferred:
+                self._preempt(step, advised)
+                self._hold(step, advised)
 
     def _signature(self, step: runs.StepState) -> tuple:
         """Return what decides on which workers a step may be placed."""
@@ -262,7 +274,7 @@
             model.data_rack,
             bool(model.data_rack) and self._accepts_remote_placement(step),
             queue.service,
-            queue.priority > 0,
+            queue.priority > 0 or step.is_deferred,
             model.is_gang and model.width,
             is_local and not self._may_span_racks(step),
             model.spread_limit and step.number,
@@ -333,7 +345,7 @@
         self, step: runs.StepState, free_workers: list[placing.FreeWorker]
     ) -> list[placing.FreeWorker]:
         """Return the workers that the step may use in an overload."""
-        if step.job.job.queue.priority == 0:
+        if step.job.job.queue.priority == 0 and not step.is_deferred:
             return free_workers
         headroom_ids = self._headroom_workers()
         return [
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -138,6 +138,7 @@
     )  # runs stopped to move because they were stalled or slow
     retry_at: datetime.timedelta = _ZERO
     search_at: datetime.timedelta = _ZERO  # earliest next search for capacity
+    is_deferred: bool = False  # its gang fails by itself and displaces nothing
     tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
         dataclasses.field(default_factory=dict)
     )
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 import traceback
 import typing
 
+from cardamomcroft.placement import failing as failing_gangs
 from cardamomcroft.placement import history
 from cardamomcroft.placement import outlook as outlooks
 from cardamomcroft.placement import reporting
@@ -88,6 +89,7 @@
             self.cluster, self._reservations, self._holds, self._headroom
         )
         self._history = history.History()
+        self._failing = failing_gangs.FailingGangs()
         self._outlook = outlooks.NOTHING_EXPECTED
         self._avoidance_log = reporting.AvoidanceLog(clock, log)
         self._forecast = queue_waits.Forecast()
@@ -279,6 +281,7 @@
             self.cluster.parameters.plans_ahead,
             self.cluster.parameters.preemption_lead,
             self._outlook,
+            self._failing,
         )
         planner = planning.Planner(inputs)
         plan = planner.plan()
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -95,7 +95,7 @@
             model.data_rack,
             model.is_gang and (model.width, model.is_rack_local),
             queue.service,
-            queue.priority > 0,
+            queue.priority > 0 or step.is_deferred,
             self._accepts_remote(step),
             is_singular and step.key(0),
         )
@@ -205,7 +205,7 @@
             if other is not step
             for worker_id in held
         }
-        if step.job.job.queue.priority > 0:
+        if step.job.job.queue.priority > 0 or step.is_deferred:
             kept |= self._headroom_ids
         return frozenset(kept & with_room)
 
--- a/tests/placement/play.py
+++ b/tests/placement/play.py
@@ -5,6 +5,7 @@
 import datetime
 import itertools
 
+from cardamomcroft.placement import failing
 from cardamomcroft.placement import history
 from cardamomcroft.placement import outlook as outlooks
 from cardamomcroft.ports import fleet
@@ -94,6 +95,7 @@
         self.started: list[plans.Start] = []
         self.ended_at: dict[str, datetime.timedelta] = {}
         self.first_started_at: dict[str, datetime.timedelta] = {}
+        self.failing_gangs = failing.FailingGangs()
         self.failing: set[str] = set()  # jobs whose gangs fail at once
         self._numbers = itertools.count(1)
 
@@ -152,6 +154,7 @@
             plans_ahead=self.plans_ahead,
             preemption_lead=STOP_BOUND + harness.seconds(0.3),
             outlook=outlook,
+            failing=self.failing_gangs,
         )
         plan = planning.Planner(inputs).plan()
         if plan.failures:
@@ -178,6 +181,7 @@
         step.waiting.discard(index)
         step.runs_by_index[index] = run
         self.workers_by_id[run.worker_id].runs_by_task[run.name] = run
+        step.job.is_start_recorded = True
         self.started.append(start)
         job_id = step.job.job.job_id
         self.first_started_at.setdefault(job_id, self.now)
