Keep idle workers and racks whole where the scheduler plans ahead

Between workers that fit equally well, small tasks opened idle ones of any rack, so that rack-local gangs of whole workers found no rack with room. Now workers in use come first, then racks with the least free capacity.

--- a/cardamomcroft/placement/costs.py
+++ b/cardamomcroft/placement/costs.py
@@ -1,11 +1,14 @@
 """Compare workers by the work that a placement there is likely to waste.
 
 A run that its worker does not outlast is lost, and with it its whole gang.
+Small tasks that spread over idle workers and racks keep those from tasks and
+gangs that need all of one.
 """
 
 import abc
 import collections
 import datetime
+import functools
 import itertools
 
 from cardamomcroft.placement import outlook as outlooks
@@ -13,6 +16,7 @@
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import plans
+from cardamomcroft.scheduling import preempting
 from cardamomcroft.scheduling import runs
 
 # Ranks are tenths of the probability that a worker leaves before the run's
@@ -20,7 +24,6 @@
 RANKS = 10
 # Steps of a round whose avoided workers are looked for; bounds its duration.
 MAX_EXPLAINED = 20
-NEVER = 1_000_000  # beyond any rank
 _STRIKE_SPAN = 64  # strikes that a rank counts; workers are avoided earlier
 _FIT_BITS = 40  # more than the accelerators of a worker need
 
@@ -28,9 +31,16 @@
 class LeastWaste(placing.PlacementCost):
     """Prefer workers that are likely to stay, and among them the best fit."""
 
-    def __init__(self, ranks_by_id: dict[str, int]) -> None:
-        """Place on workers with a rank only after those without one."""
+    def __init__(
+        self, ranks_by_id: dict[str, int], free_by_rack: dict[str, float]
+    ) -> None:
+        """Place on workers with a rank only after those without one.
+
+        The free capacity of the racks is in cores.
+        """
         self.ranks_by_id = ranks_by_id
+        self._free_by_rack = free_by_rack
+        self._ranks_by_rack: dict[str, int] = {}
 
     def best(
         self,
@@ -63,31 +73,33 @@
 
     def _tail(self, worker: placing.FreeWorker) -> tuple:
         """Return what decides between workers of the same rank and fit."""
-        return (worker.free.milli_cores,)
+        return (
+            worker.is_idle,
+            self._free_by_rack.get(worker.rack, 0),
+            worker.free.milli_cores,
+        )
 
     def order_racks(self, step, racks) -> list[list[placing.FreeWorker]]:
-        """Return the racks, first those of which the fewest workers leave."""
+        """Return the racks, first those whose free capacity is to stay."""
         ordered = super().order_racks(step, racks)
         if self.ranks_by_id:
-            ordered.sort(key=lambda rack: self._worst_rank(step, rack))
+            ordered.sort(key=self._rank_of_rack)
         return ordered
 
-    def _worst_rank(
-        self, step: models.Step, rack: list[placing.FreeWorker]
-    ) -> int:
-        """Return the highest rank that a gang of the step needs in a rack."""
-        missing = step.width
-        for rank, count in sorted(
-            (
-                self.ranks_by_id.get(worker.worker_id, 0),
-                placing.max_tasks(step, worker.free),
+    def _rank_of_rack(self, rack: list[placing.FreeWorker]) -> int:
+        """Return the mean rank of a rack's free capacity, once a round.
+
+        An exact rank for each gang would visit all workers for each gang.
+        """
+        name = rack[0].rack
+        if name not in self._ranks_by_rack:
+            weights = [max(worker.free.accelerators, 0) for worker in rack]
+            total = sum(
+                self.ranks_by_id.get(worker.worker_id, 0) * weight
+                for worker, weight in zip(rack, weights, strict=True)
             )
-            for worker in rack
-        ):
-            missing -= max(count, 0)
-            if missing <= 0:
-                return rank
-        return NEVER  # the rack is too full
+            self._ranks_by_rack[name] = round(total / max(sum(weights), 1))
+        return self._ranks_by_rack[name]
 
 
 class RoundCosts(abc.ABC):
@@ -137,9 +149,20 @@
         cost = self._costs_by_key.get(key)
         if cost is None:
             ranks_by_id = _ranks(departure, levels) if any(levels) else {}
-            cost = self._costs_by_key[key] = LeastWaste(ranks_by_id)
+            cost = self._costs_by_key[key] = LeastWaste(
+                ranks_by_id, self._free_by_rack
+            )
         return cost
 
+    @functools.cached_property
+    def _free_by_rack(self) -> dict[str, float]:
+        """Return the free capacity of each rack, once a round."""
+        free_by_rack: dict[str, float] = collections.defaultdict(float)
+        for worker in self._free_workers:
+            free = preempting.core_equivalent(worker.free)
+            free_by_rack[worker.rack] += free
+        return free_by_rack
+
     def avoidances(self, starts: list[plans.Start]) -> list[plans.Avoidance]:
         """Return which starts other workers with room were left out for."""
         counts = collections.Counter(start.step for start in starts)
--- a/cardamomcroft/scheduling/capacity.py
+++ b/cardamomcroft/scheduling/capacity.py
@@ -51,13 +51,15 @@
     listing = worker.listing
     if listing is None or not is_usable(worker, now):
         return None
+    total = capacity_of(listing)
     return placing.FreeWorker(
         worker.worker_id,
-        capacity_of(listing).minus(worker.used()),
+        total.minus(worker.used()),
         listing.rack,
         listing.labels,
         listing.service,
         worker.strikes,
+        total,
     )
 
 
--- a/cardamomcroft/scheduling/placing.py
+++ b/cardamomcroft/scheduling/placing.py
@@ -6,6 +6,8 @@
 
 from cardamomcroft.scheduling import models
 
+_NOTHING = models.Demand()
+
 
 @dataclasses.dataclass(slots=True)
 class FreeWorker:
@@ -17,6 +19,17 @@
     labels: frozenset[str]
     service: str
     strikes: int = 0  # recent failures; workers with fewer come first
+    total: models.Demand = _NOTHING  # the capacity of the empty worker
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing runs on the worker or is placed there."""
+        free, total = self.free, self.total
+        return (
+            free.milli_cores == total.milli_cores
+            and free.memory_mb == total.memory_mb
+            and free.accelerators == total.accelerators
+        )
 
 
 class PlacementCost(abc.ABC):
