Place gangs last on workers that are lost again and again

A worker that flaps is idle whenever it is back, so the best fit for whole workers is there, and each gang that starts on it is lost with it.

--- a/cardamomcroft/placement/costs.py
+++ b/cardamomcroft/placement/costs.py
@@ -22,6 +22,9 @@
 # Ranks are tenths of the probability that a worker leaves before the run's
 # end: finer differences are within the error of the expectation.
 RANKS = 10
+# Of a worker that flaps, for gangs: it may be lost at any time, and without
+# the notice that a drain gives.
+FLAPPING_RANK = RANKS + 2
 # Steps of a round whose avoided workers are looked for; bounds its duration.
 MAX_EXPLAINED = 20
 _STRIKE_SPAN = 64  # strikes that a rank counts; workers are avoided earlier
@@ -145,10 +148,13 @@
         if departure is not None:
             run_time = self._durations.expected(step.job.job, step.model)
             levels = leave_ranks(departure, step.model, run_time)
-        key = (service, levels)
+        flapping = self._outlook.flapping if step.model.is_gang else ()
+        key = (service, levels, bool(flapping))
         cost = self._costs_by_key.get(key)
         if cost is None:
             ranks_by_id = _ranks(departure, levels) if any(levels) else {}
+            for worker_id in flapping:
+                ranks_by_id[worker_id] = FLAPPING_RANK
             cost = self._costs_by_key[key] = LeastWaste(
                 ranks_by_id, self._free_by_rack
             )
@@ -174,7 +180,7 @@
                 continue
             demand = placing.demand_of(step.model)
             reasons = {
-                self._reason(worker.worker_id)
+                _reason(ranks_by_id[worker.worker_id])
                 for worker in self._free_workers
                 if worker.worker_id in ranks_by_id
                 and worker.worker_id not in worker_ids
@@ -186,10 +192,6 @@
             ]
         return found
 
-    def _reason(self, worker_id: str) -> str:
-        """Return why placements avoid a worker."""
-        return "leaving"
-
 
 def leave_ranks(
     departure: outlooks.Departure,
@@ -211,6 +213,11 @@
     return max(first, second + 1) if second else first, second
 
 
+def _reason(rank: int) -> str:
+    """Return why placements avoid a worker."""
+    return "flapping" if rank == FLAPPING_RANK else "leaving"
+
+
 def _ranks(
     departure: outlooks.Departure, levels: tuple[int, int]
 ) -> dict[str, int]:
