Use the workers' speed where the scheduler plans ahead

Between workers that are otherwise equal, urgent work takes the faster one; a gang takes workers of one speed if enough of them have room, as its members wait for the slowest. Speeds come from RunTimes.worker_speed, which returns 1.0 until run times are learned; then nothing changes.

--- a/cardamomcroft/placement/costs.py
+++ b/cardamomcroft/placement/costs.py
@@ -7,11 +7,13 @@
 
 import abc
 import collections
+import collections.abc
 import datetime
 import functools
 import itertools
 
 from cardamomcroft.placement import outlook as outlooks
+from cardamomcroft.placement import speeds
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import placing
@@ -35,14 +37,21 @@
     """Prefer workers that are likely to stay, and among them the best fit."""
 
     def __init__(
-        self, ranks_by_id: dict[str, int], free_by_rack: dict[str, float]
+        self,
+        ranks_by_id: dict[str, int],
+        free_by_rack: dict[str, float],
+        speeds_by_id: dict[str, int],
+        is_urgent: bool,
     ) -> None:
         """Place on workers with a rank only after those without one.
 
-        The free capacity of the racks is in cores.
+        The free capacity of the racks is in cores. Speeds are numbers of
+        classes; there are none if all workers are of one class.
         """
         self.ranks_by_id = ranks_by_id
         self._free_by_rack = free_by_rack
+        self._speeds_by_id = speeds_by_id
+        self._is_urgent = is_urgent
         self._ranks_by_rack: dict[str, int] = {}
 
     def best(
@@ -76,12 +85,34 @@
 
     def _tail(self, worker: placing.FreeWorker) -> tuple:
         """Return what decides between workers of the same rank and fit."""
+        speed = 0
+        if self._is_urgent and self._speeds_by_id:
+            speed = self._speeds_by_id.get(worker.worker_id, 0)
         return (
+            -speed,
             worker.is_idle,
             self._free_by_rack.get(worker.rack, 0),
             worker.free.milli_cores,
         )
 
+    def gang_groups(
+        self, step: models.Step, free_workers: list[placing.FreeWorker]
+    ) -> collections.abc.Iterable[list[placing.FreeWorker]]:
+        """Return workers of one speed first: the slowest member decides.
+
+        Workers that leave or fail more likely than others are used only
+        together with those.
+        """
+        if not self._speeds_by_id:
+            return (free_workers,)
+        return speeds.groups(
+            step,
+            free_workers,
+            self._speeds_by_id,
+            self.ranks_by_id,
+            self._is_urgent,
+        )
+
     def order_racks(self, step, racks) -> list[list[placing.FreeWorker]]:
         """Return the racks, first those whose free capacity is to stay."""
         ordered = super().order_racks(step, racks)
@@ -149,17 +180,26 @@
             run_time = self._durations.expected(step.job.job, step.model)
             levels = leave_ranks(departure, step.model, run_time)
         flapping = self._outlook.flapping if step.model.is_gang else ()
-        key = (service, levels, bool(flapping))
+        is_urgent = step.job.job.queue.priority == 0
+        key = (service, levels, bool(flapping), is_urgent)
         cost = self._costs_by_key.get(key)
         if cost is None:
             ranks_by_id = _ranks(departure, levels) if any(levels) else {}
             for worker_id in flapping:
                 ranks_by_id[worker_id] = FLAPPING_RANK
             cost = self._costs_by_key[key] = LeastWaste(
-                ranks_by_id, self._free_by_rack
+                ranks_by_id,
+                self._free_by_rack,
+                self._speeds_by_id,
+                is_urgent,
             )
         return cost
 
+    @functools.cached_property
+    def _speeds_by_id(self) -> dict[str, int]:
+        """Return the speed classes of the workers, once a round."""
+        return speeds.classes(self._free_workers, self._durations)
+
     @functools.cached_property
     def _free_by_rack(self) -> dict[str, float]:
         """Return the free capacity of each rack, once a round."""
--- a/tests/placement/play.py
+++ b/tests/placement/play.py
@@ -90,6 +90,8 @@
         self.headroom = headroom.Headroom()
         self.holds = holding.Holds()
         self.durations = FixedSpeeds(speeds_by_worker or {})
+        # What the planner knows of them.
+        self.known_times: estimates.RunTimes = self.durations
         self.wasted = 0.0  # core-seconds
         self.stops = 0
         self.started: list[plans.Start] = []
@@ -148,7 +150,7 @@
             WALL,
             {},
             self.reservations,
-            self.durations,
+            self.known_times,
             self.headroom,
             self.holds,
             plans_ahead=self.plans_ahead,
