--- a/tests/placement/test_costs.py
+++ b/tests/placement/test_costs.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+from cardamomcroft.placement import costs
+from cardamomcroft.placement import failing
 from cardamomcroft.placement import outlook as outlooks
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import placing
@@ -134,3 +136,84 @@
                 self.assertEqual(
                     start.worker_id, "w1" if plans_ahead else "w0"
                 )
+
+
+class FormerBestFit(placing.PlacementCost):
+    """Choose workers as all versions before this package did."""
+
+    def best(self, step, demand, free_workers, count_by_worker):
+        """Return the former choice."""
+        return former_best(step, demand, free_workers, count_by_worker)
+
+
+class FormerCosts(costs.RoundCosts):
+    """Use the former choice for every step."""
+
+    def of(self, step):
+        """Return the former cost."""
+        return FormerBestFit()
+
+
+def play_mixture(seed: int) -> list[tuple[str, int, str]]:
+    """Return the starts of a play of everything that this package is about.
+
+    The scheduler does not plan ahead.
+    """
+    rng = random.Random(seed)
+    workers = [
+        plays.make_worker(f"w{n}", f"r{n % 3}", rng.choice(("v1", "v2")))
+        for n in range(9)
+    ]
+    play = plays.Play(
+        workers,
+        plans_ahead=False,
+        speeds_by_worker={f"w{n}": (0.8, 1.0, 1.25)[n % 3] for n in range(9)},
+    )
+
+    def script() -> None:
+        worker = rng.choice(workers)
+        if rng.random() < 0.02:
+            play.drain(worker, 2)
+        elif rng.random() < 0.05:
+            play.replace(worker, "v2")
+        if rng.random() < 0.25:
+            step = plays.make_step(
+                rng.randint(1, 4),
+                rng.randint(0, 8),
+                rng.uniform(1, 9),
+                is_gang=rng.random() < 0.6,
+                is_rack_local=rng.random() < 0.5,
+            )
+            job = play.submit(step, priority=rng.randint(0, 2))
+            if rng.random() < 0.3:
+                play.failing.add(job.job.job_id)
+
+    play.run(40, script)
+    return [
+        (start.step.job.job.job_id, start.index, start.worker_id)
+        for start in play.started
+    ]
+
+
+class ReactivePlayTest(unittest.TestCase):
+    """Whole rounds of a scheduler that does not plan ahead."""
+
+    def test_starts_are_those_of_former_versions(self):
+        """The same tasks start in the same order on the same workers."""
+        for seed in range(4):
+            starts = play_mixture(seed)
+            self.assertGreater(len(starts), 100)
+            with (
+                mock.patch.object(
+                    costs, "make", autospec=True, return_value=FormerCosts()
+                ),
+                mock.patch.object(
+                    failing.FailingGangs, "examine", autospec=True
+                ) as examine,
+                mock.patch.object(
+                    failing.FailingGangs, "order", autospec=True
+                ) as order,
+            ):
+                self.assertEqual(play_mixture(seed), starts, f"seed {seed}")
+            examine.assert_not_called()
+            order.assert_not_called()
--- a/tests/placement/test_failing.py
+++ b/tests/placement/test_failing.py
@@ -6,6 +6,8 @@
 from cardamomcroft.placement import failing
 from cardamomcroft.scheduling import headroom
 from cardamomcroft.scheduling import runs
+from cardamomcroft.scheduling import standing_reasons
+from cardamomcroft.scheduling import standing_room
 from tests.placement import play as plays
 from tests.scheduling import harness
 
@@ -122,6 +124,24 @@
                 self.assertEqual(len(self.play.plan().starts), count)
                 self.assertEqual(len(step.waiting), 2 - count)
 
+    def test_standing_job_shows_the_headroom(self):
+        """Not that a round has overlooked room, which is a fault."""
+        self.keep_headroom(6)
+        step = self.add_failed()
+        self.play.plan()
+        room = standing_room.Room(
+            standing_room.RoomInputs(
+                self.play.workers_by_id,
+                self.play.now,
+                self.play.reservations,
+                self.play.headroom,
+                self.play.durations,
+                list,
+            )
+        )
+        reason = room.cause(step).reason
+        self.assertIs(reason, standing_reasons.Reason.HELD_WORKERS)
+
     def test_starts_at_once_while_half_of_the_room_is_free(self):
         """A job does not stand beside idle workers."""
         self.keep_headroom(4)
--- a/tests/placement/test_scheduler.py
+++ b/tests/placement/test_scheduler.py
@@ -88,6 +88,31 @@
         self.assertGreater(self.count_logged("round_crashed"), 0)
 
 
+class FailingGangTest(PlacementTestCase):
+    """A gang whose members fail wherever they run."""
+
+    async def test_job_fails_after_all_attempts_only(self):
+        """The gang is held back from the third attempt on."""
+        step = harness.make_step(width=2, accelerators=8, is_gang=True)
+        job_id = self.submit(step, queue=harness.make_queue(0, attempts=4))
+
+        def is_over() -> bool:
+            running = self.fleet.running()
+            if len(running) == 2:
+                task, worker_id = min(running)
+                worker = self.fleet.workers_by_id[worker_id]
+                worker.end(task, fleet.End.FAILED)
+            return self.state(job_id) == "failed"
+
+        await self.wait_until(is_over, 60)
+        numbers = {interval.run for interval in self.fleet.intervals}
+        self.assertGreaterEqual(len(numbers), 4)
+        (line,) = self.fields_of("job_failed")
+        self.assertEqual(line["attempts"], 4)
+        reasons = {f["reason"] for f in self.fields_of("placement_avoided")}
+        self.assertIn("failing_gang", reasons)
+
+
 class FlappingTest(PlacementTestCase):
     """A worker restarts again and again."""
 
