--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -303,6 +303,7 @@
         self._metrics.jobs.clear()
         self._metrics.standing.clear()
         self._metrics.share_ratios.clear()
+        self._metrics.leaving.set(0)
         if node.scheduler is not None:
             for labels, count in node.scheduler.count_jobs().items():
                 self._metrics.jobs.labels(*labels).set(count)
@@ -315,6 +316,7 @@
                 self._metrics.share_ratios.labels(account).set(ratio)
         evacuated = len(evacuations.offsets_by_data_centre)
         self._metrics.evacuated.set(evacuated)
+            self._metrics.leaving.set(node.scheduler.count_leaving())
         self._metrics.unmatched.set(len(node.replica.ledger.unmatched))
         self._metrics.is_scheduler.set(node.scheduler is not None)
         return web.Response(body=self._metrics.render())
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -5,6 +5,9 @@
 import datetime
 import itertools
 
+from cardamomcroft.placement import costs
+from cardamomcroft.placement import failing as failing_gangs
+from cardamomcroft.placement import outlook as outlooks
 from cardamomcroft.scheduling import capacity as capacities
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import headroom
@@ -61,6 +64,10 @@
     # From a stop order to the start in its place.
     preemption_lead: datetime.timedelta = datetime.timedelta()
     shares: fair_shares.FairShares | None = None  # if it plans ahead
+    outlook: outlooks.Outlook = outlooks.NOTHING_EXPECTED
+    failing: failing_gangs.FailingGangs = dataclasses.field(
+        default_factory=failing_gangs.FailingGangs
+    )
 
 
 class Planner:
@@ -77,6 +84,12 @@
                 if (free_worker := capacities.free_worker(worker, inputs.now))
             ]
         )
+        self._costs = costs.make(
+            inputs.plans_ahead,
+            self._pool.free_workers,
+            inputs.outlook,
+            inputs.durations,
+        )
         self._guaranteed = ordering.guaranteed_accounts(
             inputs.jobs, inputs.accelerators_by_account
         )
@@ -129,6 +142,11 @@
                 self._infeasible.clear()
         return self._plan
 
+    def avoidances(self) -> list[plans.Avoidance]:
+        """Return which placements were avoided, and why."""
+        newly_deferred = self._inputs.failing.take_newly_deferred()
+        return newly_deferred + self._costs.avoidances(self._plan.starts)
+
     def _ordered_jobs(self) -> list[runs.JobState]:
         """Return the jobs to plan, the most urgent first."""
         keyed: list[tuple[tuple, int]] = []
@@ -139,8 +157,12 @@
             (key, self._inputs.jobs[number]) for key, number in sorted(keyed)
         ]
         if self._inputs.shares is None:
-            return [job for _, job in ranked]
-        return self._inputs.shares.order(ranked, self._inputs.now)
+            ordered = [job for _, job in ranked]
+        else:
+            ordered = self._inputs.shares.order(ranked, self._inputs.now)
+        if self._inputs.plans_ahead:
+            ordered = self._inputs.failing.order(ordered, self._inputs.now)
+        return ordered
 
     def _add_key(
         self,
@@ -151,6 +173,9 @@
         key = ordering.sort_key(
             job, self._inputs.now, self._guaranteed, self._inputs.durations
         )
+        if self._inputs.plans_ahead:
+            is_guaranteed = self._is_guaranteed(job)
+            self._inputs.failing.examine(job, self._inputs.now, is_guaranteed)
         keyed.append((key, number))
 
     def _plan_job(self, job: runs.JobState) -> None:
@@ -216,6 +241,7 @@
             len(waiting),
             free_workers,
             step.run_count_by_worker(),
+            self._costs.of(step),
         )
         if len(placed) < len(waiting):
             self._pool.release(step.model, placed)
@@ -242,8 +268,9 @@
         if not is_placed:
             if not is_unrestricted:
                 self._plan.advice_wanted.append(step)
-            self._preempt(step, advised)
-            self._hold(step, advised)
+            if not step.is_deferred:
+                self._preempt(step, advised)
+                self._hold(step, advised)
 
     def _signature(self, step: runs.StepState) -> tuple:
         """Return what decides on which workers a step may be placed."""
@@ -255,7 +282,7 @@
             model.data_rack,
             bool(model.data_rack) and self._accepts_remote_placement(step),
             queue.service,
-            queue.priority > 0,
+            queue.priority > 0 or step.is_deferred,
             model.is_gang and model.width,
             is_local and not self._may_span_racks(step),
             model.spread_limit and step.number,
@@ -326,7 +353,7 @@
         self, step: runs.StepState, free_workers: list[placing.FreeWorker]
     ) -> list[placing.FreeWorker]:
         """Return the workers that the step may use in an overload."""
-        if step.job.job.queue.priority == 0:
+        if step.job.job.queue.priority == 0 and not step.is_deferred:
             return free_workers
         headroom_ids = self._headroom_workers()
         return [
@@ -378,7 +405,10 @@
         if len(step.waiting) < step.model.width:
             return True  # an earlier run is still ending
         placed = self._pool.place_gang(
-            step.model, free_workers, self._may_span_racks(step)
+            step.model,
+            free_workers,
+            self._may_span_racks(step),
+            self._costs.of(step),
         )
         for index, free_worker in enumerate(placed):
             self._start(step, index, free_worker)
@@ -391,7 +421,11 @@
         waiting = self._unplanned_indexes(step, limit)
         counts = self._count_by_worker(step)
         placed = self._pool.place(
-            step.model, len(waiting), free_workers, counts
+            step.model,
+            len(waiting),
+            free_workers,
+            counts,
+            self._costs.of(step),
         )
         for index, free_worker in zip(waiting, placed, strict=False):
             self._start(step, index, free_worker)
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -9,6 +9,10 @@
 
 from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.evacuation import watch as evacuation_watch
+from cardamomcroft.placement import failing as failing_gangs
+from cardamomcroft.placement import history
+from cardamomcroft.placement import outlook as outlooks
+from cardamomcroft.placement import reporting
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
@@ -94,6 +98,10 @@
             self.cluster, self._reservations, self._holds, self._headroom
         )
         self._shares: fair_shares.FairShares | None = None
+        self._history = history.History()
+        self._failing = failing_gangs.FailingGangs()
+        self._outlook = outlooks.NOTHING_EXPECTED
+        self._avoidance_log = reporting.AvoidanceLog(clock, log)
         self._forecast = queue_waits.Forecast()
         if parameters.plans_ahead:
             self._shares = fair_shares.FairShares()
@@ -185,6 +193,10 @@
         """Return accounts' dominant shares over their fair shares."""
         return self._shares.largest_ratios() if self._shares else {}
 
+    def count_leaving(self) -> int:
+        """Count the workers that are expected to leave."""
+        return self._outlook.leaving_count()
+
     def apply_updates(self, updates: list[tuple[ledgers.Kind, str]]) -> None:
         """Apply new submissions and cancellations."""
         for kind, job_id in updates:
@@ -239,6 +251,7 @@
         self._try_phase("moves", self._move_runs)
         self._try_phase("shares", self._refresh_shares)
         self._try_phase("forecast", self._refresh_forecast)
+        self._try_phase("outlook", self._refresh_outlook)
         plan = self._try_phase("plan", self._plan)
         if plan is None:
             return
@@ -294,6 +307,21 @@
             self._clock.now(),
         )
 
+    def _refresh_outlook(self) -> None:
+        """Derive what to expect of the workers from what changed."""
+        if self.cluster.parameters.plans_ahead:
+            self._outlook = outlooks.NOTHING_EXPECTED  # after an error
+            self._outlook = self._history.observe(
+                self.cluster.workers_by_id, self._clock.monotonic()
+            )
+
+    def _report_avoidances(self, planner: planning.Planner) -> None:
+        self._avoidance_log.report(
+            planner.avoidances(),
+            self._outlook.leaving_count(),
+            len(self._outlook.flapping),
+        )
+
     def _plan(self) -> plans.Plan:
         inputs = planning.RoundInputs(
             list(self.cluster.jobs_by_id.values()),
@@ -309,8 +337,14 @@
             self.cluster.parameters.plans_ahead,
             self.cluster.parameters.preemption_lead,
             self._shares,
+            self._outlook,
+            self._failing,
         )
-        return planning.Planner(inputs).plan()
+        planner = planning.Planner(inputs)
+        plan = planner.plan()
+        if inputs.plans_ahead:
+            self._try_phase("avoidances", self._report_avoidances, planner)
+        return plan
 
     def _report_failures(self, failed: list[plans.Failure]) -> None:
         for failure in failed:
