--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -314,9 +314,9 @@
                 ratio,
             ) in node.scheduler.largest_share_ratios().items():
                 self._metrics.share_ratios.labels(account).set(ratio)
+            self._metrics.leaving.set(node.scheduler.count_leaving())
         evacuated = len(evacuations.offsets_by_data_centre)
         self._metrics.evacuated.set(evacuated)
-            self._metrics.leaving.set(node.scheduler.count_leaving())
         self._metrics.unmatched.set(len(node.replica.ledger.unmatched))
         self._metrics.is_scheduler.set(node.scheduler is not None)
         return web.Response(body=self._metrics.render())
--- a/tests/sharing/test_evacuated_shares.py
+++ b/tests/sharing/test_evacuated_shares.py
@@ -6,7 +6,7 @@
 from cardamomcroft.sharing import backlogs
 from cardamomcroft.sharing import fair_shares
 from tests.scheduling import harness
-from tests.scheduling import test_queue_waits
+from tests.scheduling import test_planning
 
 
 class EvacuatedTest(unittest.TestCase):
@@ -14,7 +14,7 @@
 
     def setUp(self):
         """Create two workers, one of them evacuated."""
-        make = test_queue_waits.make_worker
+        make = test_planning.make_worker
         self.workers = [make("w1"), make("w2")]
         self.workers[1].is_evacuated = True
 
