--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -128,7 +128,7 @@
         seed: int = 0,
         cores: float = 1.0,
         peers: collections.abc.Callable[[], dict[str, codec.Peer]] = dict,
-        parameters: cluster_state.SchedulingParameters = PARAMETERS,
+        parameters: cluster_state.SchedulingParameters | None = None,
     ) -> nodes.Node:
         """Start a node as a new process of an instance."""
         node = nodes.Node(
@@ -138,7 +138,7 @@
             self.clock,
             self.make_log(name),
             lambda record: self.listings.get(record.key),
-            parameters,
+            parameters or PARAMETERS,
             random.Random(f"{name}{seed}"),
             candidates.Rank(cores, peers),
             self.make_gate(name),
