Size the headroom by arrivals; keep reservations as long as stops last

Urgent work that finds no free capacity is late where a stop takes 0.9 s. The headroom held 1.5 jobs of mean size whatever the arrival rate, and a reservation expired after 1.5 s, before the last stop of a wide gang.

The fake fleet takes the time of a stop as an option.

--- a/cardamomcroft/scheduling/headroom.py
+++ b/cardamomcroft/scheduling/headroom.py
@@ -7,9 +7,11 @@
 
 import collections.abc
 import dataclasses
+import datetime
 
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import placing
+from cardamomcroft.sharing import arrivals
 
 EMA_WEIGHT = 0.2  # of the newest urgent job; about the last ten count
 HEADROOM_JOBS = 1.5  # urgent jobs of mean size that fit the headroom
@@ -21,8 +23,18 @@
     """Headroom sized by the moving average of urgent jobs' demands."""
 
     mean_accelerators: float = 0.0  # of an urgent job
+    # Where scheduling plans ahead: the arrivals to size it by, the time from a
+    # stop order to the start in its place, and the time of the round.
+    rate: arrivals.ArrivalRate | None = None
+    lead: datetime.timedelta = datetime.timedelta()
+    now: datetime.timedelta = datetime.timedelta()
+    kept: int = 0  # free accelerators on the workers last chosen
 
-    def observe(self, job: models.Job) -> None:
+    def observe(
+        self,
+        job: models.Job,
+        accepted_at: datetime.timedelta = datetime.timedelta(),
+    ) -> None:
         """Record the demand of an accepted job."""
         if job.queue.priority != 0:
             return
@@ -32,6 +44,22 @@
         self.mean_accelerators += (
             wanted - self.mean_accelerators
         ) * EMA_WEIGHT
+        if self.rate is not None:
+            self.rate.observe(wanted, accepted_at)
+
+    def wanted(self, total: int) -> float:
+        """Return the accelerators to keep, of the total given."""
+        if self.rate is None:
+            return min(
+                self.mean_accelerators * HEADROOM_JOBS,
+                total * MAX_HEADROOM_SHARE,
+            )
+        return arrivals.headroom_wanted(
+            self.rate.per_second(self.now),
+            self.mean_accelerators,
+            self.lead,
+            total,
+        )
 
     def headroom_workers(
         self,
@@ -39,9 +67,8 @@
         total: int,
     ) -> frozenset[str]:
         """Return the headroom workers: the emptiest of the emptiest racks."""
-        wanted = min(
-            self.mean_accelerators * HEADROOM_JOBS, total * MAX_HEADROOM_SHARE
-        )
+        wanted = self.wanted(total)
+        self.kept = 0
         by_rack: dict[str, list[placing.FreeWorker]] = {}
         for worker in free_workers:
             if worker.free.accelerators > 0:
@@ -54,6 +81,7 @@
                 if worker.free.accelerators > wanted * 2:
                     return frozenset(chosen)
                 wanted -= worker.free.accelerators
+                self.kept += worker.free.accelerators
                 chosen.add(worker.worker_id)
         return frozenset(chosen)
 
--- a/cardamomcroft/scheduling/reservations.py
+++ b/cardamomcroft/scheduling/reservations.py
@@ -13,7 +13,7 @@
 from cardamomcroft.scheduling import runs
 
 # A stop takes 0.2 s and the report of its end some polls; after this time it
-# is better to plan again.
+# is better to plan again. Where stops take longer, sharing.lifetimes applies.
 RESERVATION_LIFETIME = datetime.timedelta(seconds=1.5)
 
 
@@ -34,7 +34,11 @@
 class Reservations:
     """Reservations by step, kept between rounds."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, lifetime: datetime.timedelta = RESERVATION_LIFETIME
+    ) -> None:
+        """Drop each reservation once it is older than ``lifetime``."""
+        self._lifetime = lifetime
         self._by_step: dict[runs.StepState, list[Reservation]] = {}
 
     def add(
@@ -46,7 +50,7 @@
         """Reserve capacity for one task of the step per worker id given."""
         counts = collections.Counter(worker_ids)
         self._by_step[step] = self._by_step.get(step, []) + [
-            Reservation(step, worker_id, count, now + RESERVATION_LIFETIME)
+            Reservation(step, worker_id, count, now + self._lifetime)
             for worker_id, count in counts.items()
         ]
 
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -14,7 +14,6 @@
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import ending
 from cardamomcroft.scheduling import events
-from cardamomcroft.scheduling import headroom as headrooms
 from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import inheriting
 from cardamomcroft.scheduling import journal as journals
@@ -26,11 +25,11 @@
 from cardamomcroft.scheduling import plans
 from cardamomcroft.scheduling import queue_waits
 from cardamomcroft.scheduling import replica as replicas
-from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import standing_watch
 from cardamomcroft.scheduling import stragglers
 from cardamomcroft.scheduling import worker_polling
+from cardamomcroft.sharing import wiring
 
 # Combines events that arrive together into one round. After a long round the
 # pause is three times its duration, which leaves three quarters of the
@@ -78,9 +77,9 @@
         )
         self._orders.on_contact = self._poller.handle_contact
         self._launcher = launching.Launcher(self.cluster, self._orders, link)
-        self._headroom = headrooms.Headroom()
+        self._headroom = wiring.make_headroom(parameters)
         self._holds = holding.Holds()
-        self._reservations = reservations.Reservations()
+        self._reservations = wiring.make_reservations(parameters)
         self._standing = standing_watch.StandingWatch(
             self.cluster, self._reservations, self._holds, self._headroom
         )
@@ -187,7 +186,7 @@
         state = occurrences.make_job_state(job, progress, now - age)
         state.is_cancelled = job_id in self._replica.ledger.cancelled_ids
         self.cluster.jobs_by_id[job_id] = state
-        self._headroom.observe(job)
+        self._headroom.observe(job, state.accepted_at)
 
     def _round(self) -> None:
         """Run the phases of one round."""
@@ -239,6 +238,7 @@
         )
 
     def _plan(self) -> plans.Plan:
+        self._headroom.now = self._clock.monotonic()
         inputs = planning.RoundInputs(
             list(self.cluster.jobs_by_id.values()),
             self.cluster.workers_by_id,
--- /dev/null
+++ b/cardamomcroft/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Share scarce capacity between urgent work, other work and accounts."""
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -250,6 +250,9 @@
         self.lasting_job_ids: set[str] = set()
         # Delay between the ends of runs that one worker stops together.
         self.stop_spacing = datetime.timedelta(milliseconds=40)
+        self.stop_bound = STOP_BOUND
+        # What each stop takes, instead of what the spacing gives.
+        self.stop_time: datetime.timedelta | None = None
         self.ends_per_answer = ENDS_PER_ANSWER
         # Completions (task, run) that ended with their worker, unacknowledged.
         self.lost_completions: list[tuple[str, int]] = []
@@ -482,9 +485,11 @@
         worker.highest_run_by_task[task] = max(highest, run)
         known = worker.runs_by_task.get(task)
         if known is not None and known.number <= run:
-            delay = self.stop_spacing * (len(worker.stops_at_by_task) + 1)
+            delay = self.stop_time or self.stop_spacing * (
+                len(worker.stops_at_by_task) + 1
+            )
             worker.stops_at_by_task.setdefault(
-                task, self.clock.monotonic() + min(delay, STOP_BOUND)
+                task, self.clock.monotonic() + min(delay, self.stop_bound)
             )
             worker.advance()
         self._record_answer(worker, token)
