Preempt at once or wait by forecast; weigh victims by work left and stops

Where a stop takes 0.9 s, an urgent step waited 0.9 s for free capacity and preempted then, which made it late; runs that were about to end were stopped; and the gang that began last paid for each urgent job, up to 20 times.

Where scheduling plans ahead, the search for victims counts runs that end within the lead time of preemption as free. A plan that stops nothing is a wait; any other is carried out in the same round. Work within a guarantee has no cost limit once waiting cannot serve it within ReclaimMs. Each stop of a gang or task doubles the cost of the next, and after four it yields to guarantees only. Event headroom_changed and three metrics show the effect.

--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -148,6 +148,7 @@
             0,
             settings.retention + RETENTION_MARGIN,
             self._plans_ahead,
+            settings.reclaim,
         )
         node = nodes.Node(
             f"{settings.instance} {uuid.uuid4().hex[:8]}",
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -44,6 +44,8 @@
     # Decide by what is expected to come: urgent work that begins only after
     # others have been stopped is late, where stops take long.
     plans_ahead: bool = False
+    # For guaranteed work to have started.
+    reclaim: datetime.timedelta = datetime.timedelta(milliseconds=2700)
 
     @property
     def preemption_lead(self) -> datetime.timedelta:
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -94,6 +94,25 @@
             "Cancelled job ids without a stored submission",
             registry=registry,
         )
+        self.headroom = prometheus_client.Gauge(
+            "cardamomcroft_headroom_accelerators",
+            "Accelerators to keep idle for urgent jobs, and those kept",
+            ("kind",),
+            registry=registry,
+        )
+        self.preempted_runs = prometheus_client.Counter(
+            "cardamomcroft_preempted_runs",
+            "Runs stopped for other work, by how long they had run",
+            ("age",),
+            registry=registry,
+        )
+        self.stopped_core_seconds = prometheus_client.Counter(
+            "cardamomcroft_stopped_core_seconds",
+            "Work done by runs that were ordered to stop; an accelerator"
+            " counts as eight cores",
+            ("reason",),
+            registry=registry,
+        )
         self.rounds = prometheus_client.Histogram(
             "cardamomcroft_round_seconds",
             "Scheduling rounds",
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -17,6 +17,7 @@
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import replica as replicas
+from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import scheduler as schedulers
 
 # Bounds by how much a follower's replica lags behind the store.
@@ -26,7 +27,7 @@
 HOLDER_POLL_PAUSE = datetime.timedelta(milliseconds=10)
 # A store that does not answer must not delay a planned stop.
 RELEASE_TIMEOUT = datetime.timedelta(seconds=1)
-RUN_NUMBERS_PER_TERM = 10_000  # run numbers increase with each term
+RUN_NUMBERS_PER_TERM = runs.RUN_NUMBERS_PER_TERM
 _ZERO = datetime.timedelta()
 
 
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -7,6 +7,7 @@
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import runs
+from cardamomcroft.sharing import observing
 
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=700)  # 30 round trips
 # A start without an answer is sent once more: the first may be carried out
@@ -270,6 +271,10 @@
         run.stop_reason = reason
         run.absence_valid_from = None
         self._cluster.spawn(self._stop(run))
+        if self._cluster.parameters.plans_ahead:
+            observing.record_stop(
+                self._log.metrics, run, reason, self._clock.monotonic()
+            )
 
     async def _stop(self, run: runs.Run) -> None:
         """Order a run to stop until the worker confirms it."""
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -18,6 +18,9 @@
 from cardamomcroft.scheduling import preempting
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
+from cardamomcroft.sharing import deciding
+from cardamomcroft.sharing import run_ends
+from cardamomcroft.sharing import victims
 
 # Runs end continually: within this wait most urgent jobs get capacity without
 # preemption, and a third of the start bound for guaranteed work remains.
@@ -32,6 +35,8 @@
 # These two bound the duration of rounds while hundreds of jobs wait.
 MAX_PREEMPTION_SEARCHES = 8  # per round
 PREEMPTION_SEARCH_INTERVAL = datetime.timedelta(milliseconds=150)  # per step
+# Where scheduling plans ahead a search costs more and mostly settles a step.
+AHEAD_SEARCH_INTERVAL = datetime.timedelta(milliseconds=250)
 # Starts of a step that wait for their answers: the orders of other jobs queue
 # behind them. Later rounds start further tasks of a wide step.
 MAX_STARTS_OF_STEP = 128
@@ -59,6 +64,8 @@
     plans_ahead: bool = False
     # From a stop order to the start in its place.
     preemption_lead: datetime.timedelta = datetime.timedelta()
+    # For guaranteed work to have started, if it plans ahead.
+    reclaim: datetime.timedelta = datetime.timedelta()
 
 
 class Planner:
@@ -84,6 +91,7 @@
             free_worker.worker_id: free_worker
             for free_worker in self._pool.free_workers
         }
+        costs = _victim_costs(inputs)
         self._preemption = preempting.Preemption(
             inputs.workers_by_id,
             {
@@ -95,12 +103,17 @@
             },
             inputs.now,
             self._guaranteed,
+            costs,
         )
+        self._costs = costs
         self._headroom_ids: frozenset[str] | None = None
         self._use_by_service: dict[
             str, tuple[models.Demand, models.Demand]
         ] = {}
         self._completions_by_worker: dict[str, holding.Completions] = {}
+        self._kinds: collections.Counter[tuple[str, models.Demand]] | None = (
+            None
+        )
         self._max_rack_tasks_by_demand: dict[models.Demand, int] = {}
         self._preemption_searches = 0
         self._isolation = isolating.Isolation(
@@ -235,8 +248,8 @@
         if not is_placed:
             if not is_unrestricted:
                 self._plan.advice_wanted.append(step)
-            self._preempt(step, advised)
-            self._hold(step, advised)
+            if not self._preempt(step, advised):
+                self._hold(step, advised)
 
     def _signature(self, step: runs.StepState) -> tuple:
         """Return what decides on which workers a step may be placed."""
@@ -424,15 +437,25 @@
             step
         )
 
+    def _workers_by_kind(
+        self,
+    ) -> collections.Counter[tuple[str, models.Demand]]:
+        """Count the workers by rack and capacity."""
+        if self._kinds is None:
+            self._kinds = collections.Counter(
+                (worker.listing.rack, capacities.capacity_of(worker.listing))
+                for worker in self._inputs.workers_by_id.values()
+                if worker.listing is not None
+            )
+        return self._kinds
+
     def _fits_a_rack(self, step: runs.StepState) -> bool:
         demand = step.model.demand
         if demand not in self._max_rack_tasks_by_demand:
             count_by_rack: collections.Counter[str] = collections.Counter()
-            for worker in self._inputs.workers_by_id.values():
-                if worker.listing is not None:
-                    capacity = capacities.capacity_of(worker.listing)
-                    count = placing.max_tasks(step.model, capacity)
-                    count_by_rack[worker.listing.rack] += count
+            for (rack, capacity), number in self._workers_by_kind().items():
+                count = placing.max_tasks(step.model, capacity)
+                count_by_rack[rack] += count * number
             self._max_rack_tasks_by_demand[demand] = max(
                 count_by_rack.values(), default=0
             )
@@ -444,53 +467,139 @@
         self._plan.starts.append(
             plans.Start(step, index, free_worker.worker_id)
         )
+        step.stop_waiting()
         self._preemption.allocate(
             free_worker.worker_id, placing.demand_of(step.model)
         )
 
-    def _preempt(self, step: runs.StepState, advised: frozenset[str]) -> None:
+    def _preempt(self, step: runs.StepState, advised: frozenset[str]) -> bool:
+        """Free capacity; return whether the step waits for runs to end."""
         now = self._inputs.now
         waited = now - step.job.accepted_at
         is_urgent = step.job.job.queue.priority == 0
         if step.model.is_filling or not (
             is_urgent or waited > NON_URGENT_PREEMPTION_WAIT
         ):
-            return
+            return False
         if not self._is_guaranteed(step.job) and self._is_too_late(step.job):
-            return  # even with preemption it would not finish in time
+            return False  # even with preemption it would not finish in time
         count = self._unplanned_count(step)
         if step.model.is_gang and count < step.model.width:
-            return
+            return False
         if not step.model.is_gang:
             count = min(count, MAX_STARTS_OF_STEP)
         if (
             now < step.search_at
             or self._preemption_searches >= MAX_PREEMPTION_SEARCHES
+            or self._is_still_awaiting(step)
         ):
-            return
-        self._preemption_searches += 1
-        step.search_at = now + PREEMPTION_SEARCH_INTERVAL
-        headroom_ids = frozenset() if is_urgent else self._headroom_workers()
-        choices = self._preemption.choose(
-            step,
-            count,
-            self._may_span_racks(step),
-            self._max_preemption_cost(step),
-            self._pool.held | headroom_ids | self._barred(advised),
-            self._count_by_worker(step),
+            return self._keep_awaited(step, count)
+        step.search_at = now + (
+            AHEAD_SEARCH_INTERVAL
+            if self._inputs.plans_ahead
+            else PREEMPTION_SEARCH_INTERVAL
         )
+        choices = self._choose(step, count, advised)
         if not choices:
-            return
+            step.awaited = ()
+            return False
+        if deciding.is_wait(choices):
+            return is_urgent and self._await(step, choices)
         self._reservations.add(step, [c.worker_id for c in choices], now)
         for choice in choices:
-            free_worker = self._free_workers_by_id.get(choice.worker_id)
-            if free_worker is not None:
-                demand = placing.demand_of(step.model)
-                free_worker.free = free_worker.free.minus(demand)
+            self._take(choice.worker_id, step)
             self._plan.stops.extend(
                 plans.Stop(run, f"preempted by {step.job.job.job_id}")
                 for run in choice.victims
             )
+        return False
+
+    def _choose(
+        self, step: runs.StepState, count: int, advised: frozenset[str]
+    ) -> list[preempting.Choice]:
+        """Return what to stop or to wait for; it is allocated."""
+        is_urgent = step.job.job.queue.priority == 0
+        headroom_ids = frozenset() if is_urgent else self._headroom_workers()
+        excluded = self._pool.held | headroom_ids | self._barred(advised)
+        may_span_racks = self._may_span_racks(step)
+        counts = self._count_by_worker(step)
+
+        def search(limits: deciding.Limits) -> list[preempting.Choice]:
+            self._preemption_searches += 1
+            return self._preemption.choose(
+                step,
+                count,
+                may_span_racks,
+                limits.max_cost,
+                excluded,
+                counts,
+                limits.horizon,
+            )
+
+        def probe(limits: deciding.Limits) -> list[preempting.Choice]:
+            saved = self._preemption.save()
+            found = search(limits)
+            self._preemption.restore(saved)
+            return found
+
+        max_cost = self._max_preemption_cost(step)
+        if not self._inputs.plans_ahead:
+            return search(deciding.Limits(max_cost, None))
+        lead, now = self._inputs.preemption_lead, self._inputs.now
+        if not is_urgent:
+            return search(deciding.Limits(max_cost, lead))
+        case = deciding.Case(
+            now - step.job.accepted_at,
+            self._is_guaranteed(step.job),
+            max_cost,
+            deciding.horizon(step.awaits_until, lead, now),
+        )
+        return deciding.decide(case, self._terms(), search, probe)
+
+    def _await(
+        self, step: runs.StepState, choices: list[preempting.Choice]
+    ) -> bool:
+        """Keep capacity that becomes free without a stop for a step."""
+        now, until = self._inputs.now, step.awaits_until
+        if until is None or now >= until:
+            step.awaits_until = now + deciding.patience(choices)
+        step.awaited = tuple(choice.worker_id for choice in choices)
+        step.awaited_runs = tuple(r for c in choices for r in c.ending)
+        for worker_id in step.awaited:
+            self._take(worker_id, step)
+        return True
+
+    def _is_still_awaiting(self, step: runs.StepState) -> bool:
+        """Return whether what a step awaits is still expected in time."""
+        now, until = self._inputs.now, step.awaits_until
+        if not step.awaited or now >= until:
+            return False
+        if self._is_guaranteed(step.job):
+            terms = self._terms()
+            if now - step.job.accepted_at >= terms.latest_stop:
+                return False
+        return self._costs.still_end(step.awaited_runs, until - now)
+
+    def _terms(self) -> deciding.Terms:
+        return deciding.Terms(
+            self._inputs.preemption_lead, self._inputs.reclaim
+        )
+
+    def _keep_awaited(self, step: runs.StepState, count: int) -> bool:
+        """Keep what a step awaits, between two searches."""
+        awaited = step.awaited[:count]
+        if not awaited or self._inputs.now >= step.awaits_until:
+            return False
+        for worker_id in awaited:
+            self._preemption.allocate(worker_id, placing.demand_of(step.model))
+            self._take(worker_id, step)
+        return True
+
+    def _take(self, worker_id: str, step: runs.StepState) -> None:
+        free_worker = self._free_workers_by_id.get(worker_id)
+        if free_worker is not None:
+            demand = placing.demand_of(step.model)
+            free_worker.free = free_worker.free.minus(demand)
 
     def _barred(self, advised: frozenset[str]) -> frozenset[str]:
         """Return the workers that advice leaves out."""
@@ -572,7 +681,10 @@
         waited = self._inputs.now - step.job.accepted_at
         is_urgent = step.job.job.queue.priority == 0
         has_waited = is_urgent and waited >= PREEMPTION_WAIT
-        if has_waited and self._is_guaranteed(step.job):
+        if self._inputs.plans_ahead:
+            # A wait would not help, so the limit after it holds at once.
+            has_waited = is_urgent
+        elif has_waited and self._is_guaranteed(step.job):
             return float("inf")
         expected = self._inputs.durations.expected(step.job.job, step.model)
         own = preempting.core_equivalent(step.model.demand) * step.model.width
@@ -580,6 +692,14 @@
         return own * expected.total_seconds() * factor
 
 
+def _victim_costs(inputs: RoundInputs) -> victims.VictimCosts | None:
+    """Return the costs of victims, if scheduling plans ahead."""
+    if not inputs.plans_ahead:
+        return None
+    ends = run_ends.RunEnds(inputs.durations, inputs.now)
+    return victims.VictimCosts(ends, inputs.preemption_lead, inputs.now)
+
+
 def ready_steps(
     job: runs.JobState, now: datetime.timedelta, wall: datetime.datetime
 ) -> list[runs.StepState]:
--- a/cardamomcroft/scheduling/preempting.py
+++ b/cardamomcroft/scheduling/preempting.py
@@ -12,6 +12,7 @@
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import runs
+from cardamomcroft.sharing import victims
 
 # Lost work counts an accelerator as this many cores (ratio of the prices).
 CORES_PER_ACCELERATOR = 8
@@ -33,13 +34,30 @@
     cost: float  # core-seconds lost
     worker_id: str
     victims: tuple[runs.Run, ...]
+    # Runs whose capacity it awaits, and the time until the last one ends.
+    ending: tuple[runs.Run, ...] = ()
+    awaits: datetime.timedelta = datetime.timedelta()
+
+    def rank(self) -> tuple[float, datetime.timedelta]:
+        """Return a key that sorts the cheapest and soonest first."""
+        return self.cost, self.awaits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _VictimGroup:
+    """A task or gang that may stop, or ends by itself in time."""
+
+    cost: float
+    runs: list[runs.Run]
+    ends: bool = False
+    left: datetime.timedelta = datetime.timedelta()  # until it ends
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _VictimGroups:
     """Preemptible tasks and gangs of a worker, cheapest first."""
 
-    groups: list[tuple[float, list[runs.Run]]]
+    groups: list[_VictimGroup]
     capacity: models.Demand  # freed if all of them stop
 
 
@@ -60,15 +78,26 @@
         free_by_worker: dict[str, models.Demand],
         now: datetime.timedelta,
         guaranteed: frozenset[str],
+        costs: victims.VictimCosts | None = None,
     ) -> None:
-        """Start with the capacity that is free without any further stop."""
+        """Start with the capacity that is free without any further stop.
+
+        With ``costs``, scheduling plans ahead.
+        """
+        self._costs = costs
+        self._horizon: datetime.timedelta | None = None  # of the search
+        self._is_unlimited = False  # the search
         self._workers_by_id = workers_by_id
         self._free_by_worker = free_by_worker
         self._now = now
         self._guaranteed = guaranteed
         self._chosen: set[runs.Run] = set()
         self.allocations = 0
-        self._victim_groups: dict[tuple[str, int, bool], _VictimGroups] = {}
+        # By the terms of a search and the worker, or the run or gang.
+        self._victim_groups: dict[tuple, dict[str, _VictimGroups]] = {}
+        self._groups: dict[
+            tuple, dict[runs.Run | runs.StepState, _VictimGroup | None]
+        ] = {}
         self._at_work_by_step: dict[runs.StepState, frozenset[runs.Run]] = {}
 
     def save(self) -> "Savepoint":
@@ -95,12 +124,15 @@
         max_cost: float,
         excluded: collections.abc.Set[str],
         count_by_worker: collections.Counter[str],
+        horizon: datetime.timedelta | None = None,
     ) -> list[Choice]:
         """Return placements for the tasks; for a gang, for all or none.
 
         Choices that together lose more than ``max_cost`` core-seconds are
-        discarded.
+        discarded. Runs expected to end within ``horizon`` are not stopped.
         """
+        self._horizon = horizon
+        self._is_unlimited = max_cost == float("inf")
         eligible = [
             worker_id
             for worker_id in self._free_by_worker
@@ -119,7 +151,7 @@
         plans = [plan for plan in plans if plan]
         if not plans:
             return []
-        best = min(plans, key=lambda plan: (-len(plan), _cost(plan)))
+        best = min(plans, key=_rank)
         if step.model.is_gang and len(best) < count:
             return []
         if _cost(best) > max_cost:
@@ -138,7 +170,7 @@
         demand = placing.demand_of(step.model)
         for choice in plan:
             self.allocate(choice.worker_id, demand)
-            for run in choice.victims:
+            for run in choice.victims + choice.ending:
                 self._chosen.add(run)
                 freed = placing.demand_of(run.step.model)
                 self.allocate(run.worker_id, models.Demand().minus(freed))
@@ -161,23 +193,30 @@
         limit = step.model.spread_limit or len(step.waiting) + sum(
             counts.values()
         )
+        # A choice depends on its worker's free capacity and runs only.
+        known: dict[str, Choice | None] = {}
         while len(plan) < count:
             best = None
             for worker_id, free in free_by_worker.items():
                 if counts[worker_id] >= limit:
                     continue
-                choice = self._cheapest(worker_id, step, free, stopped)
-                if choice and (best is None or choice.cost < best.cost):
+                if worker_id not in known:
+                    known[worker_id] = self._cheapest(
+                        worker_id, step, free, stopped
+                    )
+                choice = known[worker_id]
+                if choice and (best is None or choice.rank() < best.rank()):
                     best = choice
-                    if not choice.victims:
+                    if not (choice.victims or choice.ending):
                         break
             if best is None:
                 break
             plan.append(best)
             counts[best.worker_id] += 1
+            _forget(known, best)
             free = free_by_worker[best.worker_id]
             free_by_worker[best.worker_id] = free.minus(demand)
-            for run in best.victims:
+            for run in best.victims + best.ending:
                 stopped.add(run)
                 if run.worker_id in free_by_worker:
                     freed = placing.demand_of(run.step.model)
@@ -198,19 +237,21 @@
         candidates = self._victim_groups_on(worker_id, step)
         if not demand.fits(free.plus(candidates.capacity)):
             return None
-        cost, victims = 0.0, []
-        for group_cost, group in candidates.groups:
-            if group[0] in victims or group[0] in stopped:
+        freed: list[runs.Run] = []
+        used: list[_VictimGroup] = []
+        for group in candidates.groups:
+            first = group.runs[0]
+            if first in freed or first in stopped:
                 continue
-            if not self._is_within_budget(group, stopped.union(victims)):
+            if not self._is_within_budget(group.runs, stopped.union(freed)):
                 continue
-            victims.extend(group)
-            cost += group_cost
-            for member in group:
+            freed.extend(group.runs)
+            used.append(group)
+            for member in group.runs:
                 if member.worker_id == worker_id:
                     free = free.plus(placing.demand_of(member.step.model))
             if demand.fits(free):
-                return Choice(cost, worker_id, tuple(victims))
+                return _make_choice(worker_id, used)
         return None
 
     def _victim_groups_on(
@@ -219,22 +260,47 @@
         job = step.job.job
         priority = job.queue.priority
         is_guaranteed = priority == 0 and job.account in self._guaranteed
-        key = worker_id, priority, is_guaranteed
-        if key not in self._victim_groups:
+        terms = priority, is_guaranteed, self._horizon, self._is_unlimited
+        known = self._victim_groups.setdefault(terms, {})
+        if worker_id not in known:
+            known_groups = self._groups.setdefault(terms, {})
             groups = []
             capacity = models.Demand()
             for run in self._workers_by_id[worker_id].runs_by_task.values():
-                group = _group(run)
-                if all(
-                    self._may_stop(member, priority, is_guaranteed)
-                    for member in group
-                ):
-                    cost = sum(lost_work(m, self._now) for m in group)
-                    groups.append((cost, group))
+                unit = run.step if run.step.model.is_gang else run
+                if unit not in known_groups:
+                    known_groups[unit] = self._victim_group(
+                        run, priority, is_guaranteed
+                    )
+                group = known_groups[unit]
+                if group is not None:
+                    groups.append(group)
                     capacity = capacity.plus(placing.demand_of(run.step.model))
-            groups.sort(key=lambda entry: entry[0])
-            self._victim_groups[key] = _VictimGroups(groups, capacity)
-        return self._victim_groups[key]
+            groups.sort(key=lambda group: (group.cost, group.left))
+            known[worker_id] = _VictimGroups(groups, capacity)
+        return known[worker_id]
+
+    def _victim_group(
+        self, run: runs.Run, priority: int, is_guaranteed: bool
+    ) -> "_VictimGroup | None":
+        """Return a run with its gang; None if the step may not use it."""
+        group = _group(run)
+        costs = self._costs
+        if costs is not None:
+            left = costs.left(run)
+            is_soon = left is not None and self._horizon is not None
+            if is_soon and left <= self._horizon:
+                return _VictimGroup(0.0, group, True, left)
+            if not self._is_unlimited and costs.ends_within_lead(run):
+                return None
+            if not is_guaranteed and costs.is_exempt(group):
+                return None
+        if not all(self._may_stop(m, priority, is_guaranteed) for m in group):
+            return None
+        cost = sum(lost_work(member, self._now) for member in group)
+        if costs is not None:
+            cost = costs.weigh(group, cost)
+        return _VictimGroup(cost, group)
 
     def _may_stop(
         self, run: runs.Run, priority: int, is_guaranteed: bool
@@ -281,6 +347,33 @@
     return [run]
 
 
+def _forget(known: dict[str, Choice | None], taken: Choice) -> None:
+    """Drop the choices that a further one changes."""
+    known.pop(taken.worker_id, None)
+    for run in taken.victims + taken.ending:
+        known.pop(run.worker_id, None)
+        if run.step.model.is_lasting:
+            known.clear()  # the step's budget counts on all workers
+
+
+def _make_choice(worker_id: str, used: list[_VictimGroup]) -> Choice:
+    stopped = [run for g in used if not g.ends for run in g.runs]
+    ending = [run for g in used if g.ends for run in g.runs]
+    return Choice(
+        sum(group.cost for group in used),
+        worker_id,
+        tuple(stopped),
+        tuple(ending),
+        max(group.left for group in used),
+    )
+
+
+def _rank(plan: list[Choice]) -> tuple:
+    """Return a key that sorts the most complete and cheapest plan first."""
+    awaits = max(choice.awaits for choice in plan)
+    return -len(plan), _cost(plan), awaits
+
+
 def _cost(plan: list[Choice]) -> float:
     return sum(choice.cost for choice in plan)
 
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -23,6 +23,7 @@
 # and is written again at each end of a task.
 MAX_LISTED_BYTES = 2_000
 _LISTED_STEP_BYTES = 22  # beside a hexadecimal digit for four tasks
+RUN_NUMBERS_PER_TERM = 10_000  # run numbers increase with each term
 MIN_START_LEASE = datetime.timedelta(milliseconds=1500)
 _MS = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
@@ -136,6 +137,15 @@
     moves_by_index: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter
     )  # runs stopped to move because they were stalled or slow
+    # Runs stopped for other work, where scheduling plans ahead.
+    preemptions_by_index: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # The workers, one entry a task, whose runs are expected to end in time,
+    # these runs, and until when the step waits for such.
+    awaited: tuple[str, ...] = ()
+    awaited_runs: tuple[Run, ...] = ()
+    awaits_until: datetime.timedelta | None = None
     retry_at: datetime.timedelta = _ZERO
     search_at: datetime.timedelta = _ZERO  # earliest next search for capacity
     tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
@@ -181,6 +191,11 @@
             self.job.job.job_id, self.occurrence, self.number, index
         )
 
+    def stop_waiting(self) -> None:
+        """Forget what the step awaited, as a task of it starts."""
+        self.awaited, self.awaited_runs = (), ()
+        self.awaits_until = None
+
     def unanswered_count(self) -> int:
         """Count the starts that wait to be sent or for their answers."""
         return sum(
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -29,6 +29,8 @@
 from cardamomcroft.scheduling import standing_watch
 from cardamomcroft.scheduling import stragglers
 from cardamomcroft.scheduling import worker_polling
+from cardamomcroft.sharing import observing
+from cardamomcroft.sharing import victims
 from cardamomcroft.sharing import wiring
 
 # Combines events that arrive together into one round. After a long round the
@@ -80,6 +82,7 @@
         self._headroom = wiring.make_headroom(parameters)
         self._holds = holding.Holds()
         self._reservations = wiring.make_reservations(parameters)
+        self._headroom_watch = observing.HeadroomWatch(self._headroom, log)
         self._standing = standing_watch.StandingWatch(
             self.cluster, self._reservations, self._holds, self._headroom
         )
@@ -206,6 +209,7 @@
         self._try_phase("preemption", self._preempt, plan.stops)
         self._try_phase("advice", self._request_advice, plan.advice_wanted)
         self._try_phase("assignment", self._launcher.assign, plan.starts)
+        self._try_phase("headroom", self._watch_headroom)
 
     def _try_phase(
         self,
@@ -252,9 +256,14 @@
             tuple(self.cluster.open_gangs),
             self.cluster.parameters.plans_ahead,
             self.cluster.parameters.preemption_lead,
+            self.cluster.parameters.reclaim,
         )
         return planning.Planner(inputs).plan()
 
+    def _watch_headroom(self) -> None:
+        workers = self.cluster.workers_by_id.values()
+        self._headroom_watch.after_round(workers, self._headroom.now)
+
     def _report_failures(self, failed: list[plans.Failure]) -> None:
         for failure in failed:
             self.cluster.failures.report(
@@ -263,6 +272,8 @@
 
     def _preempt(self, stops: list[plans.Stop]) -> None:
         for stop in stops:
+            if self.cluster.parameters.plans_ahead:
+                victims.count_stop(stop.run)
             self._orders.stop(stop.run, stop.reason)
 
     def _request_advice(self, steps: list[runs.StepState]) -> None:
