--- a/tests/sharing/test_deciding.py
+++ b/tests/sharing/test_deciding.py
@@ -239,7 +239,9 @@
     worker_count = 6
     rack_count = 2
 
-    async def reclaim(self, run_s: float, age_s: float) -> float:
+    async def reclaim(
+        self, run_s: float, age_s: float, hangs: bool = False
+    ) -> float:
         """Return the wait of a guaranteed gang beside work of an age."""
         await self.begin(plans_ahead=True)
         self.fleet.stop_time = load_harness.STOP_BOUND
@@ -247,7 +249,13 @@
         await self.play_on(age_s)
         self.guarantee({"b": 16})
         gang = harness.make_step(2, 8, is_gang=True, is_rack_local=True)
-        self.submit_for(gang, 2, priority=0, account="b")
+        job_id = self.submit_for(gang, 2, priority=0, account="b")
+        await self.play_on(0.2)
+        scheduler = self.nodes_by_name["a"].scheduler
+        step = scheduler.cluster.jobs_by_id[job_id].steps_by_key[0, 0]
+        self.assertEqual(bool(step.awaited), hangs)
+        for worker in self.fleet.workers_by_id.values():
+            worker.hangs = hangs
         await self.play_on(3.4)
         return max(self.outcome().waits_s)
 
@@ -256,5 +264,5 @@
         self.assertLess(await self.reclaim(90, 40), 1.4)
 
     async def test_hanging_work_is_stopped_in_time(self):
-        """Runs that are forecast to end and hang do not break the bound."""
-        self.assertLess(await self.reclaim(9, 7.5), 3.0)
+        """Runs that are awaited and hang do not break the bound."""
+        self.assertLess(await self.reclaim(9, 8.2, hangs=True), 3.0)
