--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -157,6 +157,7 @@
             settings.retention + RETENTION_MARGIN,
             self._plans_ahead,
             self._learns_run_times,
+            settings.reclaim,
         )
         view = configuration_view.ConfigurationView(
             store,
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -48,6 +48,8 @@
     # others have been stopped is late, where stops take long.
     plans_ahead: bool = False
     learns_run_times: bool = False  # only where it plans ahead
+    # For guaranteed work to have started.
+    reclaim: datetime.timedelta = datetime.timedelta(milliseconds=2700)
 
     @property
     def preemption_lead(self) -> datetime.timedelta:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -21,7 +21,6 @@
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import ending
 from cardamomcroft.scheduling import events
-from cardamomcroft.scheduling import headroom as headrooms
 from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import inheriting
 from cardamomcroft.scheduling import journal as journals
@@ -33,13 +32,15 @@
 from cardamomcroft.scheduling import plans
 from cardamomcroft.scheduling import queue_waits
 from cardamomcroft.scheduling import replica as replicas
-from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import standing_watch
 from cardamomcroft.scheduling import stragglers
 from cardamomcroft.scheduling import worker_polling
 from cardamomcroft.sharing import fair_shares
+from cardamomcroft.sharing import observing
 from cardamomcroft.sharing import refusals
+from cardamomcroft.sharing import victims
+from cardamomcroft.sharing import wiring
 
 # Combines events that arrive together into one round. After a long round the
 # pause is three times its duration, which leaves three quarters of the
@@ -91,9 +92,10 @@
         self._launcher = launching.Launcher(self.cluster, self._orders, link)
         self._began_at = clock.now()
         self._has_synced_workers = False
-        self._headroom = headrooms.Headroom()
+        self._headroom = wiring.make_headroom(parameters)
         self._holds = holding.Holds()
-        self._reservations = reservations.Reservations()
+        self._reservations = wiring.make_reservations(parameters)
+        self._headroom_watch = observing.HeadroomWatch(self._headroom, log)
         self._standing = standing_watch.StandingWatch(
             self.cluster, self._reservations, self._holds, self._headroom
         )
@@ -236,7 +238,7 @@
         state = occurrences.make_job_state(job, progress, now - age)
         state.is_cancelled = job_id in self._replica.ledger.cancelled_ids
         self.cluster.jobs_by_id[job_id] = state
-        self._headroom.observe(job)
+        self._headroom.observe(job, state.accepted_at)
 
     def _round(self) -> None:
         """Run the phases of one round."""
@@ -259,6 +261,7 @@
         self._try_phase("preemption", self._preempt, plan.stops)
         self._try_phase("advice", self._request_advice, plan.advice_wanted)
         self._try_phase("assignment", self._launcher.assign, plan.starts)
+        self._try_phase("headroom", self._watch_headroom)
 
     def _try_phase(
         self,
@@ -323,6 +326,7 @@
         )
 
     def _plan(self) -> plans.Plan:
+        self._headroom.now = self._clock.monotonic()
         inputs = planning.RoundInputs(
             list(self.cluster.jobs_by_id.values()),
             self.cluster.workers_by_id,
@@ -339,6 +343,7 @@
             self._shares,
             self._outlook,
             self._failing,
+            self.cluster.parameters.reclaim,
         )
         planner = planning.Planner(inputs)
         plan = planner.plan()
@@ -346,6 +351,10 @@
             self._try_phase("avoidances", self._report_avoidances, planner)
         return plan
 
+    def _watch_headroom(self) -> None:
+        workers = self.cluster.workers_by_id.values()
+        self._headroom_watch.after_round(workers, self._headroom.now)
+
     def _report_failures(self, failed: list[plans.Failure]) -> None:
         for failure in failed:
             self.cluster.failures.report(
@@ -354,6 +363,8 @@
 
     def _preempt(self, stops: list[plans.Stop]) -> None:
         for stop in stops:
+            if self.cluster.parameters.plans_ahead:
+                victims.count_stop(stop.run)
             self._orders.stop(stop.run, stop.reason)
 
     def _request_advice(self, steps: list[runs.StepState]) -> None:
--- a/tests/sharing/load_harness.py
+++ b/tests/sharing/load_harness.py
@@ -1,90 +1,134 @@
-"""Play the load of several accounts against one node and fake workers."""
+"""Play loads against a node and measure what callers get."""
 
-import collections
 import dataclasses
 import datetime
+import statistics
 from unittest import mock
 
-from cardamomcroft.scheduling import configuration
+from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import models
-from cardamomcroft.scheduling import scheduler as schedulers
+from cardamomcroft.scheduling import preempting
+from cardamomcroft.standin import fleet as standin_fleet
 from tests.scheduling import harness
 
-AHEAD = dataclasses.replace(
-    harness.PARAMETERS, stop_bound=harness.seconds(0.9), plans_ahead=True
-)
+STOP_BOUND = harness.seconds(0.9)
+STOP_TIME = harness.seconds(0.7)  # what a stop takes, near its bound
 
 
-def make_configuration(
-    accelerators_by_account: dict[str, int],
-) -> configuration.Configuration:
-    """Return a configuration with these guarantees."""
-    accounts = {
-        f"key of {name}": configuration.Account(name, 0, number)
-        for name, number in accelerators_by_account.items()
-    }
-    return configuration.Configuration(1, (), accounts, 0)
+def parameters(plans_ahead: bool):
+    """Return the parameters of a deployment whose stops are slow."""
+    return dataclasses.replace(
+        harness.PARAMETERS, stop_bound=STOP_BOUND, plans_ahead=plans_ahead
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What the callers of one play got."""
+
+    waits_s: list[float]  # until all tasks were at work at once
+    stopped_core_s: float  # of runs that were stopped
+
+    @property
+    def mean_wait_s(self) -> float:
+        """Return the mean of the waits."""
+        return statistics.fmean(self.waits_s)
 
 
 class LoadTestCase(harness.SchedulingTestCase):
-    """One node that plans ahead, and workers of eight accelerators."""
+    """One node and workers in racks; stops take long."""
 
-    worker_count = 4
-    parameters = AHEAD
+    worker_count = 24
+    rack_count = 4
 
-    async def asyncSetUp(self):
-        """Start the node and wait for the workers' inventories."""
+    async def begin(self, plans_ahead: bool) -> None:
+        """Start a node that plans ahead or not, on fresh fakes."""
+        for name in list(self.nodes_by_name):
+            self.kill(name)
+        await super().asyncTearDown()
         await super().asyncSetUp()
-        patch = mock.patch.object(harness, "PARAMETERS", self.parameters)
-        patch.start()
-        self.addCleanup(patch.stop)
-        self.submitted_at: dict[str, datetime.timedelta] = {}
-        self.account_by_job: dict[str, str] = {}
-        self.add_workers(self.worker_count)
-        self.start_node("a")
+        self.fleet.stop_bound = STOP_BOUND
+        self.fleet.stop_time = STOP_TIME
+        for number in range(self.worker_count):
+            self.add_worker(f"w{number}", f"r{number % self.rack_count}")
+        patch = mock.patch.object(
+            harness, "PARAMETERS", parameters(plans_ahead)
+        )
+        with patch:
+            self.start_node("a")
         await self.wait_until(self.holder)
-        await self.pass_time(0.5)
+        self._pending: dict[str, datetime.timedelta] = {}
+        self._waits_s: list[float] = []
 
-    @property
-    def scheduler(self) -> schedulers.Scheduler:
-        """Return the scheduler of the node."""
-        return self.nodes_by_name["a"].scheduler
+    def add_worker(self, worker_id: str, rack: str) -> None:
+        """Add a worker of eight accelerators with its entry."""
+        self.listings[worker_id] = self.fleet.add(worker_id, 8, rack)
+        number = str(len(self.listings)).encode()
+        self.store.put(harness.store.Stream.SERVERS, worker_id, number)
+
+    def guarantee(self, accelerators: dict[str, int]) -> None:
+        """Guarantee accelerators to accounts."""
+        scheduler = self.nodes_by_name["a"].scheduler
+        scheduler._guarantees = lambda: accelerators
 
-    def submit_as(
+    def submit_for(
         self,
-        account: str,
         step: models.Step,
-        queue: models.Queue | None = None,
+        run_s: float,
+        priority: int,
+        account: str = "a",
     ) -> str:
-        """Store a submission and note when."""
+        """Submit a job whose tasks run for a time; watch urgent ones."""
+        queue = harness.make_queue(priority)
         job_id = self.submit(step, queue=queue, account=account)
-        self.submitted_at[job_id] = self.clock.monotonic()
-        self.account_by_job[job_id] = account
+        self.fleet.durations_by_job[job_id] = harness.seconds(run_s)
+        if priority == 0:
+            self._pending[job_id] = self.clock.monotonic()
         return job_id
 
-    def started_at(self) -> dict[str, datetime.timedelta]:
-        """Return when the first task of each job began."""
-        times: dict[str, datetime.timedelta] = {}
-        begun = [(run.task, run.began_at) for run in self.fleet.intervals]
-        for worker in self.fleet.workers_by_id.values():
-            for task, run in worker.runs_by_task.items():
-                begun.append((task, run.began_at))
-        for task, began_at in begun:
-            job_id = task.partition(".")[0]
-            times[job_id] = min(times.get(job_id, began_at), began_at)
-        return times
-
-    def waits_s(self) -> dict[str, list[float]]:
-        """Return the accounts' waits; those of waiting jobs end now."""
-        now, started_at = self.clock.monotonic(), self.started_at()
-        waits = collections.defaultdict(list)
-        for job_id, submitted_at in self.submitted_at.items():
-            wait = started_at.get(job_id, now) - submitted_at
-            waits[self.account_by_job[job_id]].append(wait.total_seconds())
-        return waits
-
-    def served(self) -> collections.Counter[str]:
-        """Count the accounts' jobs that have begun."""
-        return collections.Counter(
-            self.account_by_job[job_id] for job_id in self.started_at()
+    async def play_on(self, number: float) -> None:
+        """Pass time and note the urgent jobs that have begun in full."""
+        until = self.clock.monotonic() + harness.seconds(number)
+        while self.clock.monotonic() < until:
+            await self.pass_time(harness.STEP.total_seconds())
+            self._note_begins()
+
+    def _note_begins(self) -> None:
+        now = self.clock.monotonic()
+        tasks = [task for task, _ in self.fleet.running()]
+        for job_id, since in list(self._pending.items()):
+            width = sum(s.width for s in self.fleet.steps_by_job[job_id])
+            if sum(task.startswith(job_id) for task in tasks) == width:
+                self._waits_s.append((now - since).total_seconds())
+                del self._pending[job_id]
+
+    def outcome(self) -> Outcome:
+        """Return what the urgent jobs submitted so far got.
+
+        One that has not begun counts with its wait up to now.
+        """
+        now = self.clock.monotonic()
+        open_waits = [
+            (now - since).total_seconds() for since in self._pending.values()
+        ]
+        return Outcome(self._waits_s + open_waits, self.stopped_core_s())
+
+    def stopped_core_s(self) -> float:
+        """Return the core-seconds of the runs that were stopped."""
+        return sum(
+            (i.ended_at - i.began_at).total_seconds()
+            * preempting.core_equivalent(self._demand_of(i))
+            for i in self.fleet.intervals
+            if i.end in (fleet.End.STOPPED, fleet.End.GANG_BROKEN)
         )
+
+    def stop_count(self, job_id: str = "") -> int:
+        """Count the stopped runs, of one job or all."""
+        return sum(
+            i.end is fleet.End.STOPPED and i.task.startswith(job_id)
+            for i in self.fleet.intervals
+        )
+
+    def _demand_of(self, interval: standin_fleet.Interval) -> models.Demand:
+        job_id, _, number, _ = interval.task.rsplit(".", 3)
+        return self.fleet.steps_by_job[job_id][int(number)].demand
--- a/tests/sharing/test_inactive.py
+++ b/tests/sharing/test_inactive.py
@@ -10,13 +10,13 @@
 from cardamomcroft.sharing import fair_shares
 from cardamomcroft.sharing import refusals
 from tests.scheduling import harness
-from tests.sharing import load_harness
+from tests.sharing import account_load
 from tests.sharing import test_shared_load
 
 WIDE = harness.make_step(width=4, accelerators=8)
 
 
-class InactiveTest(load_harness.LoadTestCase):
+class InactiveTest(account_load.LoadTestCase):
     """The scheduler does not plan ahead."""
 
     parameters = harness.PARAMETERS
--- a/tests/sharing/test_refused_load.py
+++ b/tests/sharing/test_refused_load.py
@@ -20,7 +20,7 @@
 from cardamomcroft.sharing import fair_shares
 from cardamomcroft.sharing import refusals
 from tests.scheduling import harness
-from tests.sharing import load_harness
+from tests.sharing import account_load
 from tests.sharing import test_shared_load
 
 FLOOD_STEP = harness.make_step(width=4, accelerators=8)
@@ -63,7 +63,7 @@
     job_id: str = ""  # of its accepted job
 
 
-class RefusedLoadTestCase(load_harness.LoadTestCase):
+class RefusedLoadTestCase(account_load.LoadTestCase):
     """Eight workers; callers are refused as by an ingress."""
 
     worker_count = 8
--- a/tests/sharing/test_shared_load.py
+++ b/tests/sharing/test_shared_load.py
@@ -5,7 +5,7 @@
 
 from cardamomcroft.sharing import fair_shares
 from tests.scheduling import harness
-from tests.sharing import load_harness
+from tests.sharing import account_load
 
 FLOOD_STEP = harness.make_step(accelerators=8)
 OBJECTIVE_S = 7.0  # 2 s of work, slack factor 3, target latency 1 s
@@ -21,7 +21,7 @@
     return sum(values) / len(values)
 
 
-class FloodTestCase(load_harness.LoadTestCase):
+class FloodTestCase(account_load.LoadTestCase):
     """Account a submits twice what eight workers can do."""
 
     worker_count = 8
