--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -13,6 +13,8 @@
 import aiohttp
 from aiohttp import web
 
+from cardamomcroft.evacuation import evacuations as evacuation_sets
+from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.platform import configuration
 from cardamomcroft.platform import connections
 from cardamomcroft.platform import ingress as ingresses
@@ -24,6 +26,7 @@
 from cardamomcroft.relaying import peer_view
 from cardamomcroft.relaying import registrar as registrars
 from cardamomcroft.relaying import rpc as relay_rpc
+from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
@@ -72,7 +75,12 @@
         self._plans_ahead = settings.plans_ahead(
             os.environ.get(platform_settings.PLANNING_VARIABLE, "")
         )
+        self._learns_run_times = platform_settings.learns_run_times(
+            self._plans_ahead,
+            os.environ.get(platform_settings.RUN_TIMES_VARIABLE, ""),
+        )
         self._peers: peer_view.PeerView | None = None
+        self.run_times: run_time_stream.View | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -148,7 +156,21 @@
             0,
             settings.retention + RETENTION_MARGIN,
             self._plans_ahead,
+            self._learns_run_times,
+            settings.reclaim,
+        )
+        view = configuration_view.ConfigurationView(
+            store,
+            clock,
+            log,
+            configuration.decode,
+            configuration.CONFIG_KEY,
+            settings.config_bound,
+        )
+        evacuations = evacuation_sets.Evacuations(
+            configuration.decode_evacuation, log
         )
+        view.on_records = evacuations.read
         node = nodes.Node(
             f"{settings.instance} {uuid.uuid4().hex[:8]}",
             store,
@@ -159,14 +181,9 @@
             parameters,
             random.Random(),
             candidates.Rank(settings.cores, self.known_peers),
-        )
-        view = configuration_view.ConfigurationView(
-            store,
-            clock,
-            log,
-            configuration.decode,
-            configuration.CONFIG_KEY,
-            settings.config_bound,
+            gates.Gate(
+                evacuations, lambda: view.age, settings.evacuation_bound
+            ),
         )
         view.on_change = lambda config: setattr(node, "configuration", config)
         self._peers = peer_view.PeerView(store, clock, log)
@@ -188,6 +205,7 @@
             forwarder,
             random.Random(),
             self.memory_for_jobs,
+            self._plans_ahead,
         )
         peers = relay_rpc.make_server(
             settings.peer_address,
@@ -210,18 +228,22 @@
             await _listen(ingress.handle_ready, settings.ready_address),
             await _listen(ingress.handle, settings.ingress_address),
             await _listen(
-                lambda request: self._serve_metrics(node, view),
+                lambda request: self._serve_metrics(node, view, evacuations),
                 settings.metrics_address,
             ),
         ]
+        loops = [
+            ("configuration", view.run),
+            ("node", node.run),
+            ("peers", self._peers.run),
+            ("registrar", registrar.run),
+        ]
+        self.run_times = node.run_times
+        if node.run_times is not None:
+            loops.append(("run times", node.run_times.run))
         tasks = [
             asyncio.ensure_future(self.keep_running(name, run))
-            for name, run in (
-                ("configuration", view.run),
-                ("node", node.run),
-                ("peers", self._peers.run),
-                ("registrar", registrar.run),
-            )
+            for name, run in loops
         ]
         try:
             await self._wait_until_leaving(tasks)
@@ -267,7 +289,10 @@
             await self._clock.sleep(LOOP_RESTART_PAUSE)
 
     async def _serve_metrics(
-        self, node: nodes.Node, view: configuration_view.ConfigurationView
+        self,
+        node: nodes.Node,
+        view: configuration_view.ConfigurationView,
+        evacuations: evacuation_sets.Evacuations,
     ) -> web.Response:
         for name, age in (
             ("jobs", node.replica.age),
@@ -278,11 +303,21 @@
                 gauge.set(age.total_seconds())
         self._metrics.jobs.clear()
         self._metrics.standing.clear()
+        self._metrics.share_ratios.clear()
+        self._metrics.leaving.set(0)
         if node.scheduler is not None:
             for labels, count in node.scheduler.count_jobs().items():
                 self._metrics.jobs.labels(*labels).set(count)
             for reason, count in node.scheduler.count_standing().items():
                 self._metrics.standing.labels(reason).set(count)
+            for (
+                account,
+                ratio,
+            ) in node.scheduler.largest_share_ratios().items():
+                self._metrics.share_ratios.labels(account).set(ratio)
+            self._metrics.leaving.set(node.scheduler.count_leaving())
+        evacuated = len(evacuations.offsets_by_data_centre)
+        self._metrics.evacuated.set(evacuated)
         self._metrics.unmatched.set(len(node.replica.ledger.unmatched))
         self._metrics.is_scheduler.set(node.scheduler is not None)
         return web.Response(body=self._metrics.render())
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -5,8 +5,11 @@
 import dataclasses
 import datetime
 
+from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
+from cardamomcroft.runtimes import learned
+from cardamomcroft.runtimes import speeds
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import events
@@ -44,6 +47,9 @@
     # Decide by what is expected to come: urgent work that begins only after
     # others have been stopped is late, where stops take long.
     plans_ahead: bool = False
+    learns_run_times: bool = False  # only where it plans ahead
+    # For guaranteed work to have started.
+    reclaim: datetime.timedelta = datetime.timedelta(milliseconds=2700)
 
     @property
     def preemption_lead(self) -> datetime.timedelta:
@@ -79,6 +85,7 @@
         clock: base.Clock,
         log: events.Events,
         parameters: SchedulingParameters,
+        gate: gates.Gate,
     ) -> None:
         """Create a state without jobs and workers."""
         self.journal = journal
@@ -86,9 +93,12 @@
         self.log = log
         self.failures = failures.FailureLog(clock, log)
         self.parameters = parameters
+        self.gate = gate  # to pass before each start order
         self.jobs_by_id: dict[str, runs.JobState] = {}
         self.workers_by_id: dict[str, runs.Worker] = {}
         self.durations: estimates.RunTimes = estimates.Durations()
+        if parameters.learns_run_times:
+            self.durations = learned.LearnedRunTimes(self._kind_of)
         self.open_gangs: set[runs.StepState] = set()  # lack refused members
         self._raised_tokens_by_worker: dict[str, int] = {}
         # No longer tracked; orders for them may still be carried out.
@@ -198,6 +208,43 @@
         run.step.runs_by_index[index] = run
         self.workers_by_id[run.worker_id].runs_by_task[run.name] = run
 
+    def _kind_of(self, worker_id: str) -> speeds.WorkerKind:
+        """Return what workers of like speed have in common."""
+        worker = self.workers_by_id.get(worker_id)
+        return speeds.kind_of(worker.listing if worker else None)
+
+    def observe_stopped(
+        self, run: runs.Run, ended_at: datetime.timedelta
+    ) -> None:
+        """Learn from a run at work that is stopped or lost.
+
+        An error in an estimate must not keep a run from being stopped.
+        """
+        if run.phase is not runs.Phase.AT_WORK:
+            return
+        try:
+            self.durations.observe_stopped(run, ended_at - run.began_at)
+        except Exception as error:
+            self._report_unlearned(run, error)
+
+    def observe_run(self, run: runs.Run, actual: datetime.timedelta) -> None:
+        """Learn from an uninterrupted run that is done.
+
+        An error in a learned estimate must not keep its end from counting.
+        """
+        if not self.parameters.learns_run_times:
+            self.durations.observe_run(run, actual)
+            return
+        try:
+            self.durations.observe_run(run, actual)
+        except Exception as error:
+            self._report_unlearned(run, error)
+
+    def _report_unlearned(self, run: runs.Run, error: Exception) -> None:
+        self.failures.report(
+            "run_time_not_learned", run.key.job_id, repr(error)
+        )
+
     def detach(self, run: runs.Run) -> None:
         """Remove a run that has certainly ended or was never sent."""
         was_sent = run.phase is not runs.Phase.ASSIGNED
--- a/cardamomcroft/scheduling/holding.py
+++ b/cardamomcroft/scheduling/holding.py
@@ -4,6 +4,7 @@
 free, and tasks that need most of a worker starve.
 """
 
+import collections.abc
 import datetime
 
 from cardamomcroft.scheduling import estimates
@@ -11,6 +12,8 @@
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import runs
 
+# Most runs have ended by then; half of them take longer than the median.
+COMPLETION_QUANTILE = 0.75
 MAX_HELD_SHARE = 0.35  # of the workers; the others continue with small tasks
 MIN_LARGE_SHARE = 0.25  # of a worker; smaller tasks fit what becomes free
 HOLD_HORIZON = datetime.timedelta(seconds=5)  # holding longer wastes too much
@@ -60,6 +63,12 @@
         """Release the workers held for a step."""
         self._by_step.pop(step, None)
 
+    def drop_workers(self, worker_ids: collections.abc.Set[str]) -> None:
+        """Drop the holds of workers that get no new tasks."""
+        for step, (held, _) in list(self._by_step.items()):
+            if not worker_ids.isdisjoint(held):
+                del self._by_step[step]
+
     def may_search(self) -> bool:
         """Count a search for workers; return whether it is allowed."""
         self._searches += 1
@@ -98,7 +107,10 @@
     """Return when each run is expected to end and what it frees."""
     return sorted(
         (
-            (durations.remaining(run, now), placing.demand_of(run.step.model))
+            (
+                durations.remaining_quantile(run, now, COMPLETION_QUANTILE),
+                placing.demand_of(run.step.model),
+            )
             for run in worker.runs_by_task.values()
             if not run.step.model.is_lasting
         ),
--- a/cardamomcroft/scheduling/metrics.py
+++ b/cardamomcroft/scheduling/metrics.py
@@ -6,6 +6,8 @@
 
 # Buckets from one store call (6 ms) to the longest objective of a job.
 _BUCKETS_S = (0.01, 0.03, 0.1, 0.3, 1, 2, 4, 8, 16, 32, 64)
+# From an estimate eight times too long to one eight times too short.
+_RATIOS = (0.125, 0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4, 8)
 
 
 class Metrics:
@@ -89,17 +91,71 @@
             ("reason",),
             registry=registry,
         )
+        self.evacuated = prometheus_client.Gauge(
+            "cardamomcroft_evacuated_data_centres",
+            "Data centres on whose workers nothing may start",
+            registry=registry,
+        )
+        self.leaving = prometheus_client.Gauge(
+            "cardamomcroft_leaving_workers",
+            "Workers expected to drain soon, at the scheduler",
+            registry=registry,
+        )
+        self.placements_avoided = prometheus_client.Counter(
+            "cardamomcroft_placements_avoided",
+            "Tasks that were kept off workers with room, or held back",
+            ("reason",),
+            registry=registry,
+        )
         self.unmatched = prometheus_client.Gauge(
             "cardamomcroft_unmatched_cancellations",
             "Cancelled job ids without a stored submission",
             registry=registry,
         )
+        self.share_ratios = prometheus_client.Gauge(
+            "cardamomcroft_account_share_ratio",
+            "An account's dominant share over its fair share, of the largest",
+            ("account",),
+            registry=registry,
+        )
+        self.refusals = prometheus_client.Counter(
+            "cardamomcroft_late_refusals",
+            "Submissions refused as they could not be served in time",
+            ("queue",),
+            registry=registry,
+        )
+        self.headroom = prometheus_client.Gauge(
+            "cardamomcroft_headroom_accelerators",
+            "Accelerators to keep idle for urgent jobs, and those kept",
+            ("kind",),
+            registry=registry,
+        )
+        self.preempted_runs = prometheus_client.Counter(
+            "cardamomcroft_preempted_runs",
+            "Runs stopped for other work, by how long they had run",
+            ("age",),
+            registry=registry,
+        )
+        self.stopped_core_seconds = prometheus_client.Counter(
+            "cardamomcroft_stopped_core_seconds",
+            "Work done by runs that were ordered to stop; an accelerator"
+            " counts as eight cores",
+            ("reason",),
+            registry=registry,
+        )
         self.rounds = prometheus_client.Histogram(
             "cardamomcroft_round_seconds",
             "Scheduling rounds",
             buckets=_BUCKETS_S,
             registry=registry,
         )
+        self.run_time_errors = prometheus_client.Histogram(
+            "cardamomcroft_run_time_error_ratio",
+            "Actual to expected run times",
+            ("queue",),
+            buckets=_RATIOS,
+            registry=registry,
+        )
         self.round_lateness = prometheus_client.Histogram(
             "cardamomcroft_round_late_seconds",
             "How much later than planned a scheduling round began",
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -5,10 +5,12 @@
 import datetime
 import random
 
+from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
@@ -17,6 +19,7 @@
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import replica as replicas
+from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import scheduler as schedulers
 
 # Bounds by how much a follower's replica lags behind the store.
@@ -26,7 +29,7 @@
 HOLDER_POLL_PAUSE = datetime.timedelta(milliseconds=10)
 # A store that does not answer must not delay a planned stop.
 RELEASE_TIMEOUT = datetime.timedelta(seconds=1)
-RUN_NUMBERS_PER_TERM = 10_000  # run numbers increase with each term
+RUN_NUMBERS_PER_TERM = runs.RUN_NUMBERS_PER_TERM
 _ZERO = datetime.timedelta()
 
 
@@ -44,19 +47,28 @@
         parameters: cluster_state.SchedulingParameters,
         rng: random.Random,
         rank: candidates.Rank,
+        gate: gates.Gate | None = None,
     ) -> None:
-        """Assemble the components; ``run`` starts them."""
+        """Assemble the components; ``run`` starts them.
+
+        Starts have to pass the gate, if one is given.
+        """
         self._store = target
         self._link = link
         self._clock = clock
         self._log = log
         self._decode_listing = decode_listing
         self._parameters = parameters
+        self._gate = gate or gates.Gate()
         self.replica = replicas.Replica(target, clock, log)
         self.replica.on_updates = self._apply_updates
         self._candidate = candidates.Candidate(
             holder, target, self.replica, clock, log, rng, rank
         )
+        # The instance's copy of what the scheduler has learned.
+        self.run_times: run_time_stream.View | None = None
+        if parameters.learns_run_times:
+            self.run_times = run_time_stream.View(target, clock, log)
         self.scheduler: schedulers.Scheduler | None = None
         self._scheduler_task: asyncio.Task | None = None
         self._used_epochs: set[int] = set()
@@ -126,7 +138,16 @@
             parameters,
             self._guarantees,
             self._candidate.inherited_leases(parameters),
+            self._gate,
         )
+        if self.run_times is not None:
+            self.scheduler.learning = run_time_stream.Learning(
+                self._store,
+                self._clock,
+                self._log,
+                self.scheduler.cluster,
+                self.run_times,
+            )
         self._scheduler_task = asyncio.ensure_future(self._run_scheduler())
 
     async def _run_scheduler(self) -> None:
--- a/cardamomcroft/scheduling/queue_waits.py
+++ b/cardamomcroft/scheduling/queue_waits.py
@@ -90,13 +90,12 @@
     workers: collections.abc.Iterable[runs.Worker],
 ) -> dict[str, models.Demand]:
     capacity_by_service: dict[str, models.Demand] = {}
-    for worker in workers:
-        if worker.listing is not None:
-            service = worker.listing.service
-            total = capacity_by_service.get(service, models.Demand())
-            capacity_by_service[service] = total.plus(
-                capacity.capacity_of(worker.listing)
-            )
+    for worker in capacity.counted(workers):
+        service = worker.listing.service
+        total = capacity_by_service.get(service, models.Demand())
+        capacity_by_service[service] = total.plus(
+            capacity.capacity_of(worker.listing)
+        )
     return capacity_by_service
 
 
@@ -106,16 +105,10 @@
     durations: estimates.RunTimes,
     wall: datetime.datetime,
 ) -> float:
-    """Return for how long a job's waiting tasks would fill all workers.
-
-    What is not due yet does not wait.
-    """
-    unopened = occurrences.count_unopened(job, wall)
-    waiting_by_step = [step.width * unopened for step in job.job.steps]
-    for step in job.steps_by_key.values():
-        waiting_by_step[step.number] += len(step.waiting)
+    """Return for how long a job's waiting tasks would fill all workers."""
     work_s = 0.0
-    for model, waiting in zip(job.job.steps, waiting_by_step, strict=True):
+    counts = count_waiting(job, wall)
+    for model, waiting in zip(job.job.steps, counts, strict=True):
         if waiting and not model.is_lasting:
             share = dominant_share(placing.demand_of(model), total)
             expected = durations.expected(job.job, model)
@@ -123,6 +116,18 @@
     return work_s
 
 
+def count_waiting(job: runs.JobState, wall: datetime.datetime) -> list[int]:
+    """Count a job's waiting tasks by step.
+
+    What is not due yet does not wait.
+    """
+    unopened = occurrences.count_unopened(job, wall)
+    counts = [step.width * unopened for step in job.job.steps]
+    for step in job.steps_by_key.values():
+        counts[step.number] += len(step.waiting)
+    return counts
+
+
 def dominant_share(demand: models.Demand, total: models.Demand) -> float:
     """Return the largest share that a demand takes of any resource."""
     pairs = (
@@ -133,17 +138,22 @@
     return max((need / have for need, have in pairs if have), default=0.0)
 
 
-def retry_after_s(job: models.Job, wait: datetime.timedelta) -> int | None:
+def retry_after_s(
+    job: models.Job,
+    wait: datetime.timedelta,
+    durations: estimates.RunTimes | None = None,
+) -> int | None:
     """Return when a job should be submitted again; None to accept it now.
 
     A job is refused only if it could not end by its final deadline. It should
-    return when the backlog is short enough for that.
+    return when the backlog is short enough for that. Without ``durations``
+    the declared times count.
     """
     if job.is_lasting or job.timetable:
         return None
-    declared = estimates.Durations()
-    final_deadline = declared.objective(job) * ordering.FINAL_DEADLINE_FACTOR
-    max_wait = final_deadline - declared.critical_path(job)
+    times = durations or estimates.Durations()
+    final_deadline = times.objective(job) * ordering.FINAL_DEADLINE_FACTOR
+    max_wait = final_deadline - times.critical_path(job)
     if wait <= max(max_wait, REFRESH_PERIOD):
         return None
     seconds = (wait - max_wait) / datetime.timedelta(seconds=1)
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -23,6 +23,7 @@
 # and is written again at each end of a task.
 MAX_LISTED_BYTES = 2_000
 _LISTED_STEP_BYTES = 22  # beside a hexadecimal digit for four tasks
+RUN_NUMBERS_PER_TERM = 10_000  # run numbers increase with each term
 MIN_START_LEASE = datetime.timedelta(milliseconds=1500)
 _MS = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
@@ -68,6 +69,7 @@
     pace: int = 100
     stop_reason: str = ""
     awaits_end: bool = False  # of an earlier run, before its start is sent
+    awaits_view: bool = False  # of the operator's records, likewise
 
     @property
     def phase(self) -> Phase:
@@ -136,8 +138,18 @@
     moves_by_index: collections.Counter[int] = dataclasses.field(
         default_factory=collections.Counter
     )  # runs stopped to move because they were stalled or slow
+    # Runs stopped for other work, where scheduling plans ahead.
+    preemptions_by_index: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # The workers, one entry a task, whose runs are expected to end in time,
+    # these runs, and until when the step waits for such.
+    awaited: tuple[str, ...] = ()
+    awaited_runs: tuple[Run, ...] = ()
+    awaits_until: datetime.timedelta | None = None
     retry_at: datetime.timedelta = _ZERO
     search_at: datetime.timedelta = _ZERO  # earliest next search for capacity
+    is_deferred: bool = False  # its gang fails by itself and displaces nothing
     tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -181,6 +193,11 @@
             self.job.job.job_id, self.occurrence, self.number, index
         )
 
+    def stop_waiting(self) -> None:
+        """Forget what the step awaited, as a task of it starts."""
+        self.awaited, self.awaited_runs = (), ()
+        self.awaits_until = None
+
     def unanswered_count(self) -> int:
         """Count the starts that wait to be sent or for their answers."""
         return sum(
@@ -302,7 +319,10 @@
         self.born_ms = born_ms
         self.listing: fleet.Listing | None = None
         self.listed_at = _ZERO
-        self._last_rack: str | None = None  # of a listing withdrawn
+        # Of a listing withdrawn.
+        self._last_rack: str | None = None
+        self._last_data_centre: str | None = None
+        self.is_evacuated = False  # its data centre, as of the last round
         self.runs_by_task: dict[str, Run] = {}
         # Done, but the record of it is held back: a successor must ask the
         # worker before it runs the task.
@@ -357,6 +377,13 @@
         """Return the rack last listed; None if it was never listed."""
         return self.listing.rack if self.listing else self._last_rack
 
+    @property
+    def data_centre(self) -> str | None:
+        """Return the data centre last listed; None if it was never listed."""
+        if self.listing is not None:
+            return self.listing.data_centre
+        return self._last_data_centre
+
     def is_born_later(self, listing: fleet.Listing) -> bool:
         """Return whether a listing is that of a new incarnation."""
         return (
@@ -367,6 +394,7 @@
     def withdraw_listing(self) -> None:
         """Note that the directory has no entry any more."""
         self._last_rack = self.rack
+        self._last_data_centre = self.data_centre
         self.listing = None
 
     @property
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -7,14 +7,20 @@
 import traceback
 import typing
 
+from cardamomcroft.evacuation import gate as gates
+from cardamomcroft.evacuation import watch as evacuation_watch
+from cardamomcroft.placement import failing as failing_gangs
+from cardamomcroft.placement import history
+from cardamomcroft.placement import outlook as outlooks
+from cardamomcroft.placement import reporting
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
+from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import ending
 from cardamomcroft.scheduling import events
-from cardamomcroft.scheduling import headroom as headrooms
 from cardamomcroft.scheduling import holding
 from cardamomcroft.scheduling import inheriting
 from cardamomcroft.scheduling import journal as journals
@@ -26,11 +32,15 @@
 from cardamomcroft.scheduling import plans
 from cardamomcroft.scheduling import queue_waits
 from cardamomcroft.scheduling import replica as replicas
-from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import standing_watch
 from cardamomcroft.scheduling import stragglers
 from cardamomcroft.scheduling import worker_polling
+from cardamomcroft.sharing import fair_shares
+from cardamomcroft.sharing import observing
+from cardamomcroft.sharing import refusals
+from cardamomcroft.sharing import victims
+from cardamomcroft.sharing import wiring
 
 # Combines events that arrive together into one round. After a long round the
 # pause is three times its duration, which leaves three quarters of the
@@ -57,6 +67,7 @@
         parameters: cluster_state.SchedulingParameters,
         guarantees: collections.abc.Callable[[], dict[str, int]],
         inherited_leases: inheriting.InheritedLeases,
+        gate: gates.Gate,
     ) -> None:
         """Assemble the components; ``run`` starts them.
 
@@ -70,8 +81,9 @@
         self._guarantees = guarantees
         self._inherited_leases = inherited_leases
         self.cluster = cluster_state.ClusterState(
-            journal, clock, log, parameters
+            journal, clock, log, parameters, gate
         )
+        self._evacuation = evacuation_watch.Watch(gate, log, self.cluster.wake)
         self._orders = order_senders.OrderSender(self.cluster, link)
         self._poller = worker_polling.WorkerPoller(
             self.cluster, self._orders, link
@@ -80,23 +92,51 @@
         self._launcher = launching.Launcher(self.cluster, self._orders, link)
         self._began_at = clock.now()
         self._has_synced_workers = False
-        self._headroom = headrooms.Headroom()
+        self._headroom = wiring.make_headroom(parameters)
         self._holds = holding.Holds()
-        self._reservations = reservations.Reservations()
+        self._reservations = wiring.make_reservations(parameters)
+        self._headroom_watch = observing.HeadroomWatch(self._headroom, log)
         self._standing = standing_watch.StandingWatch(
             self.cluster, self._reservations, self._holds, self._headroom
         )
+        self._shares: fair_shares.FairShares | None = None
+        self._history = history.History()
+        self._failing = failing_gangs.FailingGangs()
+        self._outlook = outlooks.NOTHING_EXPECTED
+        self._avoidance_log = reporting.AvoidanceLog(clock, log)
         self._forecast = queue_waits.Forecast()
+        if parameters.plans_ahead:
+            self._shares = fair_shares.FairShares()
+            self._forecast = self._make_account_forecast()
         journal.forecast_waits = lambda: self._forecast.wait_ms_by_queue
         self._ending = ending.Ending(self.cluster, self._orders, replica)
+        self.learning: run_time_stream.Learning | None = None
+
+    def _make_account_forecast(self) -> refusals.AccountForecast:
+        """Return a forecast that begins once the listings are complete.
+
+        Entries that have expired in an outage of the store return after it,
+        and a successor does not know of one that has just ended.
+        """
+        earliest = self._clock.monotonic() + directories.RELISTING_GRACE
+        return refusals.AccountForecast(
+            self._shares,
+            self._guarantees,
+            self.cluster.parameters.preemption_lead,
+            lambda: max(earliest, self._directory.absence_valid_from),
+        )
 
     async def run(self) -> None:
         """Run scheduling rounds until the claim is lost."""
         cluster = self.cluster
         self.journal.on_claim_lost = cluster.wake
         self._directory.on_change = cluster.wake
+        self._evacuation.begin()
         try:
             cluster.spawn(self.journal.run())
+            if self.learning is not None:
+                await self.learning.begin()
+                cluster.spawn(self.learning.run())
             await self._take_over()
             cluster.spawn(self._directory.run())
             while not self.journal.is_claim_lost:
@@ -115,6 +155,7 @@
                     await self._clock.sleep(pause)
                 changed.clear()
         finally:
+            self._evacuation.end()
             cluster.cancel_tasks()
 
     async def _take_over(self) -> None:
@@ -150,6 +191,14 @@
         """Count the jobs of which nothing runs for 3 s, by reason."""
         return self._standing.count_by_reason()
 
+    def largest_share_ratios(self) -> dict[str, float]:
+        """Return accounts' dominant shares over their fair shares."""
+        return self._shares.largest_ratios() if self._shares else {}
+
+    def count_leaving(self) -> int:
+        """Count the workers that are expected to leave."""
+        return self._outlook.leaving_count()
+
     def apply_updates(self, updates: list[tuple[ledgers.Kind, str]]) -> None:
         """Apply new submissions and cancellations."""
         for kind, job_id in updates:
@@ -189,11 +238,12 @@
         state = occurrences.make_job_state(job, progress, now - age)
         state.is_cancelled = job_id in self._replica.ledger.cancelled_ids
         self.cluster.jobs_by_id[job_id] = state
-        self._headroom.observe(job)
+        self._headroom.observe(job, state.accepted_at)
 
     def _round(self) -> None:
         """Run the phases of one round."""
         self._try_phase("workers", self._sync_workers)
+        self._try_phase("evacuation", self._follow_evacuations)
         self._try_phase("leases", self._poller.expire_leases)
         self._try_phase("starts", self._orders.stop_unanswered_starts)
         self._try_phase("gangs", self._orders.stop_open_gangs)
@@ -201,7 +251,9 @@
         self._try_phase("submissions", self._restore_submissions)
         self._try_phase("expiry", self._ending.delete_expired_records)
         self._try_phase("moves", self._move_runs)
+        self._try_phase("shares", self._refresh_shares)
         self._try_phase("forecast", self._refresh_forecast)
+        self._try_phase("outlook", self._refresh_outlook)
         plan = self._try_phase("plan", self._plan)
         if plan is None:
             return
@@ -209,6 +261,7 @@
         self._try_phase("preemption", self._preempt, plan.stops)
         self._try_phase("advice", self._request_advice, plan.advice_wanted)
         self._try_phase("assignment", self._launcher.assign, plan.starts)
+        self._try_phase("headroom", self._watch_headroom)
 
     def _try_phase(
         self,
@@ -231,6 +284,23 @@
             )
             return None
 
+    def _refresh_shares(self) -> None:
+        if self._shares is not None:
+            self._shares.refresh(
+                self.cluster.jobs_by_id.values(),
+                self.cluster.workers_by_id.values(),
+                self._guarantees(),
+                self._clock.monotonic(),
+            )
+
+    def _follow_evacuations(self) -> None:
+        workers = self.cluster.workers_by_id.values()
+        evacuated_ids = self._evacuation.update(workers)
+        self._reservations.drop_workers(evacuated_ids)
+        self._holds.drop_workers(evacuated_ids)
+        if self._directory.is_loaded:
+            self._evacuation.log_changes(workers)
+
     def _refresh_forecast(self) -> None:
         self._forecast.refresh(
             list(self.cluster.jobs_by_id.values()),
@@ -240,7 +310,23 @@
             self._clock.now(),
         )
 
+    def _refresh_outlook(self) -> None:
+        """Derive what to expect of the workers from what changed."""
+        if self.cluster.parameters.plans_ahead:
+            self._outlook = outlooks.NOTHING_EXPECTED  # after an error
+            self._outlook = self._history.observe(
+                self.cluster.workers_by_id, self._clock.monotonic()
+            )
+
+    def _report_avoidances(self, planner: planning.Planner) -> None:
+        self._avoidance_log.report(
+            planner.avoidances(),
+            self._outlook.leaving_count(),
+            len(self._outlook.flapping),
+        )
+
     def _plan(self) -> plans.Plan:
+        self._headroom.now = self._clock.monotonic()
         inputs = planning.RoundInputs(
             list(self.cluster.jobs_by_id.values()),
             self.cluster.workers_by_id,
@@ -254,8 +340,20 @@
             tuple(self.cluster.open_gangs),
             self.cluster.parameters.plans_ahead,
             self.cluster.parameters.preemption_lead,
+            self._shares,
+            self._outlook,
+            self._failing,
+            self.cluster.parameters.reclaim,
         )
-        return planning.Planner(inputs).plan()
+        planner = planning.Planner(inputs)
+        plan = planner.plan()
+        if inputs.plans_ahead:
+            self._try_phase("avoidances", self._report_avoidances, planner)
+        return plan
+
+    def _watch_headroom(self) -> None:
+        workers = self.cluster.workers_by_id.values()
+        self._headroom_watch.after_round(workers, self._headroom.now)
 
     def _report_failures(self, failed: list[plans.Failure]) -> None:
         for failure in failed:
@@ -265,6 +363,8 @@
 
     def _preempt(self, stops: list[plans.Stop]) -> None:
         for stop in stops:
+            if self.cluster.parameters.plans_ahead:
+                victims.count_stop(stop.run)
             self._orders.stop(stop.run, stop.reason)
 
     def _request_advice(self, steps: list[runs.StepState]) -> None:
