Keep headroom on workers that are about to leave

Workers that are expected to leave now come first: an urgent run mostly ends within the notice of a drain.

--- a/cardamomcroft/placement/outlook.py
+++ b/cardamomcroft/placement/outlook.py
@@ -42,17 +42,20 @@
 
     def avoided_ids(self) -> set[str]:
         """Return the workers that some placements avoid."""
-        found = set(self.flapping)
-        for departure in self.departures_by_service.values():
-            found |= departure.begun | departure.others
-        return found
+        return set(self.flapping | self.leaving_ids())
+
+    def leaving_ids(self) -> frozenset[str]:
+        """Return the workers that are expected to leave."""
+        return frozenset().union(
+            *(
+                departure.begun | departure.others
+                for departure in self.departures_by_service.values()
+            )
+        )
 
     def leaving_count(self) -> int:
         """Count the workers that are expected to leave."""
-        return sum(
-            len(departure.begun) + len(departure.others)
-            for departure in self.departures_by_service.values()
-        )
+        return len(self.leaving_ids())
 
 
 NOTHING_EXPECTED = Outlook()
--- a/cardamomcroft/scheduling/headroom.py
+++ b/cardamomcroft/scheduling/headroom.py
@@ -65,18 +65,27 @@
         self,
         free_workers: collections.abc.Iterable[placing.FreeWorker],
         total: int,
+        leaving: collections.abc.Set[str] = frozenset(),
     ) -> frozenset[str]:
-        """Return the headroom workers: the emptiest of the emptiest racks."""
+        """Return the headroom workers: the emptiest of the emptiest racks.
+
+        Workers that are expected to leave come first: urgent runs mostly end
+        before such a worker does. In a release the workers already replaced
+        are the emptiest, and long work needs them.
+        """
         wanted = self.wanted(total)
         self.kept = 0
-        by_rack: dict[str, list[placing.FreeWorker]] = {}
+        groups: dict[bool, dict[str, list[placing.FreeWorker]]] = {
+            True: {},
+            False: {},
+        }
         for worker in free_workers:
             if worker.free.accelerators > 0:
+                by_rack = groups[worker.worker_id in leaving]
                 by_rack.setdefault(worker.rack, []).append(worker)
-        racks = sorted(by_rack.values(), key=_free_accelerators, reverse=True)
         chosen: set[str] = set()
-        for rack in racks:
-            for worker in sorted(rack, key=lambda w: -w.free.accelerators):
+        for by_rack in groups.values():
+            for worker in _emptiest_first(by_rack):
                 # A worker far larger than the need is not worth keeping idle.
                 if worker.free.accelerators > wanted * 2:
                     return frozenset(chosen)
@@ -86,5 +95,13 @@
         return frozenset(chosen)
 
 
+def _emptiest_first(
+    by_rack: dict[str, list[placing.FreeWorker]],
+) -> collections.abc.Iterator[placing.FreeWorker]:
+    """Yield the workers, the emptiest racks and their emptiest first."""
+    for rack in sorted(by_rack.values(), key=_free_accelerators, reverse=True):
+        yield from sorted(rack, key=lambda w: -w.free.accelerators)
+
+
 def _free_accelerators(workers: list[placing.FreeWorker]) -> int:
     return sum(worker.free.accelerators for worker in workers)
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -392,8 +392,9 @@
                 for free_worker in self._pool.free_workers
                 if free_worker.worker_id not in held
             ]
-            headroom = self._inputs.headroom
-            self._headroom_ids = headroom.headroom_workers(free_workers, total)
+            self._headroom_ids = self._inputs.headroom.headroom_workers(
+                free_workers, total, self._inputs.outlook.leaving_ids()
+            )
         return self._headroom_ids
 
     def _accepts_remote_placement(self, step: runs.StepState) -> bool:
--- a/tests/scheduling/test_headroom.py
+++ b/tests/scheduling/test_headroom.py
@@ -48,6 +48,34 @@
         self.assertTrue(chosen)
 
 
+class LeavingWorkersTest(unittest.TestCase):
+    """A release replaces workers, which come back empty."""
+
+    def setUp(self):
+        """Create half empty workers that leave and empty replaced ones."""
+        self.leaving = [make_free_worker(n, 4, "r1") for n in range(4)]
+        self.replaced = [make_free_worker(n, 8, "r2") for n in range(4, 8)]
+        self.leaving_ids = {worker.worker_id for worker in self.leaving}
+
+    def choose(self, mean: float) -> set[str]:
+        """Return the headroom workers for urgent jobs of a mean size."""
+        return set(
+            headroom.Headroom(mean).headroom_workers(
+                self.leaving + self.replaced, 1000, self.leaving_ids
+            )
+        )
+
+    def test_replaced_workers_are_left_to_long_work(self):
+        """Else long work would start where it is soon cut off."""
+        self.assertEqual(self.choose(6), {"w0", "w1"})
+
+    def test_replaced_workers_complete_the_headroom(self):
+        """Workers that leave may not suffice."""
+        chosen = self.choose(20)
+        self.assertLessEqual(self.leaving_ids, chosen)
+        self.assertEqual(len(chosen), 6)
+
+
 class MixTest(harness.SchedulingTestCase):
     """Long work would fill every worker."""
 
