Leave runs on draining workers where they can end in time

The scheduler now learns from the workers that have left, or are still there, how long they stay. Before that it leaves a run without checkpoints where it is if a move would lose more than its worker's end and its job could still be in time afterwards.

--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from cardamomcroft.placement import history
 from cardamomcroft.placement import outlook as outlooks
 from cardamomcroft.placement import reporting
+from cardamomcroft.placement import stays
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
@@ -101,6 +102,7 @@
         )
         self._shares: fair_shares.FairShares | None = None
         self._history = history.History()
+        self._stays = stays.Stays() if parameters.plans_ahead else None
         self._failing = failing_gangs.FailingGangs()
         self._outlook = outlooks.NOTHING_EXPECTED
         self._avoidance_log = reporting.AvoidanceLog(clock, log)
@@ -371,12 +373,23 @@
         for step in steps:
             self._launcher.request_advice(step)
 
+    def _may_end_in_time(self, run: runs.Run) -> bool:
+        """Return whether to leave a run on a worker that drains."""
+        if self._stays is None:
+            return False
+        now = self._clock.monotonic()
+        return stays.may_end_in_time(
+            run, self._stays, self.cluster.durations, now
+        )
+
     def _move_runs(self) -> None:
         now = self._clock.monotonic()
         workers = self.cluster.workers_by_id.values()
+        if self._stays is not None:
+            self._stays.observe(self.cluster.workers_by_id, now)
         struck: set[runs.Worker] = set()
         for run, reason in stragglers.runs_to_move(
-            workers, self.cluster.durations, now
+            workers, self.cluster.durations, now, self._may_end_in_time
         ):
             if run.phase is not runs.Phase.AT_WORK:
                 continue  # already stopped with its gang
--- a/cardamomcroft/scheduling/stragglers.py
+++ b/cardamomcroft/scheduling/stragglers.py
@@ -99,8 +99,15 @@
     workers: collections.abc.Iterable[runs.Worker],
     durations: estimates.RunTimes,
     now: datetime.timedelta,
+    may_end_in_time: collections.abc.Callable[[runs.Run], bool] = (
+        lambda run: False
+    ),
 ) -> list[tuple[runs.Run, str]]:
-    """Return the runs to move, each with the reason."""
+    """Return the runs to move, each with the reason.
+
+    ``may_end_in_time`` tells of a run that outlasts the notice of a draining
+    worker whether to leave it there.
+    """
     found = []
     for worker in workers:
         listing = worker.listing
@@ -109,7 +116,8 @@
             if drains and outlasts_worker(
                 run, listing, worker.listed_at, durations, now
             ):
-                found.append((run, "worker drains"))
+                if not may_end_in_time(run):
+                    found.append((run, "worker drains"))
             elif reason := _straggles(run, durations, now):
                 found.append((run, reason))
     return found
