--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -280,7 +280,7 @@
         if not is_placed:
             if not is_unrestricted:
                 self._plan.advice_wanted.append(step)
-            if step.is_deferred or not self._preempt(step, advised):
+            if not step.is_deferred and not self._preempt(step, advised):
                 self._hold(step, advised)
 
     def _signature(self, step: runs.StepState) -> tuple:
