--- a/tests/placement/test_failing.py
+++ b/tests/placement/test_failing.py
@@ -83,10 +83,12 @@
         """Have a gang of two whole workers that has failed."""
         self.play = plays.Play(make_workers(4))
 
-    def add_failed(self, failures: int = 2, width: int = 2) -> runs.StepState:
-        """Return the step of an urgent job whose gang has failed."""
+    def add_failed(
+        self, failures: int = 2, width: int = 2, priority: int = 0
+    ) -> runs.StepState:
+        """Return the step of a job whose gang has failed."""
         step = plays.make_step(width, 8, 2, is_gang=True)
-        job = self.play.submit(step, priority=0, attempts=ATTEMPTS)
+        job = self.play.submit(step, priority=priority, attempts=ATTEMPTS)
         job.objective = harness.seconds(7)
         state = job.steps_by_key[0, 0]
         numbers = tuple(range(1, failures + 1))
@@ -109,6 +111,17 @@
                 self.assertEqual(self.play.stops > 0, failures == 1)
                 self.assertEqual(step.is_deferred, failures == 2)
 
+    def test_holds_no_workers(self):
+        """Held for a gang that fails again, they would stand idle."""
+        for failures in (1, 2):
+            with self.subTest(failures=failures):
+                self.play = plays.Play(make_workers(8))
+                self.fill(8, run_s=3)
+                step = self.add_failed(failures, priority=1)
+                self.play.run(0.5)
+                held = self.play.holds.of(step)
+                self.assertEqual(bool(held), failures == 1)
+
     def keep_headroom(self, used: int) -> None:
         """Have eight workers, one of them headroom, and some in use."""
         self.play = plays.Play(make_workers(8))
