Learn stays only from workers that are gone

Found in the review of the whole change: a draining worker that does not answer any more keeps its entry for some seconds, and each round counted a new drain there that had ended at once, so that the learned stay fell to zero. A stay now ends when the entry is gone or names another birth, with the last answer. A run that is left on a draining worker may still be found stalled. Four tests; tests.placement.test_stays and tests.scheduling.test_stragglers: 24 OK.

--- a/cardamomcroft/placement/stays.py
+++ b/cardamomcroft/placement/stays.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import datetime
 
 from cardamomcroft.ports import fleet
@@ -26,12 +27,22 @@
 _ZERO = datetime.timedelta()
 
 
+@dataclasses.dataclass(slots=True)
+class _Drain:
+    """A worker that drains, as of the last round."""
+
+    service: str
+    born_ms: int
+    began_at: datetime.timedelta
+    silent_since: datetime.timedelta | None = None
+
+
 class Stays:
     """How long the workers of each service have stayed after a drain began."""
 
     def __init__(self) -> None:
         """Know of no drain yet."""
-        self._began_by_worker: dict[str, tuple[str, datetime.timedelta]] = {}
+        self._drains_by_worker: dict[str, _Drain] = {}
         self._stays_by_service: dict[
             str, collections.deque[datetime.timedelta]
         ] = {}
@@ -42,36 +53,33 @@
         now: datetime.timedelta,
     ) -> None:
         """Note which workers have begun to drain, and which have left."""
-        for worker_id, worker in workers_by_id.items():
-            if _drains(worker) and worker_id not in self._began_by_worker:
-                service = worker.listing.service
-                self._began_by_worker[worker_id] = service, now
-        for worker_id in list(self._began_by_worker):
+        for worker_id, drain in list(self._drains_by_worker.items()):
             worker = workers_by_id.get(worker_id)
-            if worker is None or not _drains(worker):
-                self._note_end(worker_id, worker, now)
-            elif worker.unreachable_since is not None:
-                self._note_end(worker_id, worker, worker.unreachable_since)
-
-    def _note_end(
-        self,
-        worker_id: str,
-        worker: runs.Worker | None,
-        ended_at: datetime.timedelta,
-    ) -> None:
-        service, began_at = self._began_by_worker.pop(worker_id)
-        if worker is not None and worker.listing is not None:
-            if not _drains(worker):
-                return  # it has come back
+            if _has_left(drain, worker):
+                self._note_end(worker_id, now)
+            elif not _drains(worker):
+                del self._drains_by_worker[worker_id]  # it is called off
+            else:
+                drain.silent_since = worker.unreachable_since
+        for worker_id, worker in workers_by_id.items():
+            if _drains(worker) and worker_id not in self._drains_by_worker:
+                self._drains_by_worker[worker_id] = _Drain(
+                    worker.listing.service, worker.listing.born_ms, now
+                )
+
+    def _note_end(self, worker_id: str, now: datetime.timedelta) -> None:
+        """Note a stay; it has ended with the last answer."""
+        drain = self._drains_by_worker.pop(worker_id)
+        ended_at = now if drain.silent_since is None else drain.silent_since
         stays = self._stays_by_service.setdefault(
-            service, collections.deque(maxlen=MAX_STAYS)
+            drain.service, collections.deque(maxlen=MAX_STAYS)
         )
-        stays.append(max(ended_at - began_at, _ZERO))
+        stays.append(max(ended_at - drain.began_at, _ZERO))
 
     def began_at(self, worker_id: str) -> datetime.timedelta | None:
         """Return when a worker's drain was first seen."""
-        known = self._began_by_worker.get(worker_id)
-        return known[1] if known else None
+        drain = self._drains_by_worker.get(worker_id)
+        return drain.began_at if drain else None
 
     def expected(
         self, service: str, now: datetime.timedelta
@@ -82,9 +90,9 @@
             return min(left)
         staying = sorted(
             (
-                now - began_at
-                for other, began_at in self._began_by_worker.values()
-                if other == service
+                now - drain.began_at
+                for drain in self._drains_by_worker.values()
+                if drain.service == service and drain.silent_since is None
             ),
             reverse=True,
         )
@@ -93,6 +101,13 @@
         return staying[MIN_WITNESSES - 1]
 
 
+def _has_left(drain: _Drain, worker: runs.Worker | None) -> bool:
+    """Return whether a worker is gone, or its successor has its id."""
+    if worker is None or worker.listing is None:
+        return True
+    return worker.listing.born_ms != drain.born_ms
+
+
 def _drains(worker: runs.Worker) -> bool:
     listing = worker.listing
     return listing is not None and listing.state is fleet.ServerState.DRAINING
--- a/cardamomcroft/scheduling/stragglers.py
+++ b/cardamomcroft/scheduling/stragglers.py
@@ -113,11 +113,11 @@
         listing = worker.listing
         drains = listing and listing.state is fleet.ServerState.DRAINING
         for run in worker.runs_by_task.values():
-            if drains and outlasts_worker(
+            outlasts = drains and outlasts_worker(
                 run, listing, worker.listed_at, durations, now
-            ):
-                if not may_end_in_time(run):
-                    found.append((run, "worker drains"))
+            )
+            if outlasts and not may_end_in_time(run):
+                found.append((run, "worker drains"))
             elif reason := _straggles(run, durations, now):
                 found.append((run, reason))
     return found
--- a/tests/placement/test_stays.py
+++ b/tests/placement/test_stays.py
@@ -78,13 +78,49 @@
         self.observe(0)
         self.assertIsNone(self.expected_s(9))
 
-    def test_silent_worker_has_left(self):
-        """Its entry expires some seconds after its end."""
+    def test_stay_ends_with_the_last_answer(self):
+        """Its entry expires some seconds after a worker's end."""
         drain(self.workers["w0"])
         self.observe(0)
         self.workers["w0"].unreachable_since = NOW + harness.seconds(5)
-        self.observe(9)
-        self.assertEqual(self.expected_s(9), 5)
+        for tenth in range(50, 95):
+            self.observe(tenth / 10)
+        del self.workers["w0"]
+        self.observe(9.5)
+        self.assertEqual(self.expected_s(10), 5)
+
+    def test_worker_that_answers_again_has_not_left(self):
+        """A short silence must not teach a short stay."""
+        drain(self.workers["w0"])
+        self.observe(0)
+        self.workers["w0"].unreachable_since = NOW + harness.seconds(1)
+        self.observe(1)
+        self.workers["w0"].unreachable_since = None
+        self.observe(2)
+        del self.workers["w0"]
+        self.observe(10)
+        self.assertEqual(self.expected_s(11), 10)
+
+    def test_worker_under_the_same_id_is_another(self):
+        """A release may replace a worker under its id."""
+        drain(self.workers["w0"])
+        self.observe(0)
+        replacement = test_planning.make_worker("w0")
+        replacement.listing = dataclasses.replace(
+            replacement.listing, born_ms=replacement.listing.born_ms + 1
+        )
+        self.workers["w0"] = replacement
+        self.observe(10)
+        self.assertEqual(self.expected_s(11), 10)
+
+    def test_silent_workers_are_no_evidence(self):
+        """They may have left as early as they were last heard."""
+        for number in range(3):
+            drain(self.workers[f"w{number}"])
+        self.observe(0)
+        self.workers["w2"].unreachable_since = NOW + harness.seconds(1)
+        self.observe(2)
+        self.assertIsNone(self.expected_s(9))
 
     def test_worker_that_is_ready_again_has_not_left(self):
         """A drain may be called off."""
