--- a/soak/checks.py
+++ b/soak/checks.py
@@ -27,6 +27,7 @@
     "job_ending_failed",
     "stop_failed",
     "end_failed",
+    "run_time_not_learned",
 )
 # EarlyMs, by which an occurrence may begin before it is due.
 EARLY_BOUND = datetime.timedelta(milliseconds=250)
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -37,9 +37,15 @@
     """One instance: its process, link to the store, settings and log."""
 
     def __init__(
-        self, name: str, ip: str, link: proxy.Link, folder: pathlib.Path
+        self,
+        name: str,
+        ip: str,
+        link: proxy.Link,
+        folder: pathlib.Path,
+        stop_timeout_ms: int = BOUNDS["StopTimeoutMs"],
     ) -> None:
         """Write the settings file; ``start`` starts the process."""
+        self._bounds = BOUNDS | {"StopTimeoutMs": stop_timeout_ms}
         self.name = name
         self.ip = ip
         self.link = link
@@ -62,7 +68,7 @@
             },
             "InternalPorts": [PEER_PORT, PEER_PORT + 15],
             "HeartbeatMs": 1500,
-            "Bounds": BOUNDS,
+            "Bounds": self._bounds,
             "Limits": {"MemoryMb": MEMORY_MB},
             "platform": {"Address": self.link.address},
         }
--- a/soak/main.py
+++ b/soak/main.py
@@ -37,12 +37,15 @@
     job_every_s: float
     # Tasks of a job of small ones; a worker lists 500 ends at a time.
     crowd: int
+    # For a worker to stop a run; from 600 on the scheduler plans ahead.
+    stop_timeout_ms: int = processes.BOUNDS["StopTimeoutMs"]
 
 
 SIZES = {
     "small": Size(3, 4, 2, 8, 0.8, 1.2, 2800),
     "usual": Size(7, 12, 4, 24, 0.6, 0.6, 1200),
     "large": Size(44, 72, 12, 39, 0.3, 0.15, 1200),
+    "slow-stops": Size(3, 12, 4, 12, 0.8, 0.8, 1200, 900),
 }
 _MS = datetime.timedelta(milliseconds=1)
 # Faults come in bursts, as what stands still shows in calm times only.
@@ -54,6 +57,7 @@
 POLL_INTERVAL_S = 0.2
 JOBS_PER_CROWD = 20
 DATA_CENTRES = 3  # at most; each rack is in one
+SLOW_STOP = datetime.timedelta(milliseconds=700)  # near its bound of 900
 LASTING_S = 8.0  # until a job that lasts is cancelled
 # Of the callers, who cancel what gets no answer instead of repeating it.
 HASTY_SHARE = 0.5
@@ -97,6 +101,9 @@
             clocks.SystemClock(), clients.TASK_TIME_MS * _MS
         )
         self._platform.fleet.clock_rng = random.Random(seed + 4)
+        if size.stop_timeout_ms > processes.BOUNDS["StopTimeoutMs"]:
+            self._platform.fleet.stop_bound = size.stop_timeout_ms * _MS
+            self._platform.fleet.stop_time = SLOW_STOP
         self._links: list[proxy.Link] = []
         self._instances: list[processes.Instance] = []
 
@@ -150,7 +157,11 @@
             await link.open()
             self._links.append(link)
             instance = processes.Instance(
-                name, f"{block}.{number + 1}", link, self._folder
+                name,
+                f"{block}.{number + 1}",
+                link,
+                self._folder,
+                self._size.stop_timeout_ms,
             )
             self._instances.append(instance)
             await instance.start()
