--- a/cardamomcroft/platform/main.py
+++ b/cardamomcroft/platform/main.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import traceback
+import typing
 import uuid
 
 import aiohttp
@@ -26,7 +27,6 @@
 from cardamomcroft.relaying import peer_view
 from cardamomcroft.relaying import registrar as registrars
 from cardamomcroft.relaying import rpc as relay_rpc
-from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
@@ -36,6 +36,9 @@
 from cardamomcroft.scheduling import metrics
 from cardamomcroft.scheduling import node as nodes
 
+if typing.TYPE_CHECKING:
+    from cardamomcroft.runtimes import stream as run_time_stream
+
 KEEP_ALIVE_S = 30.0  # so that polls reuse their connections
 CLIENT_KEEP_ALIVE_S = 60.0
 # A crashed worker is free again after one lease; a takeover takes about 2 s.
--- a/cardamomcroft/runtimes/learned.py
+++ b/cardamomcroft/runtimes/learned.py
@@ -9,6 +9,7 @@
 import datetime
 import statistics
 
+from cardamomcroft.ports import fleet
 from cardamomcroft.runtimes import accuracy
 from cardamomcroft.runtimes import cached
 from cardamomcroft.runtimes import kinds
@@ -33,19 +34,19 @@
 _SECOND = datetime.timedelta(seconds=1)
 _ZERO = datetime.timedelta()
 
-KindOf = collections.abc.Callable[[str], speeds.WorkerKind]
+ListingOf = collections.abc.Callable[[str], fleet.Listing | None]
 
 
-def _no_kind(worker_id: str) -> speeds.WorkerKind:
-    return ()
+def _no_listing(worker_id: str) -> None:
+    return None
 
 
 class LearnedRunTimes(estimates.RunTimes):
     """Predictions by kind of run; declared times until runs have ended."""
 
-    def __init__(self, kind_of: KindOf = _no_kind) -> None:
-        """Start without evidence; ``kind_of`` returns a worker's kind."""
-        self._kind_of = kind_of
+    def __init__(self, listing_of: ListingOf = _no_listing) -> None:
+        """Start without evidence; ``listing_of`` returns a worker's entry."""
+        self._listing_of = listing_of
         self._cache = cached.Cache()
         self.speeds = speeds.Speeds()
         self._sources = sources.Sources()
@@ -142,6 +143,10 @@
             return
         self.speeds = self.speeds.observe(times, self._kind_of)
 
+    def _kind_of(self, worker_id: str) -> speeds.WorkerKind:
+        """Return what workers of like speed have in common."""
+        return speeds.kind_of(self._listing_of(worker_id))
+
     def evidence(self, job: models.Job, step: models.Step) -> float:
         """Return how many recent steps of its queue are known."""
         return self._cache.weight((kinds.QUEUE, job.queue.name))
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -8,13 +8,12 @@
 from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
-from cardamomcroft.runtimes import learned
-from cardamomcroft.runtimes import speeds
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import failures
 from cardamomcroft.scheduling import journal as journals
+from cardamomcroft.scheduling import lazy_modules
 from cardamomcroft.scheduling import ledger as ledgers
 from cardamomcroft.scheduling import occurrences
 from cardamomcroft.scheduling import runs
@@ -98,7 +97,8 @@
         self.workers_by_id: dict[str, runs.Worker] = {}
         self.durations: estimates.RunTimes = estimates.Durations()
         if parameters.learns_run_times:
-            self.durations = learned.LearnedRunTimes(self._kind_of)
+            learned = lazy_modules.load("cardamomcroft.runtimes.learned")
+            self.durations = learned.LearnedRunTimes(self._listing_of)
         self.open_gangs: set[runs.StepState] = set()  # lack refused members
         self._raised_tokens_by_worker: dict[str, int] = {}
         # No longer tracked; orders for them may still be carried out.
@@ -208,10 +208,9 @@
         run.step.runs_by_index[index] = run
         self.workers_by_id[run.worker_id].runs_by_task[run.name] = run
 
-    def _kind_of(self, worker_id: str) -> speeds.WorkerKind:
-        """Return what workers of like speed have in common."""
+    def _listing_of(self, worker_id: str) -> fleet.Listing | None:
         worker = self.workers_by_id.get(worker_id)
-        return speeds.kind_of(worker.listing if worker else None)
+        return worker.listing if worker else None
 
     def observe_stopped(
         self, run: runs.Run, ended_at: datetime.timedelta
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -4,13 +4,13 @@
 import dataclasses
 import datetime
 import random
+import typing
 
 from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
-from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import candidate as candidates
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import codec
@@ -18,10 +18,14 @@
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import journal as journals
+from cardamomcroft.scheduling import lazy_modules
 from cardamomcroft.scheduling import replica as replicas
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import scheduler as schedulers
 
+if typing.TYPE_CHECKING:
+    from cardamomcroft.runtimes import stream as run_time_stream
+
 # Bounds by how much a follower's replica lags behind the store.
 FOLLOWER_POLL_PAUSE = datetime.timedelta(milliseconds=350)
 RETRY_PAUSE = datetime.timedelta(milliseconds=150)
@@ -68,7 +72,8 @@
         # The instance's copy of what the scheduler has learned.
         self.run_times: run_time_stream.View | None = None
         if parameters.learns_run_times:
-            self.run_times = run_time_stream.View(target, clock, log)
+            stream = lazy_modules.load("cardamomcroft.runtimes.stream")
+            self.run_times = stream.View(target, clock, log)
         self.scheduler: schedulers.Scheduler | None = None
         self._scheduler_task: asyncio.Task | None = None
         self._used_epochs: set[int] = set()
@@ -141,7 +146,8 @@
             self._gate,
         )
         if self.run_times is not None:
-            self.scheduler.learning = run_time_stream.Learning(
+            stream = lazy_modules.load("cardamomcroft.runtimes.stream")
+            self.scheduler.learning = stream.Learning(
                 self._store,
                 self._clock,
                 self._log,
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -17,7 +17,6 @@
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
-from cardamomcroft.runtimes import stream as run_time_stream
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import ending
@@ -43,6 +42,9 @@
 from cardamomcroft.sharing import victims
 from cardamomcroft.sharing import wiring
 
+if typing.TYPE_CHECKING:
+    from cardamomcroft.runtimes import stream as run_time_stream
+
 # Combines events that arrive together into one round. After a long round the
 # pause is three times its duration, which leaves three quarters of the
 # processor free.
