Ask for advice within what the service can handle

Cause: each waiting step sent calls of its own, whether or not there was room for it, again when its tickets had expired, and gave them up after 2 s. The service works for one call at a time and goes on with those given up, so it answered nobody, and 429 made each step pause for itself.

Now one call is under way at a time. Steps that could start on the room that is left come first and name the workers that they would use and some others; steps without room get half of the service's time. A late call stays open and its answer counts; while calls are late, the pause of the service grows.

New are the lines `advice_asked` and the metric of calls to the service.

--- a/cardamomcroft/platform/workers.py
+++ b/cardamomcroft/platform/workers.py
@@ -14,7 +14,6 @@
 from cardamomcroft.ports import store
 from cardamomcroft.scheduling import metrics
 
-ADVICE_TIMEOUT_S = 2.0
 # A start is not sent after a longer greeting, as its claim was checked before;
 # the next one finds the connection greeted.
 MAX_GREETING = datetime.timedelta(milliseconds=400)
@@ -256,28 +255,28 @@
             status = fleet.OrderStatus.MAY_HAVE_RUN
             return fleet.OrderResult(status, detail=repr(error))
 
-    async def advise(self, step, worker_ids) -> fleet.Advice | None:
+    async def advise(self, step, worker_ids, timeout) -> fleet.Advice | None:
         """Ask the advice service which workers a step may run on."""
         if self._advice_address is None:
             return None
+        began_at = self._clock.monotonic()
         body = {"Step": step, "Workers": list(worker_ids)}
-        address = fleet.Address("", self._advice_address)
+        advice, outcome = None, "unanswered"
         try:
             async with self._session.post(
-                f"http://{address.host_port}/advise",
+                f"http://{self._advice_address}/advise",
                 data=json.dumps(body),
                 headers={"Content-Type": "application/json"},
-                timeout=aiohttp.ClientTimeout(total=ADVICE_TIMEOUT_S),
+                timeout=aiohttp.ClientTimeout(total=timeout.total_seconds()),
             ) as response:
-                if response.status != 200:
-                    return None
-                data = json.loads(await response.read())
-                return fleet.Advice(
-                    tuple(fleet.Ticket(*row) for row in data["Allowed"]),
-                    datetime.timedelta(milliseconds=data["ValidMs"]),
-                )
-        except errors.CALL_ERRORS:
-            return None
+                outcome = f"status {response.status}"
+                if response.status == 200:
+                    advice = _decode_advice(await response.read())
+        except errors.CALL_ERRORS as error:
+            outcome = type(error).__name__
+        took = self._clock.monotonic() - began_at
+        self._metrics.record_call("advice", "/advise", outcome, took)
+        return advice
 
 
 def _unsent(greeting: fleet.OrderResult) -> fleet.OrderResult:
@@ -305,6 +304,14 @@
     return fleet.OrderResult(known, clock_ms, f"status {status}")
 
 
+def _decode_advice(raw: bytes) -> fleet.Advice:
+    data = json.loads(raw)
+    return fleet.Advice(
+        tuple(fleet.Ticket(*row) for row in data["Allowed"]),
+        datetime.timedelta(milliseconds=data["ValidMs"]),
+    )
+
+
 def decode_inventory(data: dict, is_renewed: bool = True) -> fleet.Inventory:
     """Decode a worker's inventory of running and finished tasks."""
     return fleet.Inventory(
--- a/cardamomcroft/ports/fleet.py
+++ b/cardamomcroft/ports/fleet.py
@@ -190,7 +190,10 @@
 
     @abc.abstractmethod
     async def advise(
-        self, step: str, worker_ids: tuple[str, ...]
+        self,
+        step: str,
+        worker_ids: tuple[str, ...],
+        timeout: datetime.timedelta,
     ) -> Advice | None:
         """Return the workers that a step may run on, or None if unknown."""
 
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -3,7 +3,6 @@
 import collections
 import datetime
 
-from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import capacity as capacities
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import ledger as ledgers
@@ -12,14 +11,10 @@
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import unread_ends
 
-# A job's objective allows for one advice call per step, on 30 workers.
-MAX_ADVISED_WORKERS = 30  # named in one call
 FULL_RECORD_AVOIDANCE = datetime.timedelta(seconds=1)
-ADVICE_RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 RELEASE_PAUSE = datetime.timedelta(milliseconds=200)  # before the next start
 # Longer than RELEASE_PAUSE, so that the next start is on another worker.
 FAILED_AVOIDANCE = datetime.timedelta(milliseconds=300)
-_ZERO = datetime.timedelta()
 
 
 class Launcher:
@@ -29,74 +24,12 @@
         self,
         cluster: cluster_state.ClusterState,
         orders: order_senders.OrderSender,
-        link: fleet.WorkerLink,
     ) -> None:
-        """Send starts through ``orders`` and request advice over ``link``."""
+        """Send starts through ``orders``."""
         self._cluster = cluster
         self._orders = orders
-        self._link = link
         self._unread_ends = unread_ends.UnreadEnds(cluster)
 
-    def request_advice(self, step: runs.StepState) -> None:
-        """Ask which workers a step may run on, one call at a time.
-
-        Each worker has its turn, the emptiest first. What is known of a
-        worker's life is not asked again before its ticket has expired.
-        """
-        now = self._cluster.clock.monotonic()
-        if step.is_advice_pending or now < step.advice_at:
-            return
-        step.advice_at = now + ADVICE_RETRY_PAUSE
-        asked = self._workers_to_ask(step, now)
-        if asked:
-            step.is_advice_pending = True
-            self._cluster.spawn(self._request_tickets(step, asked))
-
-    async def _request_tickets(
-        self, step: runs.StepState, asked: list[runs.Worker]
-    ) -> None:
-        is_advised = False
-        try:
-            is_advised = await self._update_tickets(step, asked)
-        finally:
-            step.is_advice_pending = False
-            pause = _ZERO if is_advised else ADVICE_RETRY_PAUSE
-            step.advice_at = self._cluster.clock.monotonic() + pause
-
-    async def _update_tickets(
-        self, step: runs.StepState, asked: list[runs.Worker]
-    ) -> bool:
-        """Ask for advice once; return whether there was an answer."""
-        now = self._cluster.clock.monotonic()
-        born_by_id = {worker.worker_id: worker.born_ms for worker in asked}
-        name = str(step.key(0)).rpartition(".")[0]
-        advice = await self._link.advise(name, tuple(born_by_id))
-        if advice is None:
-            return False
-        until = now + advice.valid
-        for ticket in advice.tickets:
-            step.tickets_by_worker[ticket.worker_id] = ticket.ticket, until
-            born_by_id.pop(ticket.worker_id, None)
-        step.barred_by_worker.update(born_by_id)
-        self._cluster.wake()
-        return True
-
-    def _workers_to_ask(
-        self, step: runs.StepState, now: datetime.timedelta
-    ) -> list[runs.Worker]:
-        """Return the emptiest workers of which too little is known."""
-        workers_by_id = self._cluster.workers_by_id
-        free_by_id = {
-            worker.worker_id: free_worker.free.accelerators
-            for worker in workers_by_id.values()
-            if (free_worker := capacities.free_worker(worker, now))
-            and free_worker.service == step.job.job.queue.service
-            and not step.has_ticket(worker.worker_id, now)
-            and step.barred_by_worker.get(worker.worker_id) != worker.born_ms
-        }
-        ids = sorted(free_by_id, key=lambda name: -free_by_id[name])
-        return [workers_by_id[name] for name in ids[:MAX_ADVISED_WORKERS]]
-
     def assign(self, starts: list[plans.Start]) -> None:
         """Assign run numbers to starts; send them once they are recorded."""
         starts_by_job = collections.defaultdict(list)
--- a/cardamomcroft/scheduling/placing.py
+++ b/cardamomcroft/scheduling/placing.py
@@ -128,6 +128,11 @@
         self._all = free_workers
         self.held: frozenset[str] = frozenset()
 
+    @property
+    def workers(self) -> list[FreeWorker]:
+        """Return all workers, also those held."""
+        return self._all
+
     def hold(self, worker_ids: list[str]) -> None:
         """Keep further tasks off these workers."""
         self.held |= frozenset(worker_ids)
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -19,6 +19,7 @@
 from cardamomcroft.scheduling import placing
 from cardamomcroft.scheduling import plans
 from cardamomcroft.scheduling import preempting
+from cardamomcroft.scheduling import prospects
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
 from cardamomcroft.sharing import deciding
@@ -120,6 +121,7 @@
             self._guaranteed,
             self._victim_costs,
         )
+        self._prospects = prospects.Prospects(self._pool)
         self._headroom_ids: frozenset[str] | None = None
         self._use_by_service: dict[
             str, tuple[models.Demand, models.Demand]
@@ -279,7 +281,7 @@
             is_placed = self._place(step, kept)
         if not is_placed:
             if not is_unrestricted:
-                self._plan.advice_wanted.append(step)
+                self._want_advice(step)
             if not step.is_deferred and not self._preempt(step, advised):
                 self._hold(step, advised)
 
@@ -305,10 +307,34 @@
             return frozenset()
         valid = step.advised_workers(self._inputs.now)
         if not valid:
-            self._plan.advice_wanted.append(step)
+            self._want_advice(step)
             return None
         return valid
 
+    def _want_advice(self, step: runs.StepState) -> None:
+        """Ask where the step may run; first where there is room for it."""
+        worker_ids: tuple[str, ...] = ()
+        if self._prospects.may_search(step):
+            worker_ids = self._prospective_workers(step)
+        self._plan.advice_wanted.append(plans.AdviceWish(step, worker_ids))
+
+    def _prospective_workers(self, step: runs.StepState) -> tuple[str, ...]:
+        """Return workers with room for a step, unless they are barred."""
+        workers_by_id = self._inputs.workers_by_id
+        free_workers = [
+            free_worker
+            for free_worker in self._candidates(
+                step, frozenset(), self._may_use_kept(step)
+            )
+            if not step.is_barred(workers_by_id[free_worker.worker_id])
+        ]
+        return self._prospects.workers_for(
+            step,
+            free_workers,
+            self._may_span_racks(step),
+            self._costs.of(step),
+        )
+
     def _may_use_kept(self, step: runs.StepState) -> bool:
         """Return whether a step may use headroom and held workers.
 
--- a/cardamomcroft/scheduling/plans.py
+++ b/cardamomcroft/scheduling/plans.py
@@ -22,6 +22,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdviceWish:
+    """A step that needs advice; the workers with room for it come first."""
+
+    step: runs.StepState
+    worker_ids: tuple[str, ...]  # none if it could not start now
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
     """A job that could not be planned in this round."""
@@ -54,9 +62,7 @@
 
     starts: list[Start] = dataclasses.field(default_factory=list)
     stops: list[Stop] = dataclasses.field(default_factory=list)
-    advice_wanted: list[runs.StepState] = dataclasses.field(
-        default_factory=list
-    )
+    advice_wanted: list[AdviceWish] = dataclasses.field(default_factory=list)
     failures: list[Failure] = dataclasses.field(default_factory=list)
 
     def size(self) -> Size:
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -156,8 +156,6 @@
     )
     # Workers that may not run the step, by the birth of the life asked about.
     barred_by_worker: dict[str, int] = dataclasses.field(default_factory=dict)
-    is_advice_pending: bool = False
-    advice_at: datetime.timedelta = _ZERO  # earliest next call for advice
     # Number of a gang's run of which a member was refused; 0 if none was.
     refill_number: int = 0
     refill_until: datetime.timedelta = _ZERO
@@ -211,6 +209,11 @@
         _, until = self.tickets_by_worker.get(worker_id, ("", now))
         return until > now
 
+    def is_barred(self, worker: "Worker") -> bool:
+        """Return whether the step may not run on this life of a worker."""
+        known = self.barred_by_worker.get(worker.worker_id)
+        return known == worker.born_ms
+
     def advised_workers(self, now: datetime.timedelta) -> frozenset[str]:
         """Return the workers on which the step may run, by valid advice."""
         return frozenset(
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -17,6 +17,7 @@
 from cardamomcroft.ports import base
 from cardamomcroft.ports import clock as clocks
 from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import advising
 from cardamomcroft.scheduling import cluster_state
 from cardamomcroft.scheduling import directory as directories
 from cardamomcroft.scheduling import ending
@@ -92,7 +93,8 @@
             self.cluster, self._orders, link
         )
         self._orders.on_contact = self._poller.handle_contact
-        self._launcher = launching.Launcher(self.cluster, self._orders, link)
+        self._launcher = launching.Launcher(self.cluster, self._orders)
+        self._advising = advising.Advising(self.cluster, link)
         self._began_at = clock.now()
         self._has_synced_workers = False
         self._headroom = wiring.make_headroom(parameters)
@@ -263,7 +265,7 @@
             return
         self._try_phase("failures", self._report_failures, plan.failures)
         self._try_phase("preemption", self._preempt, plan.stops)
-        self._try_phase("advice", self._request_advice, plan.advice_wanted)
+        self._try_phase("advice", self._advising.request, plan.advice_wanted)
         self._try_phase("assignment", self._launcher.assign, plan.starts)
         self._try_phase("headroom", self._watch_headroom)
 
@@ -371,10 +373,6 @@
                 victims.count_stop(stop.run)
             self._orders.stop(stop.run, stop.reason)
 
-    def _request_advice(self, steps: list[runs.StepState]) -> None:
-        for step in steps:
-            self._launcher.request_advice(step)
-
     def _may_end_in_time(self, run: runs.Run) -> bool:
         """Return whether to leave a run on a worker that drains."""
         if self._stays is None:
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -587,7 +587,7 @@
             is_renewed,
         )
 
-    async def advise(self, step, worker_ids) -> fleet.Advice | None:
+    async def advise(self, step, worker_ids, timeout) -> fleet.Advice | None:
         """Give no advice."""
         return None
 
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from cardamomcroft.ports import fleet
-from cardamomcroft.scheduling import launching
+from cardamomcroft.scheduling import advising
 from cardamomcroft.scheduling import models
 from tests.scheduling import harness
 
@@ -34,7 +34,7 @@
         await self.wait_until(self.holder)
         await self.pass_time(1)
 
-    async def advise(self, step: str, worker_ids: tuple[str, ...]):
+    async def advise(self, step: str, worker_ids: tuple[str, ...], timeout):
         """Answer as the advice service does."""
         self.asked.append(worker_ids)
         await self.clock.sleep(TERMS.decision)
@@ -77,7 +77,7 @@
         self.assertEqual(len(counts), WORKERS)
         self.assertEqual(set(counts.values()), {1})
         self.assertLessEqual(
-            max(map(len, self.asked)), launching.MAX_ADVISED_WORKERS
+            max(map(len, self.asked)), advising.MAX_ADVISED_WORKERS
         )
 
     async def test_other_workers_are_asked_beside_busy_ones(self):
--- a/tests/scheduling/test_senders.py
+++ b/tests/scheduling/test_senders.py
@@ -1,12 +1,14 @@
 """Runs whose orders fail unexpectedly are not left alone."""
 
 import asyncio
+import dataclasses
 from unittest import mock
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.scheduling import runs
 from tests.scheduling import harness
 from tests.scheduling import round_harness
+from tests.scheduling import test_advice
 
 
 class EndedRunTest(round_harness.RoundTestCase):
@@ -137,20 +139,23 @@
         self.assertEqual(self.scheduler.cluster.jobs_by_id, {})
 
     async def test_error_of_an_advice_call(self):
-        """The step asks again."""
+        """The step asks again, after a pause."""
         scheduler = self.scheduler
         job_id = self.submit(harness.make_step())
         await self.wait_until(lambda: self.running_of(job_id), 2)
-        state = scheduler.cluster.jobs_by_id[job_id].steps_by_key[0, 0]
+        job = scheduler.cluster.jobs_by_id[job_id]
+        job.job = dataclasses.replace(job.job, queue=test_advice.QUEUE)
+        state = job.steps_by_key[0, 0]
+        state.waiting.add(0)
         with mock.patch.object(
             self.fleet,
             "advise",
             autospec=True,
             side_effect=round_harness.ERROR,
-        ):
-            scheduler._launcher.request_advice(state)
-            await self.pass_time(0.1)
-        self.assertFalse(state.is_advice_pending)
+        ) as advise:
+            await self.pass_time(1)
+        self.assertGreater(advise.call_count, 1)
+        self.assertLess(advise.call_count, 6, "there is no pause")
 
     async def test_error_while_a_stray_run_is_stopped(self):
         """The next inventory repeats the order."""
