Tell whose fault failed runs are, and limit avoidance

Cause: each failed run was a strike against its worker, and two strikes kept it from all jobs for 3 to 12 s. A job of 64 lasting tasks that fail after 1.5 s, started again at once, struck all 24 workers.

Now a step that fails on two workers which fail nothing else is to blame, and its failures count against no worker. Whatever the causes, at most a third of a service's workers are avoided; refusals of a worker keep their short pauses. The quarantine of the stand-alone way has the same limit.

--- a/cardamomcroft/jobs/scheduler.py
+++ b/cardamomcroft/jobs/scheduler.py
@@ -263,20 +263,22 @@
         self, state: models.State
     ) -> tuple[policies.WorkerView, ...]:
         fleet = self._fleet.region(state, self._dependencies.region)
+        unusable = self._unusable_workers(state)
         return tuple(
-            fleets.to_view(worker, self._is_usable(worker_id))
+            fleets.to_view(worker, worker_id not in unusable)
             for worker_id, worker in fleet.items()
         )
 
     def _unusable_workers(self, state: models.State) -> frozenset[str]:
         fleet = self._fleet.region(state, self._dependencies.region)
-        return frozenset(itertools.filterfalse(self._is_usable, fleet))
+        return self._dependencies.health.unusable(fleet.keys()) | frozenset(
+            itertools.filterfalse(self._is_available, fleet)
+        )
 
-    def _is_usable(self, worker_id: str) -> bool:
+    def _is_available(self, worker_id: str) -> bool:
+        """Return whether a worker stays and obeys this owner."""
         if self._dependencies.membership.is_worker_leaving(worker_id):
             return False
-        if not self._dependencies.health.is_usable(worker_id):
-            return False
         return self.takeover.is_settled or self.takeover.is_fenced(worker_id)
 
     def tasks(self) -> tuple[asyncio.Task, ...]:
--- a/cardamomcroft/scheduling/capacity.py
+++ b/cardamomcroft/scheduling/capacity.py
@@ -74,13 +74,17 @@
     )
 
 
-def is_usable(worker: runs.Worker, now: datetime.timedelta) -> bool:
-    """Return whether a worker gets new tasks."""
+def is_ready(worker: runs.Worker) -> bool:
+    """Return whether a worker could get new tasks, if it is not avoided."""
     return (
         worker.listing is not None
         and worker.listing.state.value == "ready"
         and worker.has_inventory
         and worker.unreachable_since is None
-        and worker.avoid_until <= now
         and not worker.is_evacuated
     )
+
+
+def is_usable(worker: runs.Worker, now: datetime.timedelta) -> bool:
+    """Return whether a worker gets new tasks."""
+    return worker.avoid_until <= now and is_ready(worker)
--- a/cardamomcroft/scheduling/cluster_state.py
+++ b/cardamomcroft/scheduling/cluster_state.py
@@ -8,6 +8,7 @@
 from cardamomcroft.evacuation import gate as gates
 from cardamomcroft.ports import base
 from cardamomcroft.ports import fleet
+from cardamomcroft.scheduling import avoidance
 from cardamomcroft.scheduling import codec
 from cardamomcroft.scheduling import estimates
 from cardamomcroft.scheduling import events
@@ -25,8 +26,6 @@
 # The report of a stop's end and the start that follows: two calls to workers
 # and an append to the store.
 STOP_REPORT_TIME = datetime.timedelta(milliseconds=300)
-STRIKE_LIMIT = 2  # consecutive failures before a worker is avoided
-STRIKE_AVOID_DURATION = datetime.timedelta(seconds=3)
 MAX_DROPPED_WORKERS = 1_000  # a few megabytes
 _MS = datetime.timedelta(milliseconds=1)
 _ZERO = datetime.timedelta()
@@ -91,6 +90,7 @@
         self.clock = clock
         self.log = log
         self.failures = failures.FailureLog(clock, log)
+        self.avoidance = avoidance.Avoidance(clock, log)
         self.parameters = parameters
         self.gate = gate  # to pass before each start order
         self.jobs_by_id: dict[str, runs.JobState] = {}
@@ -180,7 +180,8 @@
             worker = runs.Worker(listing.address, listing.born_ms)
         # It is well, as far as its entry tells.
         worker.unreachable_since = None
-        worker.avoid_until, worker.strikes = _ZERO, 0
+        worker.avoid_until = _ZERO
+        self.avoidance.record_success(worker)
         self.workers_by_id[worker_id] = worker
         return worker
 
@@ -401,21 +402,6 @@
             self.spawn(self.report_durable_end(job))
         self.wake()
 
-    def record_strike(self, worker: runs.Worker) -> None:
-        """Avoid a worker after repeated failures, longer each time."""
-        worker.strikes += 1
-        if worker.strikes >= STRIKE_LIMIT:
-            pause = STRIKE_AVOID_DURATION * min(
-                worker.strikes - STRIKE_LIMIT + 1, 4
-            )
-            worker.avoid_until = self.clock.monotonic() + pause
-            self.log.emit(
-                "worker_avoided",
-                worker_id=worker.worker_id,
-                strikes=worker.strikes,
-                seconds=pause.total_seconds(),
-            )
-
     def record_silence(
         self, worker: runs.Worker, result: fleet.OrderResult
     ) -> None:
--- a/cardamomcroft/scheduling/launching.py
+++ b/cardamomcroft/scheduling/launching.py
@@ -131,8 +131,7 @@
                 self._cluster.stage_assignment(worker)
 
     def _withdraw(self, worker: runs.Worker, starts: list[runs.Run]) -> None:
-        avoid_until = self._cluster.clock.monotonic() + FULL_RECORD_AVOIDANCE
-        worker.avoid_until = max(worker.avoid_until, avoid_until)
+        self._cluster.avoidance.record_refusal(worker, FULL_RECORD_AVOIDANCE)
         for run in starts:
             if run.step.model.is_gang:
                 self._orders.stop_gang(run.step, "worker's record full")
@@ -241,8 +240,7 @@
         try:
             await self._orders.start_all(worker, assigned)
         except Exception:
-            avoid_until = self._cluster.clock.monotonic() + FAILED_AVOIDANCE
-            worker.avoid_until = max(worker.avoid_until, avoid_until)
+            self._cluster.avoidance.record_refusal(worker, FAILED_AVOIDANCE)
             raise
         finally:
             self._release(assigned)
--- a/cardamomcroft/scheduling/orders.py
+++ b/cardamomcroft/scheduling/orders.py
@@ -281,14 +281,14 @@
     def _handle_refusal(
         self, worker: runs.Worker, run: runs.Run, result: fleet.OrderResult
     ) -> None:
-        now = self._clock.monotonic()
+        avoidance = self._cluster.avoidance
         if result.status is Status.UNHEALTHY:
-            worker.avoid_until = now + UNHEALTHY_AVOID_DURATION
-            self._cluster.record_strike(worker)
+            avoidance.record_refusal(worker, UNHEALTHY_AVOID_DURATION)
+            avoidance.record_strike(worker)
         elif result.status is Status.NO_TICKET:
             run.step.tickets_by_worker.pop(worker.worker_id, None)
         elif result.status is not Status.STALE_RUN:
-            worker.avoid_until = now + REFUSAL_AVOID_DURATION
+            avoidance.record_refusal(worker, REFUSAL_AVOID_DURATION)
         if run.phase is runs.Phase.ENDED:
             return
         run.checkpoint = ""
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -217,7 +217,8 @@
             or self._reservations.count(step) != step.model.width
         ):
             return
-        waiting = sorted(step.waiting)
+        resting = step.rests.indexes(self._inputs.now)
+        waiting = [n for n in sorted(step.waiting) if n not in resting]
         counts = step.run_count_by_worker()
         for entry in ready:
             count = min(entry.count, len(waiting))
@@ -486,7 +487,9 @@
     def _unplanned_count(self, step: runs.StepState) -> int:
         """Count the waiting tasks without a planned start or reservation."""
         planned = sum(start.step is step for start in self._plan.starts)
-        return len(step.waiting) - planned - self._reservations.count(step)
+        resting = step.rests.count(self._inputs.now)
+        reserved = self._reservations.count(step)
+        return len(step.waiting) - resting - planned - reserved
 
     def _unplanned_indexes(
         self, step: runs.StepState, limit: int
@@ -495,6 +498,7 @@
             start.index for start in self._plan.starts if start.step is step
         }
         count = min(self._unplanned_count(step), limit)
+        planned |= step.rests.indexes(self._inputs.now)
         unplanned = (index for index in step.waiting if index not in planned)
         return list(itertools.islice(unplanned, max(count, 0)))
 
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -13,6 +13,7 @@
 from cardamomcroft.scheduling import late_starts
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import ranges
+from cardamomcroft.scheduling import resting
 
 MIN_CLOCK_RATE = 0.98  # slowest rate of a worker's steady clock (protocol)
 # Percentages are whole numbers, so rates over shorter spans are inexact.
@@ -149,6 +150,7 @@
     awaited_runs: tuple[Run, ...] = ()
     awaits_until: datetime.timedelta | None = None
     retry_at: datetime.timedelta = _ZERO
+    rests: resting.Rests = dataclasses.field(default_factory=resting.Rests)
     search_at: datetime.timedelta = _ZERO  # earliest next search for capacity
     is_deferred: bool = False  # its gang fails by itself and displaces nothing
     tickets_by_worker: dict[str, tuple[str, datetime.timedelta]] = (
@@ -362,7 +364,12 @@
         self.unreachable_since: datetime.timedelta | None = None
         self.heard_at: datetime.timedelta | None = None  # its last answer
         self.avoid_until = _ZERO
-        self.strikes = 0
+        self.refused_until = _ZERO  # the part of it that the worker asked for
+        self.strikes = 0  # all that counts against it, in placements
+        self.is_avoided_for_failures = False  # of runs, unless cleared
+        self.own_strikes = 0  # refusals as unhealthy, slow or stalled runs
+        self.lapses = 0  # of its leases, lately
+        self.lapsed_at = _ZERO
         self.has_assignment_record = False
         self.is_polled = False
         self.poll_call: asyncio.Task | None = None  # to its incarnation
@@ -441,6 +448,11 @@
             return 0
         return self._clock_ms + (now - self._clock_at) / _MS * MIN_CLOCK_RATE
 
+    @property
+    def is_heard_again(self) -> bool:
+        """Return whether the worker has answered since its leases lapsed."""
+        return not self.lapses or self.has_answered_since(self.lapsed_at)
+
     def has_answered_since(self, earliest: datetime.timedelta) -> bool:
         """Return whether the worker's last answer is so young."""
         return self.heard_at is not None and self.heard_at > earliest
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -251,6 +251,7 @@
         self._try_phase("workers", self._sync_workers)
         self._try_phase("evacuation", self._follow_evacuations)
         self._try_phase("leases", self._poller.expire_leases)
+        self._try_phase("avoidance", self._limit_avoidance)
         self._try_phase("starts", self._orders.stop_unanswered_starts)
         self._try_phase("gangs", self._orders.stop_open_gangs)
         self._try_phase("ends", self._ending.end_jobs)
@@ -290,6 +291,9 @@
             )
             return None
 
+    def _limit_avoidance(self) -> None:
+        self.cluster.avoidance.limit(self.cluster.workers_by_id.values())
+
     def _refresh_shares(self) -> None:
         if self._shares is not None:
             self._shares.refresh(
@@ -411,7 +415,7 @@
             else:
                 self._orders.stop(run, reason)
         for worker in struck:
-            self.cluster.record_strike(worker)
+            self.cluster.avoidance.record_strike(worker)
 
     def _sync_workers(self) -> None:
         now = self._clock.monotonic()
--- a/cardamomcroft/scheduling/standing_reasons.py
+++ b/cardamomcroft/scheduling/standing_reasons.py
@@ -26,6 +26,7 @@
     RUN_STOPPING = "run_stopping"
     INHERITED_UNHEARD = "inherited_unheard"
     ADVICE_AWAITED = "advice_awaited"
+    RESTING = "resting"  # its tasks fail soon after each start
     BEING_FREED = "being_freed"  # runs are preempted for it
     NO_WORKER = "no_worker"  # none that is listed is suitable or large enough
     NO_ROOM = "no_room"
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -65,6 +65,8 @@
         needs_advice = step.job.job.queue.advice is not None
         if needs_advice and not step.advised_workers(now):
             return reasons.Cause(Reason.ADVICE_AWAITED)
+        if step.rests.count(now) >= len(step.waiting) > 0:
+            return reasons.Cause(Reason.RESTING)
         reserved = self._inputs.reservations.of(step)
         if reserved:
             return reasons.Cause(
--- a/cardamomcroft/scheduling/worker_polling.py
+++ b/cardamomcroft/scheduling/worker_polling.py
@@ -37,7 +37,6 @@
 FIRST_LEASE = datetime.timedelta(seconds=4)
 # Near the horizon leases are short; the next poll has to renew them in time.
 RENEWAL_MARGIN = datetime.timedelta(seconds=1)
-AVOID_BACKOFF_BASE = datetime.timedelta(seconds=1)
 _ZERO = datetime.timedelta()
 _SILENT = frozenset(
     {fleet.OrderStatus.MAY_HAVE_RUN, fleet.OrderStatus.UNREACHED}
@@ -513,13 +512,15 @@
         index: int,
     ) -> None:
         if finished.end is fleet.End.DONE:
-            worker.strikes = 0
+            self._cluster.avoidance.record_success(worker)
             self._observe_duration(worker, finished, step)
             if not step.model.is_lasting:
                 self._cluster.record_success(step, index)
                 self._stop_other_runs(step, index, finished.run)
         elif finished.end is fleet.End.FAILED:
-            self._cluster.record_strike(worker)
+            self._cluster.avoidance.record_failure(worker, step)
+            if step.model.is_lasting:
+                self._rest(worker, finished, step, index)
             if index not in step.done:
                 given_up = worker.given_up.runs_by_task.get(finished.task)
                 is_late = given_up is not None and (
@@ -529,6 +530,24 @@
                     step, index, finished.run, is_late
                 )
 
+    def _rest(
+        self,
+        worker: runs.Worker,
+        finished: fleet.FinishedTask,
+        step: runs.StepState,
+        index: int,
+    ) -> None:
+        """Let a task that lasts rest if it fails soon after its starts."""
+        now = self._clock.monotonic()
+        run = worker.runs_by_task.get(finished.task)
+        lived = _ZERO
+        if run is not None and run.number == finished.run:
+            lived = now - run.began_at
+        index = 0 if step.model.is_gang else index
+        until = step.rests.record_failure(index, finished.run, lived, now)
+        if step.model.is_gang:
+            step.retry_at = max(step.retry_at, until)
+
     def _stop_other_runs(
         self, step: runs.StepState, index: int, number: int
     ) -> None:
@@ -590,9 +609,7 @@
                 self._restarts.drop_runs(worker, lost, "lease expired")
             has_ended_polling = not self._needs_polling(worker)
             if worker.avoid_until <= now and (had_runs or has_ended_polling):
-                worker.strikes += 1
-                pause = AVOID_BACKOFF_BASE * min(2**worker.strikes, 8)
-                worker.avoid_until = now + pause
+                self._cluster.avoidance.record_lapse(worker)
                 if has_ended_polling:
                     # The next start order is the probe.
                     worker.unreachable_since = None
--- a/cardamomcroft/standin/fleet.py
+++ b/cardamomcroft/standin/fleet.py
@@ -192,7 +192,9 @@
                 if task in self.runs_by_task:
                     self.end(task, fleet.End.STOPPED)
         for task, run in list(self.runs_by_task.items()):
-            if run.width:
+            if self._fails(task, run, now):
+                self.end(task, fleet.End.FAILED)
+            elif run.width:
                 self._advance_gang_member(task, run, now)
             elif self.hangs:
                 continue
@@ -217,6 +219,11 @@
             and (self.is_cut or end.number > self.listed_end)
         )
 
+    def _fails(self, task: str, run: FakeRun, now: datetime.timedelta) -> bool:
+        """Return whether a run of a job that can't succeed has ended."""
+        life = self._fleet.failing_life_by_job.get(task[:16])
+        return life is not None and now - run.began_at >= life
+
     def _outcome(self) -> fleet.End:
         return fleet.End.FAILED if self.fails_everything else fleet.End.DONE
 
@@ -259,6 +266,8 @@
         self.misplaced_starts: list[str] = []
         self.durations_by_job: dict[str, datetime.timedelta] = {}
         self.lasting_job_ids: set[str] = set()
+        # Each run of these fails after so long, wherever it is.
+        self.failing_life_by_job: dict[str, datetime.timedelta] = {}
         # Delay between the ends of runs that one worker stops together.
         self.stop_spacing = datetime.timedelta(milliseconds=40)
         self.stop_bound = STOP_BOUND
--- a/cardamomcroft/workers/avoidance.py
+++ b/cardamomcroft/workers/avoidance.py
@@ -6,6 +6,16 @@
 from cardamomcroft.ports import base
 
 MAX_DOUBLINGS = 10
+# Beyond this part of the workers avoidance tells nothing: what fails is
+# elsewhere, and the work has to run somewhere.
+MAX_AVOIDED_SHARE = 1 / 3
+
+
+def max_avoided(workers: int) -> int:
+    """Return how many of so many workers may be avoided at once."""
+    if workers < 2:
+        return 0
+    return max(int(workers * MAX_AVOIDED_SHARE), 1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cardamomcroft/workers/health.py
+++ b/cardamomcroft/workers/health.py
@@ -1,6 +1,7 @@
 """Attribute task failures to workers or to jobs."""
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
 
@@ -113,8 +114,28 @@
         """End the avoidance of a worker and reset its length."""
         self._avoidance.record_answered(worker_id)
 
+    def unusable(
+        self, worker_ids: collections.abc.Collection[str]
+    ) -> frozenset[str]:
+        """Return the workers that get no new work, of all in a region.
+
+        Those whose quarantine ends first are used again if too many have one.
+        """
+        now = self._clock.monotonic()
+        ends = sorted(
+            (self._by_worker[worker_id].quarantined_until, worker_id)
+            for worker_id in worker_ids
+            if worker_id in self._by_worker
+            and self._by_worker[worker_id].quarantined_until > now
+        )
+        limit = avoidance.max_avoided(len(worker_ids))
+        kept = ends[max(len(ends) - limit, 0) :]
+        return frozenset(worker_id for _, worker_id in kept) | frozenset(
+            filter(self._avoidance.is_avoided, worker_ids)
+        )
+
     def is_usable(self, worker_id: str) -> bool:
-        """Return whether new work may be placed on a worker."""
+        """Return whether new work may be placed on a worker by itself."""
         if self._avoidance.is_avoided(worker_id):
             return False
         history = self._by_worker.get(worker_id)
