Name the room that a round kept, not one chosen anew

The reason is documented as a fault, so real ones could not be told from it.

Cause: the look after a round chose the headroom workers again, from what was free by then and without the workers that are expected to leave.

Change: the headroom remembers the workers that the round chose, and the look uses these. `job_stands` counts `headroom` apart from `held`, which tells room kept for urgent jobs from room kept for large steps. The look no longer changes `cardamomcroft_headroom_accelerators`.

`held` of test_room_only_on_headroom_for_urgent_jobs is now 0, with `headroom` 1; the check is as strict as before.

--- a/cardamomcroft/scheduling/headroom.py
+++ b/cardamomcroft/scheduling/headroom.py
@@ -29,6 +29,8 @@
     lead: datetime.timedelta = datetime.timedelta()
     now: datetime.timedelta = datetime.timedelta()
     kept: int = 0  # free accelerators on the workers last chosen
+    # The headroom workers of the round; none if no step had to leave them.
+    chosen_ids: frozenset[str] = frozenset()
 
     def observe(
         self,
@@ -61,20 +63,36 @@
             total,
         )
 
+    def begin_round(self, now: datetime.timedelta) -> None:
+        """Forget the workers of the last round."""
+        self.now = now
+        self.chosen_ids = frozenset()
+
     def headroom_workers(
         self,
         free_workers: collections.abc.Iterable[placing.FreeWorker],
         total: int,
         leaving: collections.abc.Set[str] = frozenset(),
     ) -> frozenset[str]:
-        """Return the headroom workers: the emptiest of the emptiest racks.
+        """Choose the headroom workers: the emptiest of the emptiest racks.
 
         Workers that are expected to leave come first: urgent runs mostly end
         before such a worker does. In a release the workers already replaced
         are the emptiest, and long work needs them.
         """
-        wanted = self.wanted(total)
         self.kept = 0
+        self.chosen_ids = frozenset(
+            self._choose(free_workers, self.wanted(total), leaving)
+        )
+        return self.chosen_ids
+
+    def _choose(
+        self,
+        free_workers: collections.abc.Iterable[placing.FreeWorker],
+        wanted: float,
+        leaving: collections.abc.Set[str],
+    ) -> collections.abc.Iterator[str]:
+        """Yield the headroom workers, and count what they keep."""
         groups: dict[bool, dict[str, list[placing.FreeWorker]]] = {
             True: {},
             False: {},
@@ -83,16 +101,14 @@
             if worker.free.accelerators > 0:
                 by_rack = groups[worker.worker_id in leaving]
                 by_rack.setdefault(worker.rack, []).append(worker)
-        chosen: set[str] = set()
         for by_rack in groups.values():
             for worker in _emptiest_first(by_rack):
                 # A worker far larger than the need is not worth keeping idle.
                 if worker.free.accelerators > wanted * 2:
-                    return frozenset(chosen)
+                    return
                 wanted -= worker.free.accelerators
                 self.kept += worker.free.accelerators
-                chosen.add(worker.worker_id)
-        return frozenset(chosen)
+                yield worker.worker_id
 
 
 def _emptiest_first(
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -336,7 +336,7 @@
         )
 
     def _plan(self) -> plans.Plan:
-        self._headroom.now = self._clock.monotonic()
+        self._headroom.begin_round(self._clock.monotonic())
         inputs = planning.RoundInputs(
             list(self.cluster.jobs_by_id.values()),
             self.cluster.workers_by_id,
--- a/cardamomcroft/scheduling/standing_reasons.py
+++ b/cardamomcroft/scheduling/standing_reasons.py
@@ -56,7 +56,8 @@
     # Of suitable workers, by what they could take.
     workers: int | None = None
     usable: int | None = None
-    held: int | None = None
+    held: int | None = None  # for other steps, with room
+    headroom: int | None = None  # for urgent jobs, with room
     avoided: int | None = None
     silent: int | None = None
     unheard: int | None = None  # no inventory yet
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -127,22 +127,6 @@
             )
         return places
 
-    @functools.cached_property
-    def _headroom_ids(self) -> frozenset[str]:
-        workers, now = self._inputs.workers_by_id.values(), self._inputs.now
-        held = {worker_id for _, ids in self._holders for worker_id in ids}
-        free_workers = [
-            free_worker
-            for worker in workers
-            if worker.worker_id not in held
-            and (free_worker := capacities.free_worker(worker, now))
-        ]
-        total = sum(
-            worker.listing.accelerators
-            for worker in capacities.counted(workers)
-        )
-        return self._inputs.headroom.headroom_workers(free_workers, total)
-
     @functools.cached_property
     def _holders(self) -> list[Holder]:
         return self._inputs.holders()
@@ -154,7 +138,8 @@
         # Searched only if some are evacuated.
         with_evacuated = suitable if len(places) < len(suitable) else []
         usable = [place for place in places if not place.unusable]
-        kept = self._kept_ids(step, usable)
+        held_ids, headroom_ids = self._kept_ids(step, usable)
+        kept = held_ids | headroom_ids
         open_places = [p for p in usable if p.worker_id not in kept]
         wanted = model.width if model.is_gang else 1
         fitting = _count(step, open_places)
@@ -181,7 +166,8 @@
             next(reasons_with_room, Reason.NO_WORKER),
             workers=len(suitable),
             usable=len(usable),
-            held=len(kept),
+            held=len(held_ids),
+            headroom=len(headroom_ids),
             avoided=unusable["avoided"],
             silent=unusable["silent"],
             unheard=unusable["unheard"],
@@ -206,21 +192,24 @@
 
     def _kept_ids(
         self, step: runs.StepState, usable: list[_Place]
-    ) -> frozenset[str]:
-        """Return the usable workers with room that is kept for other work."""
+    ) -> tuple[frozenset[str], frozenset[str]]:
+        """Return the workers with room held for other steps, and headroom."""
         demand = placing.demand_of(step.model)
-        with_room = {p.worker_id for p in usable if demand.fits(p.free)}
+        with_room = frozenset(
+            place.worker_id for place in usable if demand.fits(place.free)
+        )
         if not with_room:
-            return frozenset()
-        kept = {
+            return frozenset(), frozenset()
+        held_ids = with_room.intersection(
             worker_id
             for other, held in self._holders
             if other is not step
             for worker_id in held
-        }
+        )
+        headroom_ids: frozenset[str] = frozenset()
         if step.job.job.queue.priority > 0 or step.is_deferred:
-            kept |= self._headroom_ids
-        return frozenset(kept & with_room)
+            headroom_ids = with_room & self._inputs.headroom.chosen_ids
+        return held_ids, headroom_ids
 
     def _accepts_remote(self, step: runs.StepState) -> bool:
         """Return whether the planner no longer waits for the step's rack."""
--- a/tests/scheduling/test_standing_reasons.py
+++ b/tests/scheduling/test_standing_reasons.py
@@ -223,7 +223,8 @@
         await self.fill_but_one_worker()
         job_id = self.submit(harness.make_step())
         fields = await self.check_reason(job_id, "held_workers")
-        self.assertEqual((fields["held"], fields["fitting_held"]), (1, 3))
+        self.assertEqual((fields["held"], fields["headroom"]), (0, 1))
+        self.assertEqual(fields["fitting_held"], 3)
 
     async def test_room_that_is_reserved_for_another_job(self):
         """Reserved room is in use, not unused by mistake."""
