Compare waiting steps by all that decides where they may run

Cause: a round does not try a step if an earlier one of the same signature found no room. The signature left out what decides. For a spread limit (`AntiAffinity`) it had the step's number, which is 0 for the first step of every job, as for a step without a limit: a job at its limit on every worker kept all others of the same demand and class from being tried. And it did not know that a filling step takes no cores. `_fits_a_rack` had the same two omissions; a rack-local gang whose spread no rack allows waited for twice its estimate.

Change: the signature has what a task takes and, with a limit, the step itself; an empty rack is counted within the limit. The look after a round uses the same two functions.

--- a/cardamomcroft/scheduling/placing.py
+++ b/cardamomcroft/scheduling/placing.py
@@ -110,6 +110,12 @@
     return min((have // need for have, need in pairs if need), default=1)
 
 
+def max_tasks_on_empty(step: models.Step, total: models.Demand) -> int:
+    """Return how many tasks of a step an idle worker may run."""
+    count = max_tasks(step, total)
+    return min(count, step.spread_limit) if step.spread_limit else count
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Savepoint:
     """Capacity of a pool at one point of a round."""
--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -130,7 +130,9 @@
         self._kinds: collections.Counter[tuple[str, models.Demand]] | None = (
             None
         )
-        self._max_rack_tasks_by_demand: dict[models.Demand, int] = {}
+        self._max_rack_tasks_by_shape: dict[
+            tuple[models.Demand, int], int
+        ] = {}
         self._preemption_searches = 0
         self._isolation = isolating.Isolation(
             self._plan,
@@ -291,7 +293,7 @@
         model, queue = step.model, step.job.job.queue
         is_local = model.is_gang and model.is_rack_local
         return (
-            model.demand,
+            placing.demand_of(model),
             model.required_label,
             model.data_rack,
             bool(model.data_rack) and self._accepts_remote_placement(step),
@@ -299,7 +301,8 @@
             queue.priority > 0 or step.is_deferred,
             model.is_gang and model.width,
             is_local and not self._may_span_racks(step),
-            model.spread_limit and step.number,
+            # Its own runs decide how many tasks each worker may still take.
+            model.spread_limit and step.key(0),
         )
 
     def _advised(self, step: runs.StepState) -> frozenset[str] | None:
@@ -522,16 +525,17 @@
         return self._kinds
 
     def _fits_a_rack(self, step: runs.StepState) -> bool:
-        demand = step.model.demand
-        if demand not in self._max_rack_tasks_by_demand:
+        model = step.model
+        shape = placing.demand_of(model), model.spread_limit
+        if shape not in self._max_rack_tasks_by_shape:
             count_by_rack: collections.Counter[str] = collections.Counter()
             for (rack, capacity), number in self._workers_by_kind().items():
-                count = placing.max_tasks(step.model, capacity)
+                count = placing.max_tasks_on_empty(model, capacity)
                 count_by_rack[rack] += count * number
-            self._max_rack_tasks_by_demand[demand] = max(
+            self._max_rack_tasks_by_shape[shape] = max(
                 count_by_rack.values(), default=0
             )
-        return self._max_rack_tasks_by_demand[demand] >= step.model.width
+        return self._max_rack_tasks_by_shape[shape] >= model.width
 
     def _start(
         self, step: runs.StepState, index: int, free_worker: placing.FreeWorker
--- a/cardamomcroft/scheduling/standing_room.py
+++ b/cardamomcroft/scheduling/standing_room.py
@@ -92,8 +92,7 @@
         model, queue = step.model, step.job.job.queue
         is_singular = bool(model.spread_limit or queue.advice)
         return (
-            model.demand,
-            model.is_filling,
+            placing.demand_of(model),
             model.required_label,
             model.data_rack,
             model.is_gang and (model.width, model.is_rack_local),
@@ -248,7 +247,7 @@
             for place in places:
                 if place.unusable == EVACUATED:
                     continue
-                count = placing.max_tasks(model, place.total)
+                count = placing.max_tasks_on_empty(model, place.total)
                 count_by_rack[place.listing.rack] += count
         return max(count_by_rack.values(), default=0) >= model.width
 
@@ -273,11 +272,9 @@
     step: runs.StepState, places: list[_Place], wanted: int
 ) -> int:
     """Count the tasks that fit on empty workers, up to ``wanted`` or more."""
-    limit = step.model.spread_limit
     total = 0
     for place in places:
-        fitting = placing.max_tasks(step.model, place.total)
-        total += min(fitting, limit) if limit else fitting
+        total += placing.max_tasks_on_empty(step.model, place.total)
         if total >= wanted:
             break
     return total
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -43,10 +43,14 @@
     return worker
 
 
-def make_job(*steps: models.Step, priority: int = 1) -> runs.JobState:
+def make_job(
+    *steps: models.Step, priority: int = 1, number: int = 0
+) -> runs.JobState:
     """Return a job that was accepted a second ago."""
     queue = harness.make_queue(priority)
-    job = models.Job("0" * 16, queue, "acc", "payload", steps, None, WALL)
+    job = models.Job(
+        f"{number:016x}", queue, "acc", "payload", steps, None, WALL
+    )
     accepted_at = NOW - harness.seconds(1)
     return occurrences.make_job_state(job, None, accepted_at)
 
@@ -104,6 +108,80 @@
     worker.runs_by_task[run.name] = run
 
 
+class EqualDemandTest(unittest.TestCase):
+    """Steps of the same demand that may run on different workers.
+
+    More than half of the room is in use, so nobody may use what is kept.
+    """
+
+    def check_starts(
+        self, earlier: runs.JobState, later: runs.JobState, worker: runs.Worker
+    ) -> None:
+        """Check that a job starts although an earlier one can't."""
+        full = make_worker("w2")
+        start(full, make_job(harness.make_step(accelerators=8)), 5)
+        inputs = make_inputs([earlier, later], [worker, full])
+        plan = planning.Planner(inputs).plan()
+        started = [start.step.job for start in plan.starts]
+        self.assertEqual(started, [later])
+
+    def test_spread_limit_of_another_job_blocks_nobody(self):
+        """A job stood beside a free worker that another may not use more."""
+        worker = make_worker("w1")
+        spread = make_job(harness.make_step(width=2, spread_limit=1))
+        start(worker, spread, 5)
+        spread.steps_by_key[0, 0].waiting.add(1)
+        for limit in (0, 1):
+            with self.subTest(limit=limit):
+                step = harness.make_step(spread_limit=limit)
+                later = make_job(step, number=1)
+                self.check_starts(spread, later, worker)
+
+    def test_filling_step_needs_no_cores(self):
+        """It stood as one of the same demand that needs cores did not fit."""
+        worker = make_worker("w1")
+        start(worker, make_job(harness.make_step()), 5)
+        step = harness.make_step()
+        cores = worker.listing.milli_cores
+        demand = dataclasses.replace(step.demand, milli_cores=cores)
+        step = dataclasses.replace(step, demand=demand)
+        filling = dataclasses.replace(step, is_filling=True)
+        self.check_starts(make_job(step), make_job(filling), worker)
+
+
+class EmptyRackTest(unittest.TestCase):
+    """Gangs that want one rack, and how many tasks a rack could take."""
+
+    def check_starts(self, *jobs: runs.JobState) -> None:
+        """Check that the last job starts, on four workers of two racks."""
+        workers = [make_worker(f"w{n}") for n in range(4)]
+        for number, worker in enumerate(workers):
+            rack = f"r{number % 2}"
+            worker.listing = dataclasses.replace(worker.listing, rack=rack)
+        plan = planning.Planner(make_inputs(list(jobs), workers)).plan()
+        started = collections.Counter(
+            start.step.job is jobs[-1] for start in plan.starts
+        )
+        width = jobs[-1].steps_by_key[0, 0].model.width
+        self.assertEqual(started, {True: width})
+
+    def test_gang_whose_spread_no_rack_allows_spans_racks(self):
+        """It waited for twice its estimate for a rack that never comes."""
+        step = harness.make_step(
+            width=3, spread_limit=1, is_gang=True, is_rack_local=True
+        )
+        self.check_starts(make_job(step))
+
+    def test_cores_count_for_a_gang_after_a_filling_one(self):
+        """Only the filling one, of the same demand, fits an empty rack."""
+        step = dataclasses.replace(
+            harness.make_step(width=3, is_gang=True, is_rack_local=True),
+            demand=models.Demand(40_000, 60_000, 0),
+        )
+        filling = dataclasses.replace(step, is_filling=True, width=9)
+        self.check_starts(make_job(filling), make_job(step, number=1))
+
+
 class VictimTest(unittest.TestCase):
     """An account reclaims its guarantee by preemption."""
 
