Let a job whose runs are all in doubt use the room that is kept

Cause: headroom and held workers yield to a job of which nothing runs while under half of the service is in use. Any run counted as running: also one on a worker out of reach, an inherited one, a start without an answer, and one that is being stopped. Such a job was not tried apart from its signature either.

Change: only runs that are at work or on their way there count, on workers that answer.

--- a/cardamomcroft/scheduling/planning.py
+++ b/cardamomcroft/scheduling/planning.py
@@ -50,6 +50,9 @@
 # Away from its data or spread over racks, a task takes three times as long
 # (protocol); this pays once the wait exceeds the two additional run times.
 REMOTE_FACTOR = 3
+_PHASES_TO_WORK = frozenset(
+    {runs.Phase.ASSIGNED, runs.Phase.STARTING, runs.Phase.AT_WORK}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -349,10 +352,19 @@
         if not self._is_mostly_free(job.job.queue.service):
             return False
         return step.model.is_lasting or not (
-            any(s.runs_by_index for s in job.steps_by_key.values())
+            any(self._is_expected_at_work(run) for run in job.runs)
             or any(start.step.job is job for start in self._plan.starts)
         )
 
+    def _is_expected_at_work(self, run: runs.Run) -> bool:
+        """Return whether a run is at work, or soon is; not if in doubt."""
+        worker = self._inputs.workers_by_id.get(run.worker_id)
+        return (
+            run.phase in _PHASES_TO_WORK
+            and worker is not None
+            and worker.unreachable_since is None
+        )
+
     def _is_mostly_free(self, service: str) -> bool:
         """Return whether under half of each resource is in use or planned."""
         if service not in self._use_by_service:
--- a/tests/scheduling/test_planning.py
+++ b/tests/scheduling/test_planning.py
@@ -294,6 +294,27 @@
         )
         self.assertEqual(len(self.starts_of(gang)), 2)
 
+    def test_headroom_yields_to_a_job_whose_runs_are_in_doubt(self):
+        """It stood for their leases, as nothing of it is at work for sure."""
+        for worker in self.workers[4:]:
+            self.occupy(worker, 3, 0)
+        step = self.add_job(harness.make_step(width=4, accelerators=8))
+        lost = self.workers[0]
+        start(lost, step.job, 5)
+        step.waiting.update(range(1, 4))
+        self.assertEqual(self.starts_of(step), set())
+        lost.unreachable_since = self.now
+        self.assertEqual(self.starts_of(step), {"w01", "w02", "w03"})
+        lost.unreachable_since = None
+        for phase in (
+            runs.Phase.UNCERTAIN,
+            runs.Phase.INHERITED,
+            runs.Phase.STOPPING,
+        ):
+            with self.subTest(phase=phase):
+                step.runs_by_index[0].phase = phase
+                self.assertEqual(len(self.starts_of(step)), 3)
+
     def test_holds_yield_while_most_room_is_free(self):
         """Nor beside workers that are held for another job."""
         self.headroom = headroom.Headroom()
