Follow the stream of jobs until a leaving instance's process ends

Cause: a planned stop ended the loop that reads the stream of jobs. A trial that prints the age of the copy shows none: the instance had been ready before its first read, left, and never read again. Ruled out: an old copy by load, and a refusal by the stop itself.

Change: a leaving node follows the stream and claims nothing; the readiness probe waits for the first read. The test names the answer it gets.

Tests: tests.scheduling.test_node.TakeoverTest. test_leaving_node_follows_and_claims_nothing and tests.platform. test_ingress.ReadinessTest fail on.

--- a/cardamomcroft/platform/ingress.py
+++ b/cardamomcroft/platform/ingress.py
@@ -110,6 +110,7 @@
             not self.is_leaving
             and self._config.current is not None
             and self._node.replica.is_loaded
+            and self._node.replica.age is not None
             and self._node.replica.is_reachable
         )
 
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -94,21 +94,22 @@
         }
 
     async def run(self) -> None:
-        """Follow the stream and claim the role when it is vacant."""
-        while not self._is_stopping:
+        """Follow the stream until cancelled; claim the role when vacant.
+
+        A leaving instance claims nothing but still answers from its copy.
+        """
+        while True:
             is_holder = self.scheduler is not None
             wait = HOLDER_POLL_WAIT if is_holder else _ZERO
             answered = await self.replica.update(wait)
             self._check_claim()
-            if self._is_stopping:
-                return
             if not answered:
                 await self._clock.sleep(RETRY_PAUSE)
             elif self.scheduler is not None:
                 await self._clock.sleep(HOLDER_POLL_PAUSE)
             elif self.replica.is_behind:
                 continue
-            elif self._candidate.is_vacant():
+            elif not self._is_stopping and self._candidate.is_vacant():
                 await self._candidate.claim()
             else:
                 await self._clock.sleep(FOLLOWER_POLL_PAUSE)
@@ -119,6 +120,8 @@
             if claim is None:
                 self.scheduler.journal.lose_claim("superseded")
             return
+        if self._is_stopping:
+            return
         if claim is not None and claim.epoch not in self._used_epochs:
             self._used_epochs.add(claim.epoch)
             self._start_scheduler(claim)
@@ -174,7 +177,7 @@
             await asyncio.gather(self._scheduler_task, return_exceptions=True)
 
     async def stop(self) -> None:
-        """Release the claim, if the store answers, and stop following."""
+        """Release the claim, if the store answers, and claim no more."""
         self._is_stopping = True
         if self.scheduler is None:
             return
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -157,6 +157,18 @@
         return task.result()
 
 
+class ReadinessTest(IngressTestCase):
+    """The readiness probe promises that calls are served."""
+
+    async def test_not_ready_before_the_copy_of_jobs_is_current(self):
+        """A copy just loaded is of unknown age, and counts as stale."""
+        target = self.make(RefusingStore(), base.NoForwarder())
+        self.replica.age = None
+        self.assertFalse(target.is_ready)
+        self.replica.age = harness.seconds(0)
+        self.assertTrue(target.is_ready)
+
+
 class UnansweredCallsTest(IngressTestCase):
     """The store or the peers fail."""
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -330,6 +330,6 @@
             return not await self.is_ready("a")
 
         await self.wait_for(is_out, 1)
-        status, _ = await self.call("GET", "/scan/")
-        self.assertEqual(status, 200)
+        status, answer = await self.call("GET", "/scan/")
+        self.assertEqual(status, 200, answer)
         await asyncio.wait_for(self.cluster.tasks_by_name["a"], 6)
--- a/tests/scheduling/test_node.py
+++ b/tests/scheduling/test_node.py
@@ -4,6 +4,7 @@
 
 from cardamomcroft.ports import fleet
 from cardamomcroft.ports import store
+from cardamomcroft.scheduling import node as nodes
 from cardamomcroft.scheduling import worker_polling
 from tests.scheduling import harness
 
@@ -201,6 +202,26 @@
         self.assertLess(took, 1.0)
         await task
 
+    async def test_leaving_node_follows_and_claims_nothing(self):
+        """Its copy went stale in its grace, and it refused what it had read.
+
+        It is the only node, so that nobody takes the released role.
+        """
+        holder = self.holder()
+        for name in set(self.nodes_by_name) - {holder}:
+            self.kill(name)
+        leaving = self.nodes_by_name[holder]
+        stopping = harness.asyncio.ensure_future(leaving.stop())
+        await self.pass_time(0.5)
+        later = self.submit(harness.make_step())
+        await self.pass_time(6)
+        limit = nodes.FOLLOWER_POLL_PAUSE + nodes.RETRY_PAUSE
+        self.assertLess(leaving.replica.age, limit)
+        self.assertIn(later, leaving.replica.ledger.jobs_by_id)
+        self.assertIsNone(leaving.scheduler)
+        self.assertIsNone(self.holder())
+        await stopping
+
     async def test_holder_grants_nothing_once_its_release_is_sent(self):
         """The release may be stored although its answer is lost."""
         holder = self.holder()
