--- a/tests/placement/play.py
+++ b/tests/placement/play.py
@@ -19,6 +19,7 @@
 from cardamomcroft.scheduling import preempting
 from cardamomcroft.scheduling import reservations
 from cardamomcroft.scheduling import runs
+from cardamomcroft.scheduling import standing_room
 from cardamomcroft.scheduling import stragglers
 from tests.scheduling import harness
 
@@ -170,6 +171,27 @@
             self.start(start, numbers[start.step])
         return plan
 
+    def room(self) -> standing_room.Room:
+        """Return the room that the last round has left."""
+        return standing_room.Room(
+            standing_room.RoomInputs(
+                self.workers_by_id,
+                self.now,
+                self.reservations,
+                self.headroom,
+                self.durations,
+                self._holders,
+            )
+        )
+
+    def _holders(self) -> list[standing_room.Holder]:
+        return [
+            (step, held)
+            for job in self.jobs
+            for step in job.steps_by_key.values()
+            if step.waiting and (held := self.holds.of(step))
+        ]
+
     def start(self, start: plans.Start, number: int) -> None:
         step, index = start.step, start.index
         run = runs.Run(
--- a/tests/placement/test_failing.py
+++ b/tests/placement/test_failing.py
@@ -7,7 +7,6 @@
 from cardamomcroft.scheduling import headroom
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import standing_reasons
-from cardamomcroft.scheduling import standing_room
 from tests.placement import play as plays
 from tests.scheduling import harness
 
@@ -142,17 +141,7 @@
         self.keep_headroom(6)
         step = self.add_failed()
         self.play.plan()
-        room = standing_room.Room(
-            standing_room.RoomInputs(
-                self.play.workers_by_id,
-                self.play.now,
-                self.play.reservations,
-                self.play.headroom,
-                self.play.durations,
-                list,
-            )
-        )
-        reason = room.cause(step).reason
+        reason = self.play.room().cause(step).reason
         self.assertIs(reason, standing_reasons.Reason.HELD_WORKERS)
 
     def test_starts_at_once_while_half_of_the_room_is_free(self):
--- a/tests/placement/test_room_used.py
+++ b/tests/placement/test_room_used.py
@@ -9,7 +9,6 @@
 from cardamomcroft.scheduling import plans
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import standing_reasons
-from cardamomcroft.scheduling import standing_room
 from tests.placement import play as plays
 
 SEEDS = int(os.environ.get("CARDAMOMCROFT_SEEDS", "6"))
@@ -67,31 +66,15 @@
 
     def _unused_rooms(self) -> list[standing_reasons.Cause]:
         """Return the causes of waiting jobs for which there is room."""
-        inputs = standing_room.RoomInputs(
-            self.workers_by_id,
-            self.now,
-            self.reservations,
-            self.headroom,
-            self.durations,
-            self._holders,
-        )
         causes = []
         for job in self.jobs:
             (step,) = job.steps_by_key.values()
             if step.waiting and not step.runs_by_index:
                 # A room for each step, as it allows a few searches only.
-                causes.append(standing_room.Room(inputs).cause(step))
+                causes.append(self.room().cause(step))
         unused = standing_reasons.Reason.ROOM_UNUSED
         return [cause for cause in causes if cause.reason is unused]
 
-    def _holders(self) -> list[standing_room.Holder]:
-        return [
-            (step, held)
-            for job in self.jobs
-            for step in job.steps_by_key.values()
-            if step.waiting and (held := self.holds.of(step))
-        ]
-
 
 class RoomUsedTest(unittest.TestCase):
     """Jobs of few demands wait beside each other, as those of one queue."""
--- a/tests/scheduling/test_standing_room.py
+++ b/tests/scheduling/test_standing_room.py
@@ -6,7 +6,6 @@
 from cardamomcroft.scheduling import headroom
 from cardamomcroft.scheduling import models
 from cardamomcroft.scheduling import standing_reasons
-from cardamomcroft.scheduling import standing_room
 from tests.placement import play as plays
 from tests.scheduling import harness
 
@@ -41,15 +40,7 @@
     def cause_of(self, priority: int) -> standing_reasons.Cause:
         """Return why a job of one small task waits."""
         job = self.play.submit(plays.make_step(), priority=priority)
-        inputs = standing_room.RoomInputs(
-            self.play.workers_by_id,
-            self.play.now,
-            self.play.reservations,
-            self.play.headroom,
-            self.play.durations,
-            list,
-        )
-        return standing_room.Room(inputs).cause(job.steps_by_key[0, 0])
+        return self.play.room().cause(job.steps_by_key[0, 0])
 
     def test_room_that_the_round_kept_is_not_called_unused(self):
         """The workers were chosen anew, without those expected to leave."""
