Wait for the monitor's third look, not for 0.1 s

The soak's monitor looks every 1 ms there, and the test gave it 0.1 s of wall-clock time for three looks. Cause: a pause of the process of more than 0.1 s within the first look. Both timers are due when it ends, the test's is the older one and runs first, so that one look is counted. It says nothing about the monitor. Change: the test waits until the third look, for at most 5 s.

--- a/tests/soak/test_monitoring.py
+++ b/tests/soak/test_monitoring.py
@@ -1,7 +1,6 @@
 """The monitor reports what the watch and the instances show."""
 
 import asyncio
-import itertools
 import unittest
 from unittest import mock
 
@@ -12,6 +11,8 @@
 from tests.soak import test_watch
 
 JOB = test_watch.JOB
+# Ends a test whose monitor has stopped looking.
+LOOKS_TIMEOUT_S = 5.0
 
 
 class MonitorTest(unittest.IsolatedAsyncioTestCase):
@@ -76,13 +77,17 @@
                 waiting_since=mock.Mock(return_value={JOB}),
             )
         )
-        self.look.side_effect = itertools.chain(
-            [[], [JOB]], itertools.repeat([])
-        )
+        third_look = asyncio.Event()
+
+        def look(_disturbed):
+            if self.look.call_count > 2:
+                third_look.set()
+            return [JOB] if self.look.call_count == 2 else []
+
+        self.look.side_effect = look
         self.callers.pending = mock.AsyncMock(return_value=1)
         self.monitor.start()
-        await asyncio.sleep(0.1)
-        self.assertGreater(self.look.call_count, 2)
+        await asyncio.wait_for(third_look.wait(), LOOKS_TIMEOUT_S)
         found = await self.monitor.stop()
         self.assertEqual(len(found["stands_still"]), 1)
 
