Keep an account's guarantee when its last key goes

Cause: the configuration kept its accounts by key, and the accounts by name were derived from that, so an account without a key did not exist for the scheduler: no guarantee, and the weight of an account without one.

--- a/cardamomcroft/platform/configuration.py
+++ b/cardamomcroft/platform/configuration.py
@@ -46,14 +46,15 @@
 def decode(value: bytes) -> configuration.Configuration:
     """Decode a version; raise ValueError or KeyError if it is invalid."""
     data = json.loads(value)
-    accounts = {}
-    for tenant in data.get("Tenants", ()):
-        account = configuration.Account(
+    accounts = tuple(
+        configuration.Account(
             tenant["Name"],
             tenant.get("Priority", 0),
             (tenant.get("Guaranteed") or {}).get("Gpu", 0),
+            tuple(tenant.get("ApiKeys") or ()),
         )
-        accounts |= {key: account for key in tenant.get("ApiKeys", ())}
+        for tenant in data.get("Tenants") or ()
+    )
     routes = tuple(
         configuration.Route(
             route["Host"],
--- a/cardamomcroft/scheduling/configuration.py
+++ b/cardamomcroft/scheduling/configuration.py
@@ -18,20 +18,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Account:
-    """A client account, its priority and its guarantee."""
+    """A client account, its priority, its guarantee and its keys.
+
+    An account lasts as long as the configuration lists it. Keys say who
+    calls, and may all be gone while accepted work remains.
+    """
 
     name: str
     priority: int
     guaranteed_accelerators: int
+    keys: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One version of the routes, the accounts and their keys."""
+    """One version of the routes and the accounts."""
 
     version: int
     routes: tuple[Route, ...]
-    accounts_by_key: dict[str, Account]
+    accounts: tuple[Account, ...]
     max_body_bytes: int
 
     @functools.cached_property
@@ -46,9 +51,14 @@
 
     @functools.cached_property
     def accounts_by_name(self) -> dict[str, Account]:
-        """Return the accounts by name."""
+        """Return the accounts by name, also those without a key."""
+        return {account.name: account for account in self.accounts}
+
+    @functools.cached_property
+    def accounts_by_key(self) -> dict[str, Account]:
+        """Return the account that each key belongs to."""
         return {
-            account.name: account for account in self.accounts_by_key.values()
+            key: account for account in self.accounts for key in account.keys
         }
 
     def route(self, host: str, path: str) -> Route | None:
--- a/cardamomcroft/scheduling/configuration_view.py
+++ b/cardamomcroft/scheduling/configuration_view.py
@@ -153,6 +153,7 @@
             version=config.version,
             offset=record.offset,
             routes=len(config.routes),
+            accounts=len(config.accounts_by_name),
             keys=len(config.accounts_by_key),
         )
         self.on_change(config)
--- a/tests/platform/test_cancelling.py
+++ b/tests/platform/test_cancelling.py
@@ -18,10 +18,10 @@
 JOB = "a" * 16
 BODY = b'{"Spec":"x","Phases":[{"Count":2,"Cpu":500,"MemMb":100,"Gpu":1}]}'
 TIMEOUT = harness.seconds(3)
-ACCOUNTS_BY_KEY = {
-    key: configuration.Account(name, 1, 0)
+ACCOUNTS = tuple(
+    configuration.Account(name, 1, 0, (key,))
     for key, name in (("k1", "a"), ("k2", "b"))
-}
+)
 
 
 class PeerForwarder(base.Forwarder):
@@ -57,7 +57,7 @@
     ) -> ingresses.Ingress:
         """Return the ingress of an instance."""
         route = configuration.Route("h", "/p/", harness.make_queue(), False)
-        current = configuration.Configuration(1, (route,), ACCOUNTS_BY_KEY, 0)
+        current = configuration.Configuration(1, (route,), ACCOUNTS, 0)
         view = types.SimpleNamespace(
             current=current,
             version=1,
@@ -201,9 +201,7 @@
         await self.call("DELETE")
         await self.pass_time(1)
         ledger = self.nodes_by_name["b"].replica.ledger
-        self.assertEqual(
-            ledger.unmatched.get(JOB).account, ACCOUNTS_BY_KEY["k1"].name
-        )
+        self.assertEqual(ledger.unmatched.get(JOB).account, ACCOUNTS[0].name)
         self.assertIsInstance(ledger.unmatched.get(JOB), codec.Cancellation)
         age_s = self.clock.now().timestamp() - (
             ledger.unmatched.get(JOB).requested_at
--- a/tests/platform/test_forwarded_configuration.py
+++ b/tests/platform/test_forwarded_configuration.py
@@ -36,7 +36,7 @@
     ) -> configuration_view.ConfigurationView:
         """Return a view that has just read a version."""
         view = self.make_view(self.store.client("a"), MAX_AGE)
-        view.current = configuration.Configuration(version, routes, {}, 0)
+        view.current = configuration.Configuration(version, routes, (), 0)
         view.read_at = self.clock.monotonic()
         return view
 
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -119,7 +119,7 @@
 
     def make(self, target, forwarder: base.Forwarder) -> ingress.Ingress:
         """Return an ingress with a public route."""
-        current = configuration.Configuration(1, (ROUTE,), {}, 0)
+        current = configuration.Configuration(1, (ROUTE,), (), 0)
         config = types.SimpleNamespace(
             current=current,
             version=1,
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -230,6 +230,23 @@
         account = config.accounts_by_key["k"]
         self.assertEqual(account.guaranteed_accelerators, 56)
 
+    def test_account_exists_without_a_key(self):
+        """Keys only say who calls."""
+        tenants = [
+            {"Name": "none", "Guaranteed": {"Gpu": 8}},
+            {"Name": "empty", "ApiKeys": []},
+            {"Name": "null", "ApiKeys": None},
+            {"Name": "new", "ApiKeys": ["k"]},
+        ]
+        value = {"Version": 3, "Routes": [], "Tenants": tenants}
+        config = configuration.decode(json.dumps(value).encode())
+        self.assertEqual(
+            list(config.accounts_by_name), ["none", "empty", "null", "new"]
+        )
+        account = config.accounts_by_name["none"]
+        self.assertEqual(account.guaranteed_accelerators, 8)
+        self.assertEqual(config.accounts_by_key["k"].name, "new")
+
 
 class SettingsTest(unittest.TestCase):
     """Decode the settings file."""
--- a/tests/scheduling/harness.py
+++ b/tests/scheduling/harness.py
@@ -103,7 +103,7 @@
             source,
             self.clock,
             self.make_log("a"),
-            lambda raw: configuration.Configuration(int(raw), (), {}, 0),
+            lambda raw: configuration.Configuration(int(raw), (), (), 0),
             "config",
             max_age,
         )
--- a/tests/sharing/account_load.py
+++ b/tests/sharing/account_load.py
@@ -19,10 +19,10 @@
     accelerators_by_account: dict[str, int],
 ) -> configuration.Configuration:
     """Return a configuration with these guarantees."""
-    accounts = {
-        f"key of {name}": configuration.Account(name, 0, number)
+    accounts = tuple(
+        configuration.Account(name, 0, number, (f"key of {name}",))
         for name, number in accelerators_by_account.items()
-    }
+    )
     return configuration.Configuration(1, (), accounts, 0)
 
 
