Start accepted jobs by the terms of their queue in force

What callers would see: a job accepted before its queue moved to another service never starts once its own service has no workers; one accepted before its queue got Advice has each start refused (409 ticket), without end; one accepted before the queue lost it waits for answers that need not come. Cause: a job starts by the queue as it was stored at its acceptance. That is right for promises to the job, not for what workers and services go by. Change: queue_terms derives the service and the advice in force from the acceptance, the configuration and the listed services, whenever one of the latter changes and no outage hides entries. Priority, attempts and objective stay. A queue that is gone, or whose name several share, changes nothing.

--- a/cardamomcroft/scheduling/advising.py
+++ b/cardamomcroft/scheduling/advising.py
@@ -216,8 +216,10 @@
 
 
 def _is_needed(step: runs.StepState) -> bool:
-    """Return whether the step still has tasks to start."""
+    """Return whether the step still has tasks to start, with advice."""
     job = step.job
+    if job.job.queue.advice is None:  # no longer
+        return False
     return bool(step.waiting) and not (job.is_cancelled or job.final_state)
 
 
--- a/cardamomcroft/scheduling/configuration.py
+++ b/cardamomcroft/scheduling/configuration.py
@@ -49,6 +49,18 @@
             routes.sort(key=lambda route: -len(route.prefix))
         return by_host
 
+    @functools.cached_property
+    def queues_by_name(self) -> dict[str, models.Queue]:
+        """Return the queues by name, without names that several share."""
+        queues: dict[str, set[models.Queue]] = {}
+        for route in self.routes:
+            queues.setdefault(route.queue.name, set()).add(route.queue)
+        return {
+            name: found.pop()
+            for name, found in queues.items()
+            if len(found) == 1
+        }
+
     @functools.cached_property
     def accounts_by_name(self) -> dict[str, Account]:
         """Return the accounts by name, also those without a key."""
--- a/cardamomcroft/scheduling/node.py
+++ b/cardamomcroft/scheduling/node.py
@@ -19,6 +19,7 @@
 from cardamomcroft.scheduling import events
 from cardamomcroft.scheduling import journal as journals
 from cardamomcroft.scheduling import lazy_modules
+from cardamomcroft.scheduling import queue_terms
 from cardamomcroft.scheduling import replica as replicas
 from cardamomcroft.scheduling import runs
 from cardamomcroft.scheduling import scheduler as schedulers
@@ -35,6 +36,7 @@
 RELEASE_TIMEOUT = datetime.timedelta(seconds=1)
 RUN_NUMBERS_PER_TERM = runs.RUN_NUMBERS_PER_TERM
 _ZERO = datetime.timedelta()
+_NO_QUEUES: queue_terms.QueuesByName = {}
 
 
 class Node:
@@ -93,6 +95,10 @@
             for name, account in accounts.items()
         }
 
+    def _queues(self) -> queue_terms.QueuesByName:
+        config = self.configuration
+        return _NO_QUEUES if config is None else config.queues_by_name
+
     async def run(self) -> None:
         """Follow the stream until cancelled; claim the role when vacant.
 
@@ -145,6 +151,7 @@
             self._log,
             parameters,
             self._guarantees,
+            self._queues,
             self._candidate.inherited_leases(parameters),
             self._gate,
         )
--- a/cardamomcroft/scheduling/runs.py
+++ b/cardamomcroft/scheduling/runs.py
@@ -268,6 +268,12 @@
     slack: datetime.timedelta = _ZERO  # the part of it that waiting may use
     objective_valid_until: datetime.timedelta = _ZERO
     is_cancelled: bool = False
+    # The job's own queue follows the configuration (module queue_terms).
+    accepted_queue: models.Queue = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Keep the terms under which the job was accepted."""
+        self.accepted_queue = self.job.queue
 
     @property
     def runs(self) -> list[Run]:
--- a/cardamomcroft/scheduling/scheduler.py
+++ b/cardamomcroft/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 from cardamomcroft.scheduling import orders as order_senders
 from cardamomcroft.scheduling import planning
 from cardamomcroft.scheduling import plans
+from cardamomcroft.scheduling import queue_terms
 from cardamomcroft.scheduling import queue_waits
 from cardamomcroft.scheduling import replica as replicas
 from cardamomcroft.scheduling import runs
@@ -70,12 +71,14 @@
         log: events.Events,
         parameters: cluster_state.SchedulingParameters,
         guarantees: collections.abc.Callable[[], dict[str, int]],
+        queues: collections.abc.Callable[[], queue_terms.QueuesByName],
         inherited_leases: inheriting.InheritedLeases,
         gate: gates.Gate,
     ) -> None:
         """Assemble the components; ``run`` starts them.
 
-        ``guarantees`` returns the accelerators guaranteed to each account.
+        ``guarantees`` returns the accelerators guaranteed to each account,
+        ``queues`` those that are configured.
         """
         self._replica = replica
         self.journal = journal
@@ -83,6 +86,7 @@
         self._clock = clock
         self._log = log
         self._guarantees = guarantees
+        self._terms = queue_terms.QueueTerms(queues, log)
         self._inherited_leases = inherited_leases
         self.cluster = cluster_state.ClusterState(
             journal, clock, log, parameters, gate
@@ -243,12 +247,14 @@
         age = max(self._clock.now() - job.submitted_at, _ZERO)
         state = occurrences.make_job_state(job, progress, now - age)
         state.is_cancelled = job_id in self._replica.ledger.cancelled_ids
+        self._terms.apply(state)
         self.cluster.jobs_by_id[job_id] = state
         self._headroom.observe(job, state.accepted_at)
 
     def _round(self) -> None:
         """Run the phases of one round."""
         self._try_phase("workers", self._sync_workers)
+        self._try_phase("terms", self._refresh_terms)
         self._try_phase("evacuation", self._follow_evacuations)
         self._try_phase("leases", self._poller.expire_leases)
         self._try_phase("avoidance", self._limit_avoidance)
@@ -294,6 +300,19 @@
     def _limit_avoidance(self) -> None:
         self.cluster.avoidance.limit(self.cluster.workers_by_id.values())
 
+    def _refresh_terms(self) -> None:
+        """Apply the configured terms to the jobs accepted before.
+
+        Entries of workers that expired in an outage of the store return.
+        """
+        if not self._directory.is_loaded:
+            return
+        if self._clock.monotonic() >= self._directory.absence_valid_from:
+            self._terms.refresh(
+                self.cluster.jobs_by_id.values(),
+                self.cluster.workers_by_id.values(),
+            )
+
     def _refresh_shares(self) -> None:
         if self._shares is not None:
             self._shares.refresh(
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -230,6 +230,17 @@
         account = config.accounts_by_key["k"]
         self.assertEqual(account.guaranteed_accelerators, 56)
 
+    def test_queues_that_share_a_name_are_not_told_apart(self):
+        """Jobs of either keep the terms of their acceptance."""
+        routes = [
+            {"Name": n, "Host": "h", "PathPrefix": f"/{s}/", "Service": s}
+            for n, s in (("one", "a"), ("two", "b"), ("two", "c"))
+        ]
+        value = json.dumps({"Version": 3, "Routes": routes}).encode()
+        config = configuration.decode(value)
+        self.assertEqual(list(config.queues_by_name), ["one"])
+        self.assertEqual(config.queues_by_name["one"].service, "a")
+
     def test_account_exists_without_a_key(self):
         """Keys only say who calls."""
         tenants = [
